Add an in-memory store with faults for unit tests

Cause: aggregates need a platform.Store whose replies get lost, whose writes are dropped and whose leases lapse by a chosen clock. Change: internal/platform/memstore; views share data and have faults and call counters of their own.

--- /dev/null
+++ b/internal/platform/memstore/memstore.go
@@ -0,0 +1,164 @@
+// Package memstore is an in-memory platform.Store for tests. It counts calls
+// and brings about the faults that the platform's service is known for.
+package memstore
+
+import (
+	"bytes"
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+)
+
+// historyLimit is the number of changes that a watch can go back.
+const historyLimit = 10_000
+
+// Store is one client's view of an in-memory key-value service. Views made by
+// View share the data and have faults and counters of their own. All methods
+// are safe for concurrent use.
+type Store struct {
+	shared *data
+	faults faults
+}
+
+// data is what all views share.
+type data struct {
+	mu        sync.Mutex
+	now       func() time.Time
+	revision  int64
+	compacted int64
+	nextLease platform.LeaseID
+	values    map[string]platform.Value
+	leases    map[platform.LeaseID]*lease
+	history   []platform.Change
+	changed   chan struct{}
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns an empty store whose leases run by now; nil means time.Now.
+func New(now func() time.Time) *Store {
+	if now == nil {
+		now = time.Now
+	}
+	return &Store{shared: &data{
+		now:     now,
+		values:  map[string]platform.Value{},
+		leases:  map[platform.LeaseID]*lease{},
+		changed: make(chan struct{}),
+	}}
+}
+
+// View returns another client of the same data, without faults.
+func (s *Store) View() *Store {
+	return &Store{shared: s.shared}
+}
+
+// Get reads one key.
+func (s *Store) Get(ctx context.Context, key string) (platform.Value, error) {
+	if err := s.begin(ctx, OpGet, key); err != nil {
+		return platform.Value{}, err
+	}
+	d := s.shared
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	value, ok := d.values[key]
+	if !ok {
+		return platform.Value{}, platform.ErrNotFound.New("key %q", key)
+	}
+	return value, nil
+}
+
+// List reads all keys with a prefix, in key order.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Value, int64, error) {
+	if err := s.begin(ctx, OpList, prefix); err != nil {
+		return nil, 0, err
+	}
+	d := s.shared
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	var found []platform.Value
+	for key, value := range d.values {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, value)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, d.revision, nil
+}
+
+// CompareAndSwap writes data if the key's revision equals expect.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, id platform.LeaseID) (platform.Value, error) {
+	if err := s.begin(ctx, OpCompareAndSwap, key); err != nil {
+		return platform.Value{}, err
+	}
+	if s.faults.takeDropped() {
+		return platform.Value{}, platform.ErrOutcomeUnknown.New("write of %q timed out", key)
+	}
+	value, err := s.shared.compareAndSwap(key, expect, data, id)
+	if s.faults.takeLost() {
+		return platform.Value{}, platform.ErrOutcomeUnknown.New("reply to the write of %q was lost", key)
+	}
+	return value, err
+}
+
+func (d *data) compareAndSwap(key string, expect int64, data []byte, id platform.LeaseID) (platform.Value, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	if _, alive := d.leases[id]; id != 0 && !alive {
+		return platform.Value{}, platform.ErrLeaseLapsed.New("lease %d", id)
+	}
+	current, exists := d.values[key]
+	if current.Revision != expect {
+		return current, platform.ErrConflict.New("key %q is at revision %d, not %d", key, current.Revision, expect)
+	}
+	d.revision++
+	next := platform.Value{Key: key, Data: bytes.Clone(data), CreateRevision: current.CreateRevision, Revision: d.revision, Lease: id}
+	if !exists {
+		next.CreateRevision = d.revision
+	}
+	d.values[key] = next
+	d.record(platform.Change{Value: next})
+	return next, nil
+}
+
+// Delete removes a key whose revision equals expect.
+func (s *Store) Delete(ctx context.Context, key string, expect int64) error {
+	if err := s.begin(ctx, OpDelete, key); err != nil {
+		return err
+	}
+	if s.faults.takeDropped() {
+		return platform.ErrOutcomeUnknown.New("delete of %q timed out", key)
+	}
+	err := s.shared.delete(key, expect)
+	if s.faults.takeLost() {
+		return platform.ErrOutcomeUnknown.New("reply to the delete of %q was lost", key)
+	}
+	return err
+}
+
+func (d *data) delete(key string, expect int64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	current, exists := d.values[key]
+	if !exists {
+		return platform.ErrNotFound.New("key %q", key)
+	}
+	if current.Revision != expect {
+		return platform.ErrConflict.New("key %q is at revision %d, not %d", key, current.Revision, expect)
+	}
+	d.remove(key)
+	return nil
+}
