--- /dev/null
+++ b/internal/platform/listclient/client_test.go
@@ -0,0 +1,55 @@
+package listclient_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/platform/listclient"
+	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
+	"github.com/comfreyfront/comfreyfront/internal/standin/list"
+)
+
+func TestListLags(t *testing.T) {
+	now := time.Unix(1000, 0)
+	server := list.New(list.Options{Lag: 2 * time.Second, TTL: 10 * time.Second, Now: func() time.Time { return now }})
+	listener := httptest.NewServer(server.Handler())
+	defer listener.Close()
+	client := listclient.New(listclient.Options{Address: strings.TrimPrefix(listener.URL, "http://")})
+	defer client.Close()
+	instances := func() []platform.Instance {
+		all, err := client.Instances(t.Context())
+		require.NoError(t, err)
+		return all
+	}
+	engine := platform.Instance{ID: "e1", Kind: platform.KindEngine, Address: "127.0.0.1:1", Serves: "m"}
+	server.Register(engine)
+	require.Empty(t, instances())
+	now = now.Add(2 * time.Second)
+	require.Equal(t, []platform.Instance{engine}, instances())
+	server.MarkLeaving("e1")
+	require.False(t, instances()[0].Leaving)
+	now = now.Add(2 * time.Second)
+	server.Register(engine)
+	require.True(t, instances()[0].Leaving, "a renewal took back that it is leaving")
+	now = now.Add(11 * time.Second)
+	require.Empty(t, server.Truth(), "not renewed within its time to live")
+	require.Len(t, instances(), 1)
+	now = now.Add(2 * time.Second)
+	require.Empty(t, instances())
+}
+
+func TestFailureIsUnavailable(t *testing.T) {
+	server := list.New(list.Options{})
+	listener := httptest.NewServer(server.Handler())
+	defer listener.Close()
+	client := listclient.New(listclient.Options{Address: strings.TrimPrefix(listener.URL, "http://")})
+	server.Gate.Set(fault.Fault{Down: true})
+	_, err := client.Instances(t.Context())
+	require.True(t, errorx.IsOfType(err, platform.ErrUnavailable))
+}
