Confirm ownership of units with one lease per entry

Cause: steps, rollouts and claim partitions need one owner with a fencing number, also when replies are lost and when the holder is paused. Ruled out: one lease per unit (a renewal call per unit), and adopting a key that a former process of the same entry left (it may still run).

--- /dev/null
+++ b/internal/ownership/manager_test.go
@@ -0,0 +1,182 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+)
+
+// clock is a clock that tests move by hand.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time          { return c.now }
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+func newClock() *clock { return &clock{now: time.Unix(1000, 0)} }
+
+func newManager(store platform.Store, self string, c *clock) *Manager {
+	return New(store, self, Options{Now: c.Now}, quiet)
+}
+
+func TestHoldIsExclusiveAndNamesTheHolder(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	a, b := newManager(store.View(), "a", c), newManager(store.View(), "b", c)
+	tenure, err := a.Hold(ctx, "step/1")
+	require.NoError(t, err)
+	require.True(t, a.Valid(tenure))
+	_, err = b.Hold(ctx, "step/1")
+	require.True(t, errorx.IsOfType(err, ErrHeldElsewhere))
+	require.Equal(t, "a", HolderOf(err))
+	require.NoError(t, a.Release(ctx, "step/1"))
+	require.False(t, a.Valid(tenure))
+	next, err := b.Hold(ctx, "step/1")
+	require.NoError(t, err)
+	require.Greater(t, next.Epoch, tenure.Epoch)
+}
+
+func TestTenureEndsAtItsBoundWhileTheServiceIsDown(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	m := newManager(store, "a", c)
+	tenure, err := m.Hold(ctx, "u")
+	require.NoError(t, err)
+	store.SetDown(true)
+	m.tick(ctx)
+	c.advance(DefaultTTL - DefaultTTL/marginShare - time.Nanosecond)
+	require.True(t, m.Valid(tenure))
+	c.advance(time.Nanosecond)
+	require.False(t, m.Valid(tenure))
+	require.Empty(t, m.Held())
+	_, err = m.Hold(ctx, "u")
+	require.True(t, errorx.IsOfType(err, ErrUnavailable))
+	_, err = m.Hold(ctx, "other")
+	require.True(t, errorx.IsOfType(err, ErrUnavailable))
+}
+
+func TestTenureOfAPausedHolderNeverComesBack(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	m := newManager(memstore.New(c.Now), "a", c)
+	tenure, err := m.Hold(ctx, "u")
+	require.NoError(t, err)
+	c.advance(DefaultTTL - DefaultTTL/marginShare) // the lease itself still stands
+	require.False(t, m.Valid(tenure))
+	m.tick(ctx)
+	require.False(t, m.Valid(tenure))
+	next, err := m.Hold(ctx, "u")
+	require.NoError(t, err)
+	require.Greater(t, next.Epoch, tenure.Epoch)
+	require.False(t, m.Valid(tenure))
+	require.True(t, m.Valid(next))
+}
+
+func TestLostRepliesAreFoundOut(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	m := newManager(store, "a", c)
+	store.LoseReplies(1)
+	tenure, err := m.Hold(ctx, "u")
+	require.NoError(t, err)
+	store.LoseReplies(1)
+	require.Error(t, m.Release(ctx, "u"))
+	again, err := m.Hold(ctx, "u")
+	require.NoError(t, err)
+	require.Greater(t, again.Epoch, tenure.Epoch)
+	store.DropWrites(1)
+	_, err = m.Hold(ctx, "v")
+	require.NoError(t, err)
+}
+
+func TestUncertainKeyIsDeletedLater(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	a, b := newManager(store.View(), "a", c), newManager(store.View(), "b", c)
+	_, err := a.Hold(ctx, "u")
+	require.NoError(t, err)
+	a.store.(*memstore.Store).SetDown(true)
+	require.Error(t, a.Release(ctx, "u"))
+	a.store.(*memstore.Store).SetDown(false)
+	a.tick(ctx)
+	_, err = b.Hold(ctx, "u")
+	require.NoError(t, err)
+}
+
+func TestFormerProcessOfTheSameEntryHoldsElsewhere(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	_, err := newManager(store, "a", c).Hold(ctx, "u")
+	require.NoError(t, err)
+	_, err = newManager(store, "a", c).Hold(ctx, "u")
+	require.True(t, errorx.IsOfType(err, ErrHeldElsewhere))
+}
+
+func TestOneLeaseForAllUnitsAndNoneWhenIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		store := memstore.New(nil)
+		m := New(store, "a", Options{}, quiet)
+		var group errgroup.Group
+		group.Go(func() error { return m.Run(ctx) })
+		<-time.After(time.Minute + time.Millisecond) // between two renewals
+		require.Zero(t, store.Calls())
+		first, err := m.Hold(ctx, "u")
+		require.NoError(t, err)
+		second, err := m.Hold(ctx, "v")
+		require.NoError(t, err)
+		before := store.Calls()
+		<-time.After(time.Minute)
+		require.True(t, m.Valid(first))
+		require.Equal(t, []Tenure{first, second}, m.Held())
+		renewals := store.Calls().Writes - before.Writes
+		require.Equal(t, int64(time.Minute/(DefaultTTL/renewalsPerTTL)), renewals)
+		require.NoError(t, m.Release(ctx, "u"))
+		require.NoError(t, m.Release(ctx, "v"))
+		<-time.After(DefaultTTL)
+		before = store.Calls()
+		<-time.After(time.Minute)
+		require.Equal(t, before, store.Calls())
+		cancel()
+		require.NoError(t, group.Wait())
+	})
+}
+
+func TestReleaseAllFreesEverythingAtOnce(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	a, b := newManager(store, "a", c), newManager(store, "b", c)
+	for _, unit := range []string{"u", "v"} {
+		_, err := a.Hold(ctx, unit)
+		require.NoError(t, err)
+	}
+	require.NoError(t, a.ReleaseAll(ctx))
+	require.Empty(t, a.Held())
+	for _, unit := range []string{"u", "v"} {
+		_, err := b.Hold(ctx, unit)
+		require.NoError(t, err)
+	}
+}
+
+func TestConcurrentHoldsShareOneTenure(t *testing.T) {
+	ctx := context.Background()
+	m := New(memstore.New(nil), "a", Options{}, quiet)
+	tenures := make([]Tenure, 16)
+	var group errgroup.Group
+	for i := range tenures {
+		group.Go(func() (err error) {
+			tenures[i], err = m.Hold(ctx, "u")
+			return err
+		})
+	}
+	require.NoError(t, group.Wait())
+	for _, tenure := range tenures {
+		require.Equal(t, tenures[0], tenure)
+	}
+}
--- /dev/null
+++ b/internal/ownership/model_test.go
@@ -0,0 +1,102 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+)
+
+// fleet runs several entries against one store. The oracle: at no instant do
+// two entries hold a unit as valid, epochs of a unit rise with each tenure that
+// is handed out anew, and what was found invalid once stays so.
+type fleet struct {
+	clock    *clock
+	stores   []*memstore.Store
+	managers []*Manager
+	seen     []seenTenure
+	highest  map[string]int64
+}
+
+type seenTenure struct {
+	by      int
+	tenure  Tenure
+	invalid bool
+}
+
+func newFleet(entries int) *fleet {
+	f := &fleet{clock: newClock(), highest: map[string]int64{}}
+	root := memstore.New(f.clock.Now)
+	for i := range entries {
+		store := root.View()
+		f.stores = append(f.stores, store)
+		f.managers = append(f.managers, newManager(store, string(rune('a'+i)), f.clock))
+	}
+	return f
+}
+
+func (f *fleet) hold(t *rapid.T) {
+	i, unit := f.entry(t), f.unit(t)
+	tenure, err := f.managers[i].Hold(context.Background(), unit)
+	if err != nil {
+		return
+	}
+	for _, other := range f.seen {
+		if other.tenure == tenure {
+			require.Equal(t, i, other.by, "one epoch for two entries")
+			return
+		}
+	}
+	require.Greater(t, tenure.Epoch, f.highest[unit])
+	f.highest[unit] = tenure.Epoch
+	f.seen = append(f.seen, seenTenure{by: i, tenure: tenure})
+}
+
+func (f *fleet) check(t *rapid.T) {
+	validBy := map[string]int{}
+	for i := range f.seen {
+		s := &f.seen[i]
+		if !f.managers[s.by].Valid(s.tenure) {
+			s.invalid = true
+			continue
+		}
+		require.False(t, s.invalid, "tenure %v came back", s.tenure)
+		other, taken := validBy[s.tenure.Unit]
+		require.False(t, taken, "unit %s valid at %d and %d", s.tenure.Unit, s.by, other)
+		validBy[s.tenure.Unit] = s.by
+	}
+}
+
+func (f *fleet) entry(t *rapid.T) int {
+	return rapid.IntRange(0, len(f.managers)-1).Draw(t, "entry")
+}
+
+func (f *fleet) unit(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"u", "v"}).Draw(t, "unit")
+}
+
+func TestOwnershipAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx, f := context.Background(), newFleet(3)
+		t.Repeat(map[string]func(*rapid.T){
+			"":     f.check,
+			"hold": f.hold,
+			"release": func(t *rapid.T) {
+				_ = f.managers[f.entry(t)].Release(ctx, f.unit(t))
+			},
+			"releaseAll": func(t *rapid.T) { _ = f.managers[f.entry(t)].ReleaseAll(ctx) },
+			// An entry that is not ticked while time passes is a paused one.
+			"tick": func(t *rapid.T) { f.managers[f.entry(t)].tick(ctx) },
+			"pass": func(t *rapid.T) {
+				f.clock.advance(time.Duration(rapid.IntRange(1, 7000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"down": func(t *rapid.T) { f.stores[f.entry(t)].SetDown(rapid.Bool().Draw(t, "down")) },
+			"lose": func(t *rapid.T) { f.stores[f.entry(t)].LoseReplies(1) },
+			"drop": func(t *rapid.T) { f.stores[f.entry(t)].DropWrites(1) },
+		})
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -43,6 +43,11 @@
 	propHolder = errorx.RegisterProperty("holder")
 )
 
+// HeldElsewhere returns an ErrHeldElsewhere that tells the holder.
+func HeldElsewhere(unit, holder string) *errorx.Error {
+	return ErrHeldElsewhere.New("unit %q is held by %q", unit, holder).WithProperty(propHolder, holder)
+}
+
 // HolderOf returns the entry that holds the unit, or "" when err does not tell.
 func HolderOf(err error) string {
 	cast := errorx.Cast(err)
--- /dev/null
+++ b/internal/ownership/unitlock.go
@@ -0,0 +1,48 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+)
+
+// unitLocks serialises what is done about one unit. The zero value works.
+type unitLocks struct {
+	mu     sync.Mutex
+	locked map[string]chan struct{}
+}
+
+// lock waits for the unit and returns its unlock.
+func (l *unitLocks) lock(ctx context.Context, unit string) (func(), error) {
+	for {
+		busy := l.tryLock(unit)
+		if busy == nil {
+			return func() { l.unlock(unit) }, nil
+		}
+		select {
+		case <-busy:
+		case <-ctx.Done():
+			return nil, ErrUnavailable.Wrap(ctx.Err(), "waiting for unit %q", unit)
+		}
+	}
+}
+
+// tryLock locks the unit, or returns a channel that closes when it is free.
+func (l *unitLocks) tryLock(unit string) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if busy, taken := l.locked[unit]; taken {
+		return busy
+	}
+	if l.locked == nil {
+		l.locked = map[string]chan struct{}{}
+	}
+	l.locked[unit] = make(chan struct{})
+	return nil
+}
+
+func (l *unitLocks) unlock(unit string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.locked[unit])
+	delete(l.locked, unit)
+}
