--- /dev/null
+++ b/internal/standin/engine/cache_test.go
@@ -0,0 +1,29 @@
+package engine
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestKnownPrefixesNeedNoPrefill(t *testing.T) {
+	cache, err := newPrefixCache(100)
+	require.NoError(t, err)
+	shared := strings.Repeat("a", 10*BlockChars)
+	require.Equal(t, len(shared)+3, cache.load(shared+"xyz"))
+	require.Equal(t, 3, cache.load(shared+"xyz"))
+	require.Equal(t, BlockChars, cache.load(shared+strings.Repeat("b", BlockChars)))
+	require.InDelta(t, 0.11, cache.used(), 1e-9)
+	cache.clear()
+	require.Equal(t, len(shared), cache.load(shared))
+}
+
+func TestPrefixCacheForgetsTheOldest(t *testing.T) {
+	cache, err := newPrefixCache(2)
+	require.NoError(t, err)
+	a, b := strings.Repeat("a", 2*BlockChars), strings.Repeat("b", 2*BlockChars)
+	cache.load(a)
+	cache.load(b)
+	require.Equal(t, 2*BlockChars, cache.load(a))
+}
