--- /dev/null
+++ b/internal/standin/balancer/readiness.go
@@ -0,0 +1,63 @@
+package balancer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// watchReadiness checks all entries again and again.
+func (s *Server) watchReadiness(ctx context.Context) {
+	ticker := time.NewTicker(s.options.CheckInterval)
+	defer ticker.Stop()
+	for {
+		s.checkAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) checkAll(ctx context.Context) {
+	var checks sync.WaitGroup
+	for _, status := range s.Backends() {
+		checks.Go(func() { s.mark(status.Backend, s.check(ctx, status.Ready)) })
+	}
+	checks.Wait()
+}
+
+func (s *Server) check(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := s.checks.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *Server) mark(backend Backend, ready bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.backends {
+		if s.backends[i].Backend == backend {
+			s.backends[i].IsReady = ready
+		}
+	}
+}
+
+func (s *Server) markUnready(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.backends {
+		if s.backends[i].Address == address {
+			s.backends[i].IsReady = false
+		}
+	}
+}
