Decide about work: choice, admission, order, budgets; and the naive version

Cause: traffic needs one place that chooses endpoints, orders and refuses work, and a plain version behind the same interfaces to compare with.

Change: policy.Picker, Admission, Retrier, Hedger and Prioritizer, with package naive (round robin, open admission, one retry) and package adaptive. Work waits in a line per class in order of slack; what cannot be in time is refused at once, in an order of precedence. Endpoint gains OwnInFlight, so that a late report can be brought up to date by the entry's own starts and ends.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -37,7 +37,10 @@
 	// Running, Waiting, Slots and ReportedAt are from its last load report.
 	Running, Waiting, Slots int
 	ReportedAt              time.Time
-	Live                    *Live
+	// OwnInFlight is Live.InFlight when that report was taken: the rest of the
+	// reported work is other entries'.
+	OwnInFlight int
+	Live        *Live
 }
 
 // Live holds what this entry's own traffic knows of an endpoint. It outlives
--- /dev/null
+++ b/internal/policy/filter.go
@@ -0,0 +1,36 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+)
+
+// mayTake reports whether the endpoint may take the work at all.
+func mayTake(e *endpoint.Endpoint, work *Work) bool {
+	if e.Leaving || e.Unready || e.Live.LastLeaveWord.Load() != 0 {
+		return false
+	}
+	if e.ActiveVersion < work.MinVersion {
+		return false
+	}
+	if work.Alone && load(e) > 0 {
+		return false
+	}
+	return !slices.Contains(work.Tried, e.ID)
+}
+
+// maxFailureHalvings bounds how rarely a failing endpoint is probed: one in 64.
+const maxFailureHalvings = 6
+
+// shouldTake reports whether the endpoint should take a share of the work now.
+// Demoted endpoints keep the rest of their share, and endpoints that just
+// failed get half as much with each failure; what is left probes them.
+func shouldTake(e *endpoint.Endpoint, random *rand.Rand) bool {
+	share := 1 - e.Demotion
+	if failures := e.Live.Failures.Load(); failures > 0 {
+		share /= float64(int64(1) << min(failures, maxFailureHalvings))
+	}
+	return share >= 1 || random.Float64() < share
+}
--- /dev/null
+++ b/internal/policy/fixture_test.go
@@ -0,0 +1,35 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+)
+
+var testNow = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+// fleet returns n equal engines with 8 slots in four failure domains.
+func fleet(n int) []*endpoint.Endpoint {
+	all := make([]*endpoint.Endpoint, n)
+	for i := range all {
+		all[i] = &endpoint.Endpoint{
+			ID:            fmt.Sprintf("engine-%05d", i),
+			Serves:        "drafting",
+			FailureDomain: fmt.Sprintf("domain-%d", i%4),
+			Region:        "region-0",
+			Slots:         8,
+			ActiveVersion: 3,
+			Live:          &endpoint.Live{},
+		}
+	}
+	return all
+}
+
+func chooser() *Chooser {
+	crossing := Crossing{FailureDomain: "domain-0", Region: "region-0", DomainCost: 15 * time.Millisecond, RegionCost: 80 * time.Millisecond}
+	return &Chooser{Scorers: []Scorer{Completion{Reserve: 0.125}, crossing}}
+}
--- /dev/null
+++ b/internal/policy/naive/naive.go
@@ -0,0 +1,84 @@
+// Package naive is the plain version of every decision: round robin over live
+// endpoints, first in first out, no order of classes, no hedging, and one
+// retry elsewhere. Tests and measurements compare the others with it.
+package naive
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+)
+
+// New returns the whole plain policy.
+func New() policy.Policy {
+	return policy.Policy{
+		Name:        "naive",
+		Picker:      &RoundRobin{},
+		Admission:   Open{},
+		Retrier:     RetryOnce{},
+		Hedger:      NoHedge{},
+		Prioritizer: FirstInFirstOut{},
+	}
+}
+
+// RoundRobin takes the live endpoints in turn. The zero value works; it is
+// safe for concurrent use.
+type RoundRobin struct {
+	turn atomic.Uint64
+}
+
+// Pick implements policy.Picker.
+func (r *RoundRobin) Pick(endpoints []*endpoint.Endpoint, work *policy.Work, _ time.Time, _ *rand.Rand) (*endpoint.Endpoint, bool) {
+	for range endpoints {
+		turn := r.turn.Add(1) - 1
+		e := endpoints[turn%uint64(len(endpoints))]
+		if live(e) && e.ActiveVersion >= work.MinVersion && !slices.Contains(work.Tried, e.ID) {
+			return e, true
+		}
+	}
+	return nil, false
+}
+
+func live(e *endpoint.Endpoint) bool {
+	return !e.Leaving && !e.Unready && e.Live.LastLeaveWord.Load() == 0
+}
+
+// Open lets all work start at once; endpoints queue it first in first out.
+type Open struct{}
+
+// Enter implements policy.Admission.
+func (Open) Enter(ctx context.Context, _ *policy.Work) (func(), error) {
+	return func() {}, ctx.Err()
+}
+
+// RetryOnce allows one retry, without a budget.
+type RetryOnce struct{}
+
+// Arrive implements policy.Retrier.
+func (RetryOnce) Arrive() {}
+
+// Allow implements policy.Retrier.
+func (RetryOnce) Allow(_ *policy.Work, attempts int) bool { return attempts < 2 }
+
+// NoHedge never makes a second call.
+type NoHedge struct{}
+
+// After implements policy.Hedger.
+func (NoHedge) After(*policy.Work) (time.Duration, bool) { return 0, false }
+
+// Take implements policy.Hedger.
+func (NoHedge) Take() bool { return false }
+
+// Observe implements policy.Hedger.
+func (NoHedge) Observe(*policy.Work, time.Duration) {}
+
+// FirstInFirstOut gives all work the same priority.
+type FirstInFirstOut struct{}
+
+// Priority implements policy.Prioritizer.
+func (FirstInFirstOut) Priority(*policy.Work, time.Time) int { return 0 }
--- /dev/null
+++ b/internal/policy/retry.go
@@ -0,0 +1,28 @@
+package policy
+
+// Limits of retries.
+const (
+	// retryShare keeps the calls per request under 1.1.
+	retryShare = 0.09
+	retryBurst = 20
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+)
+
+// BudgetRetrier allows retries as a share of requests. Safe for concurrent use.
+type BudgetRetrier struct {
+	budget *Budget
+}
+
+// NewBudgetRetrier returns a retrier with a full share.
+func NewBudgetRetrier() *BudgetRetrier {
+	return &BudgetRetrier{budget: NewBudget(retryShare, retryBurst)}
+}
+
+// Arrive implements Retrier.
+func (r *BudgetRetrier) Arrive() { r.budget.Arrive() }
+
+// Allow implements Retrier.
+func (r *BudgetRetrier) Allow(_ *Work, attempts int) bool {
+	return attempts < maxAttempts && r.budget.Take()
+}
--- /dev/null
+++ b/internal/policy/window.go
@@ -0,0 +1,75 @@
+package policy
+
+import (
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Sizes of a window.
+const (
+	windowSamples = 512
+	windowMax     = int64(1) << 40
+	windowDigits  = 2
+)
+
+// Window estimates quantiles of the last values, 512 to 1,024 of them: it
+// fills one histogram while it reads the one before. Safe for concurrent use;
+// the zero value works.
+type Window struct {
+	mu       sync.Mutex
+	filling  *hdrhistogram.Histogram
+	complete *hdrhistogram.Histogram
+}
+
+// Observe records a value.
+func (w *Window) Observe(value int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.filling == nil {
+		w.filling = hdrhistogram.New(1, windowMax, windowDigits)
+	}
+	// Values beyond the range are counted at its end.
+	_ = w.filling.RecordValue(min(max(value, 1), windowMax))
+	if w.filling.TotalCount() >= windowSamples {
+		w.rotate()
+	}
+}
+
+func (w *Window) rotate() {
+	old := w.complete
+	w.complete, w.filling = w.filling, old
+	if w.filling != nil {
+		w.filling.Reset()
+	}
+}
+
+// Quantile returns the value at quantile q (0 to 1) and how many values it
+// rests on.
+func (w *Window) Quantile(q float64) (int64, int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.current()
+	if h == nil {
+		return 0, 0
+	}
+	return h.ValueAtQuantile(100 * q), h.TotalCount()
+}
+
+// Mean returns the mean value and how many values it rests on.
+func (w *Window) Mean() (float64, int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.current()
+	if h == nil {
+		return 0, 0
+	}
+	return h.Mean(), h.TotalCount()
+}
+
+func (w *Window) current() *hdrhistogram.Histogram {
+	if w.complete != nil {
+		return w.complete
+	}
+	return w.filling
+}
--- /dev/null
+++ b/internal/queue/model_test.go
@@ -0,0 +1,125 @@
+package queue
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "200")
+	os.Exit(m.Run())
+}
+
+// model drives a queue by hand and checks after each step that no item is
+// lost, none is both refused and started, and the limits hold.
+type model struct {
+	q       *Queue
+	now     time.Time
+	items   []*item
+	ended   map[*item]bool
+	refused int
+	joined  int
+}
+
+func (m *model) join(t *rapid.T) {
+	name := rapid.SampledFrom([]string{"hint", "training", "lookup", "unknown"}).Draw(t, "class")
+	w := &policy.Work{
+		Class:          name,
+		Model:          "drafting",
+		ExpectedTokens: rapid.IntRange(1, 500).Draw(t, "tokens"),
+		Deadline:       m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "due")) * time.Millisecond),
+		Interactive:    name != "training",
+		Patient:        rapid.Bool().Draw(t, "patient"),
+	}
+	m.joined++
+	i, err := m.q.join(w)
+	if err != nil {
+		require.True(t, errorx.IsOfType(err, ErrRefused))
+		require.False(t, w.Patient)
+		m.refused++
+		return
+	}
+	m.items = append(m.items, i)
+}
+
+func (m *model) pick(t *rapid.T, keep func(*item) bool) *item {
+	var some []*item
+	for _, i := range m.items {
+		if keep(i) && !m.ended[i] {
+			some = append(some, i)
+		}
+	}
+	if len(some) == 0 {
+		t.Skip("nothing to act on")
+	}
+	return rapid.SampledFrom(some).Draw(t, "item")
+}
+
+func (m *model) leave(t *rapid.T) {
+	i := m.pick(t, func(i *item) bool { return i.started })
+	m.ended[i] = true
+	m.q.leave(i)
+}
+
+func (m *model) abandon(t *rapid.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	i := m.pick(t, func(i *item) bool { return i.index >= 0 })
+	m.ended[i] = true
+	require.Error(t, m.q.abandon(ctx, i))
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *model) check(t *rapid.T) {
+	running, waiting, verdicts := 0, 0, 0
+	for _, i := range m.items {
+		switch {
+		case m.ended[i]:
+		case i.started:
+			running++
+		case i.index >= 0:
+			waiting++
+			require.Empty(t, i.verdict)
+		default:
+			verdicts++
+			require.Len(t, i.verdict, 1, "an item is neither waiting, running nor refused")
+			require.False(t, i.work.Patient)
+		}
+	}
+	depth := m.q.Depth("drafting")
+	require.Equal(t, Depth{Waiting: waiting, Running: running, Limit: 4}, depth)
+	require.LessOrEqual(t, running, 4)
+	g := m.q.group("drafting")
+	require.True(t, waiting == 0 || running == 4 || g.batch == g.room.batchLimit, "room is left while work waits")
+	for _, l := range g.lines {
+		var sum time.Duration
+		for _, i := range l.items {
+			sum += i.expected
+		}
+		require.Equal(t, sum, l.expected)
+	}
+}
+
+func TestQueueAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{now: time.Unix(0, 0), ended: map[*item]bool{}}
+		m.q = &Queue{Clock: func() time.Time { return m.now }}
+		m.q.Refresh(classes, engines(1, 4), 1)
+		t.Repeat(map[string]func(*rapid.T){
+			"join": m.join, "leave": m.leave, "abandon": m.abandon, "pass": m.pass, "": m.check,
+		})
+	})
+}
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,225 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+)
+
+var classes = &class.Document{Classes: []class.Class{
+	{Name: "hint", Lateness: time.Second, Completeness: 0.5},
+	{Name: "training", Lateness: time.Minute, Completeness: 0.9},
+	{Name: "lookup", Lateness: time.Second, Completeness: 0.99},
+}}
+
+func engines(n, slots int) map[string][]*endpoint.Endpoint {
+	all := make([]*endpoint.Endpoint, n)
+	for i := range all {
+		all[i] = &endpoint.Endpoint{ID: fmt.Sprint(i), Slots: slots, Live: &endpoint.Live{}}
+	}
+	return map[string][]*endpoint.Endpoint{"drafting": all}
+}
+
+func newQueue(n, slots int) *Queue {
+	q := &Queue{}
+	q.Refresh(classes, engines(n, slots), 1)
+	return q
+}
+
+func work(class string, tokens int, due time.Duration) *policy.Work {
+	return &policy.Work{Class: class, Model: "drafting", ExpectedTokens: tokens, Deadline: time.Now().Add(due), Interactive: class != "training"}
+}
+
+// runner enters work on goroutines and notes the order of its starts.
+type runner struct {
+	mu     sync.Mutex
+	q      *Queue
+	starts []string
+	errs   map[string]error
+	leaves map[string]func()
+}
+
+func newRunner(q *Queue) *runner {
+	return &runner{q: q, errs: map[string]error{}, leaves: map[string]func(){}}
+}
+
+// enter must be called, and the fields read, with all other goroutines blocked.
+func (r *runner) enter(name string, w *policy.Work) {
+	go func() {
+		leave, err := r.q.Enter(context.Background(), w)
+		r.note(name, leave, err)
+	}()
+	synctest.Wait()
+}
+
+func (r *runner) note(name string, leave func(), err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.errs[name] = err
+		return
+	}
+	r.starts = append(r.starts, name)
+	r.leaves[name] = leave
+}
+
+func (r *runner) leave(name string) {
+	r.leaves[name]()
+	synctest.Wait()
+}
+
+// leaveAll ends what runs; false when nothing does.
+func (r *runner) leaveAll() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	leaves := r.leaves
+	r.leaves = map[string]func(){}
+	for _, leave := range leaves {
+		leave()
+	}
+	return len(leaves) > 0
+}
+
+func TestLeastSlackStartsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(1, 1))
+		r.enter("running", work("lookup", 1, time.Second))
+		r.enter("later", work("training", 10, time.Minute))
+		r.enter("soon", work("training", 10, 10*time.Second))
+		r.enter("long", work("training", 9000, 12*time.Second))
+		for _, name := range []string{"running", "long", "soon", "later"} {
+			r.leave(name)
+		}
+		require.Equal(t, []string{"running", "long", "soon", "later"}, r.starts)
+		require.Zero(t, r.q.Depth("drafting").Running)
+	})
+}
+
+func TestBatchWorkLeavesTheReserveToInteractiveWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(2, 8))
+		for i := range 20 {
+			r.enter(fmt.Sprint("batch-", i), work("training", 100, time.Minute))
+		}
+		require.Len(t, r.starts, 14)
+		r.enter("lookup", work("lookup", 1, time.Second))
+		require.Contains(t, r.starts, "lookup")
+		for r.leaveAll() {
+			synctest.Wait()
+		}
+		require.Len(t, r.starts, 21)
+	})
+}
+
+func TestWorkThatCannotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(1, 1))
+		r.enter("running", work("lookup", 800, time.Second))
+		r.enter("waits", work("lookup", 400, time.Second))
+		r.enter("hopeless", work("lookup", 400, time.Second))
+		require.True(t, errorx.IsOfType(r.errs["hopeless"], ErrRefused))
+		after, ok := RetryAfter(r.errs["hopeless"])
+		require.True(t, ok)
+		require.GreaterOrEqual(t, after, minRetryAfter)
+		r.leave("running")
+		r.leave("waits")
+		require.Equal(t, []string{"running", "waits"}, r.starts)
+	})
+}
+
+func TestPatientWorkWaitsInsteadOfBeingRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(1, 1))
+		r.enter("running", work("training", 400, time.Second))
+		patient := work("training", 400, time.Millisecond)
+		patient.Patient = true
+		r.enter("patient", patient)
+		<-time.After(time.Minute)
+		r.leave("running")
+		r.leave("patient")
+		require.Empty(t, r.errs)
+	})
+}
+
+func TestLowerPrecedenceGivesWayFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(1, 1))
+		r.q.group("drafting").find("hint").kept = 0
+		r.enter("running", work("lookup", 800, time.Second))
+		r.enter("hint", work("hint", 400, 900*time.Millisecond))
+		r.q.group("drafting").find("lookup").kept = 0.9
+		r.enter("lookup", work("lookup", 400, time.Second))
+		require.True(t, errorx.IsOfType(r.errs["hint"], ErrRefused))
+		r.enter("another hint", work("hint", 400, time.Second))
+		require.True(t, errorx.IsOfType(r.errs["another hint"], ErrRefused))
+		r.leave("running")
+		r.leave("lookup")
+		require.Equal(t, []string{"running", "lookup"}, r.starts)
+	})
+}
+
+func TestClassAboveItsShareGivesWayToOneBelow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(1, 1))
+		r.enter("running", work("lookup", 800, time.Second))
+		r.enter("lookup", work("lookup", 400, 900*time.Millisecond))
+		r.q.group("drafting").find("hint").kept = 0.2
+		r.enter("hint", work("hint", 400, time.Second))
+		require.True(t, errorx.IsOfType(r.errs["lookup"], ErrRefused))
+		r.leave("running")
+		r.leave("hint")
+	})
+}
+
+func TestCallerThatGoesTakesNothingWithIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQueue(1, 1)
+		leave, err := q.Enter(context.Background(), work("lookup", 1, time.Second))
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			synctest.Wait()
+			cancel()
+		}()
+		_, err = q.Enter(ctx, work("lookup", 1, time.Second))
+		require.True(t, errorx.IsOfType(err, ErrCanceled))
+		leave()
+		leave()
+		require.Equal(t, Depth{Limit: 1}, q.Depth("drafting"))
+	})
+}
+
+func TestClassThatIsRemovedKeepsItsWaitingWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(newQueue(1, 1))
+		r.enter("running", work("lookup", 1, time.Second))
+		r.enter("waits", work("hint", 1, time.Second))
+		r.q.Refresh(&class.Document{}, engines(1, 1), 1)
+		require.Equal(t, 1, r.q.Depth("drafting").Waiting)
+		r.leave("running")
+		r.leave("waits")
+		require.Equal(t, []string{"running", "waits"}, r.starts)
+	})
+}
+
+func TestRoomOfOneEntryAmongSeveral(t *testing.T) {
+	all := engines(4, 8)["drafting"]
+	require.Equal(t, room{limit: 32, batchLimit: 28}, roomOf(all, 2), "the others' part is idle")
+	for _, e := range all {
+		e.Running, e.OwnInFlight = 8, 2
+	}
+	require.Equal(t, room{limit: 16, batchLimit: 14}, roomOf(all, 2), "the equal share is kept")
+	all[0].Leaving, all[1].Unready = true, true
+	require.Equal(t, room{limit: 8, batchLimit: 7}, roomOf(all, 2))
+	require.Equal(t, 1, roomOf(nil, 6).batchLimit)
+}
