--- /dev/null
+++ b/internal/proctest/control.go
@@ -0,0 +1,65 @@
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const controlTimeout = 10 * time.Second
+
+// Control calls the control interface of a stand-in.
+type Control struct {
+	// Address is host:port.
+	Address string
+}
+
+// Get reads a path into reply.
+func (c Control) Get(path string, reply any) error {
+	return c.call(http.MethodGet, path, nil, reply)
+}
+
+// Put sends body to a path.
+func (c Control) Put(path string, body any) error {
+	return c.call(http.MethodPut, path, body, nil)
+}
+
+// Post sends body to a path.
+func (c Control) Post(path string, body any) error {
+	return c.call(http.MethodPost, path, body, nil)
+}
+
+// Delete clears a path.
+func (c Control) Delete(path string) error {
+	return c.call(http.MethodDelete, path, nil, nil)
+}
+
+func (c Control) call(method, path string, body, reply any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		text, _ := io.ReadAll(resp.Body)
+		return fmt.Errorf("%s %s: status %d: %s", method, path, resp.StatusCode, text)
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(reply)
+}
--- /dev/null
+++ b/internal/proctest/log.go
@@ -0,0 +1,56 @@
+package proctest
+
+import (
+	"bytes"
+	"io"
+	"sync"
+)
+
+// lineWriter puts a name in front of each line. A nil target discards.
+type lineWriter struct {
+	prefix  []byte
+	target  io.Writer
+	pending []byte
+}
+
+func newLineWriter(name string, target io.Writer) io.Writer {
+	if target == nil {
+		return io.Discard
+	}
+	return &lineWriter{prefix: []byte(name + ": "), target: target}
+}
+
+func (w *lineWriter) Write(data []byte) (int, error) {
+	w.pending = append(w.pending, data...)
+	for {
+		end := bytes.IndexByte(w.pending, '\n')
+		if end < 0 {
+			return len(data), nil
+		}
+		line := append(append([]byte{}, w.prefix...), w.pending[:end+1]...)
+		w.pending = w.pending[end+1:]
+		if _, err := w.target.Write(line); err != nil {
+			return len(data), err
+		}
+	}
+}
+
+// Log collects lines of several processes. The zero value works.
+type Log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *Log) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(data)
+}
+
+// String returns all lines so far.
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
