Send requests to endpoints and serve callers over HTTP

Cause: the path from a caller to an endpoint did not exist. Ruled out: net/http's own repeats for calls that must not be repeated (it sends a request with an Idempotency-Key again when a kept connection was closed), so these get a connection of their own; relaying pieces of two hedged attempts (the first one with a piece owns the race). Change: engine and service clients that tell what is known about whether work ran, a dispatcher that admits, picks, retries, hedges and resumes, HTTP handlers with one outcome per answer, metrics per class and tenant, checked settings.

--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,168 @@
+// Package dispatch sends requests to endpoints: it admits them, chooses an
+// endpoint, retries, hedges and resumes where that is safe, and ends each in
+// exactly one outcome.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/metrics"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+)
+
+// Observer is told what traffic sees of endpoints. Its methods do not block.
+type Observer interface {
+	// EndpointLeaving: the endpoint itself said that it is leaving.
+	EndpointLeaving(id string)
+	// EndpointFailed: a call failed in a way that speaks against the endpoint.
+	EndpointFailed(id string)
+	// EndpointAnswered: a call was answered whole.
+	EndpointAnswered(id string)
+}
+
+// Options of a dispatcher. All fields are needed but those with a default.
+type Options struct {
+	Snapshots *control.Snapshots
+	Policy    policy.Policy
+	Observer  Observer
+	Suspects  Suspects
+	Metrics   *metrics.Traffic
+	Engines   *engine.Client
+	Services  *engine.ServiceClient
+	// Clock tells the time; nil is time.Now.
+	Clock func() time.Time
+}
+
+// Dispatcher sends requests to endpoints. It is safe for concurrent use.
+type Dispatcher struct {
+	options Options
+	logger  *slog.Logger
+	lengths policy.Lengths
+}
+
+// New returns a dispatcher.
+func New(options Options, logger *slog.Logger) *Dispatcher {
+	if options.Clock == nil {
+		options.Clock = time.Now
+	}
+	return &Dispatcher{options: options, logger: logger}
+}
+
+// Call is what all requests have in common.
+type Call struct {
+	RequestID string
+	Class     class.Class
+	Tenant    string
+	// Arrived is when the caller's request came.
+	Arrived time.Time
+	// Due is when the whole answer is due; zero takes the class's lateness.
+	Due time.Time
+	// MinVersion is the lowest weight version that the caller accepts.
+	MinVersion int64
+	// Idempotent: it may run more than once.
+	Idempotent bool
+	// Patient: a late answer is better than a refusal.
+	Patient bool
+	// Fingerprint identifies its content, to find requests that crash endpoints.
+	Fingerprint Fingerprint
+}
+
+func (c *Call) due() time.Time {
+	if !c.Due.IsZero() {
+		return c.Due
+	}
+	if c.Class.Lateness <= 0 {
+		return time.Time{}
+	}
+	return c.Arrived.Add(c.Class.Lateness)
+}
+
+func (d *Dispatcher) newWork(call *Call, kind endpoint.Kind, serves string) *policy.Work {
+	return &policy.Work{
+		Class:          call.Class.Name,
+		Tenant:         call.Tenant,
+		Model:          serves,
+		Kind:           kind,
+		ExpectedTokens: 1,
+		Deadline:       call.due(),
+		MinVersion:     call.MinVersion,
+		Interactive:    policy.Interactive(call.Class) && !call.Patient,
+		Idempotent:     call.Idempotent,
+		Patient:        call.Patient,
+	}
+}
+
+func (d *Dispatcher) now() time.Time { return d.options.Clock() }
+
+// pollInterval is how often a request that finds no endpoint looks again.
+const pollInterval = 20 * time.Millisecond
+
+// pick chooses an endpoint; endpoints that were tried are taken again only when
+// no other is left. It waits for one until the work is due, and fails with
+// ErrNoEndpoint.
+func (d *Dispatcher) pick(ctx context.Context, work *policy.Work) (*endpoint.Endpoint, error) {
+	for {
+		chosen, err := d.pickNow(work)
+		if err == nil {
+			return chosen, nil
+		}
+		if !work.Patient && !d.now().Before(work.Deadline) {
+			return nil, err
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (d *Dispatcher) pickNow(work *policy.Work) (*endpoint.Endpoint, error) {
+	endpoints := d.options.Snapshots.Load().Endpoints[work.Model]
+	if len(endpoints) == 0 {
+		return nil, errNoneServes(work.Model)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if chosen, ok := d.options.Policy.Picker.Pick(endpoints, work, d.now(), random); ok {
+		return chosen, nil
+	}
+	if len(work.Tried) > 0 {
+		work.Tried = nil
+		if chosen, ok := d.options.Policy.Picker.Pick(endpoints, work, d.now(), random); ok {
+			return chosen, nil
+		}
+	}
+	return nil, errNoneReady(work.Model)
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errGone(ctx)
+	}
+}
+
+// observe records how one call at an endpoint ended.
+func (d *Dispatcher) observe(chosen *endpoint.Endpoint, err error) {
+	switch verdictOf(err) {
+	case verdictWhole, verdictRejected:
+		chosen.Live.Failures.Store(0)
+		d.options.Observer.EndpointAnswered(chosen.ID)
+	case verdictLeaving:
+		chosen.Live.LastLeaveWord.Store(d.now().UnixNano())
+		d.options.Observer.EndpointLeaving(chosen.ID)
+	case verdictNotSent, verdictBroken:
+		chosen.Live.Failures.Add(1)
+		d.options.Observer.EndpointFailed(chosen.ID)
+	case verdictNotRun, verdictCanceled:
+	}
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// maxEventSize bounds one server-sent event of an engine, in bytes.
+const maxEventSize = 1 << 20
+
+var errStalled = errors.New("no progress within the stall timeout")
+
+// Client calls model engines.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that uses the transport.
+func NewClient(transport http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Call is one attempt at a completion on one engine.
+type Call struct {
+	Address   string // host:port
+	RequestID string // of this attempt; the engine echoes it
+	Request   CompletionRequest
+	// StallTimeout bounds the wait for the next piece; zero is no bound.
+	StallTimeout time.Duration
+	// OnPiece receives the pieces in order. An error of it ends the call and is
+	// returned as it is.
+	OnPiece func(CompletionChoice) error
+}
+
+// Complete runs the call as a stream. It returns nil only after the engine's
+// end marker. Other errors are of this package, or OnPiece's own.
+func (c *Client) Complete(ctx context.Context, call Call) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := newWatchdog(call.StallTimeout, func() { cancel(errStalled) })
+	defer watchdog.stop()
+	var sent sending
+	answer, err := c.post(sent.trace(ctx), call)
+	if err != nil {
+		return sent.classify(ctx, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return classifyStatus(answer)
+	}
+	if echoed := answer.Header.Get(HeaderRequestID); echoed != call.RequestID {
+		return ErrForeign.New("answer to request %q", echoed)
+	}
+	return readStream(ctx, &sent, answer.Body, call, watchdog)
+}
+
+func (c *Client) post(ctx context.Context, call Call) (*http.Response, error) {
+	request := call.Request
+	request.Stream = true
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Address+PathCompletions, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	post.Header.Set("Content-Type", "application/json")
+	post.Header.Set("Accept", "text/event-stream")
+	post.Header.Set(HeaderRequestID, call.RequestID)
+	return c.http.Do(post)
+}
+
+// readStream hands on pieces until the end marker.
+func readStream(ctx context.Context, sent *sending, body io.Reader, call Call, watchdog *watchdog) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventSize)
+	finished := false
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data:")
+		if !isData {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == StreamEnd {
+			return checkEnd(finished)
+		}
+		watchdog.reset()
+		choice, err := decodePiece(data, call.RequestID)
+		if err != nil {
+			return err
+		}
+		finished = choice.FinishReason != ""
+		if err := call.OnPiece(choice); err != nil {
+			return err
+		}
+	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return sent.classify(ctx, err)
+}
+
+func checkEnd(finished bool) error {
+	if !finished {
+		return ErrBroken.New("end marker without a finish reason")
+	}
+	return nil
+}
+
+func decodePiece(data, requestID string) (CompletionChoice, error) {
+	var chunk CompletionChunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return CompletionChoice{}, ErrBroken.Wrap(err, "malformed event")
+	}
+	if chunk.ID != "" && chunk.ID != requestID {
+		return CompletionChoice{}, ErrForeign.New("event of request %q", chunk.ID)
+	}
+	if len(chunk.Choices) != 1 {
+		return CompletionChoice{}, ErrBroken.New("event with %d choices", len(chunk.Choices))
+	}
+	return chunk.Choices[0], nil
+}
+
+// watchdog calls back when it is not reset in time.
+type watchdog struct {
+	timeout time.Duration
+	timer   *time.Timer
+}
+
+func newWatchdog(timeout time.Duration, expired func()) *watchdog {
+	if timeout <= 0 {
+		return &watchdog{}
+	}
+	return &watchdog{timeout: timeout, timer: time.AfterFunc(timeout, expired)}
+}
+
+func (w *watchdog) reset() {
+	if w.timer != nil {
+		w.timer.Reset(w.timeout)
+	}
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -3,7 +3,10 @@
 // orders. The client that speaks it is in the same package.
 package engine
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Paths of an engine's interface.
 const (
@@ -22,6 +25,9 @@
 	// HeaderOutcome on an engine's or service's error answer says NotRun when
 	// the request did not run there.
 	HeaderOutcome = "X-Outcome"
+	// HeaderLeaving, with any value, on an answer with OutcomeNotRun says that
+	// the endpoint is leaving.
+	HeaderLeaving = "X-Leaving"
 	// OutcomeNotRun is the value of HeaderOutcome for work that did not run.
 	OutcomeNotRun = "not-run"
 )
@@ -42,6 +48,8 @@
 	Resume string `json:"resume,omitempty"`
 	// ResumeTokens is the number of tokens in Resume; MaxTokens counts them too.
 	ResumeTokens int `json:"resume_tokens,omitempty"`
+	// Extra holds the caller's other fields; they go to the engine unchanged.
+	Extra map[string]json.RawMessage `json:"-"`
 }
 
 // CompletionChunk is the data of one server-sent event, or, with Stream off,
--- /dev/null
+++ b/internal/engine/service.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+)
+
+// maxServiceAnswer bounds the buffered answer of a plain service, in bytes.
+const maxServiceAnswer = 8 << 20
+
+// ServiceCall is one attempt at a call of a plain service.
+type ServiceCall struct {
+	Address   string // host:port
+	RequestID string
+	Method    string
+	Path      string // with its query
+	Header    http.Header
+	Body      []byte
+}
+
+// ServiceAnswer is a whole answer of a plain service.
+type ServiceAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// ServiceClient calls plain services. Calls that must not be repeated go over
+// connections of their own.
+type ServiceClient struct {
+	repeatable *http.Client
+	singleUse  *http.Client
+}
+
+// NewServiceClient returns a client on the two transports.
+func NewServiceClient(repeatable, singleUse http.RoundTripper) *ServiceClient {
+	return &ServiceClient{
+		repeatable: &http.Client{Transport: repeatable, CheckRedirect: keepRedirect},
+		singleUse:  &http.Client{Transport: singleUse, CheckRedirect: keepRedirect},
+	}
+}
+
+// keepRedirect leaves redirects to the caller: following one would run the
+// request a second time.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Do makes the call. Any whole answer that does not state that the request did
+// not run is returned as it is, whatever its status, except that a repeatable
+// call fails with ErrFailed on a status of 500 or more.
+func (c *ServiceClient) Do(ctx context.Context, call ServiceCall, repeatable bool) (*ServiceAnswer, error) {
+	var sent sending
+	request, err := http.NewRequestWithContext(sent.trace(ctx), call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err, "malformed call")
+	}
+	request.Header = call.Header.Clone()
+	request.Header.Set(HeaderRequestID, call.RequestID)
+	answer, err := c.client(repeatable).Do(request)
+	if err != nil {
+		return nil, sent.classify(ctx, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if err := checkServiceAnswer(answer, call.RequestID, repeatable); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxServiceAnswer+1))
+	if err != nil {
+		return nil, sent.classify(ctx, err)
+	}
+	if len(body) > maxServiceAnswer {
+		return nil, ErrFailed.New("answer of more than %d bytes", maxServiceAnswer)
+	}
+	return &ServiceAnswer{Status: answer.StatusCode, Header: answer.Header, Body: body}, nil
+}
+
+func (c *ServiceClient) client(repeatable bool) *http.Client {
+	if repeatable {
+		return c.repeatable
+	}
+	return c.singleUse
+}
+
+func checkServiceAnswer(answer *http.Response, requestID string, repeatable bool) error {
+	if answer.Header.Get(HeaderOutcome) == OutcomeNotRun {
+		return classifyStatus(answer)
+	}
+	if echoed := answer.Header.Get(HeaderRequestID); echoed != "" && echoed != requestID {
+		return ErrForeign.New("answer to request %q", echoed)
+	}
+	if repeatable && answer.StatusCode >= http.StatusInternalServerError {
+		return classifyStatus(answer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,174 @@
+// Package settings holds the settings of the entry process: flags, each with an
+// environment variable, checked together at the start.
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Entry holds the settings of one entry process.
+type Entry struct {
+	ID              string
+	FailureDomain   string
+	Region          string
+	Listen          string // host:port for callers
+	InternalListen  string // host:port for entries, operators and probes
+	StoreAddress    string // host:port of the platform's key-value service
+	ListAddress     string // host:port of the platform's instance list
+	DataFolder      string // folder for bulk data; empty is none
+	LogLevel        string
+	RequestTimeout  time.Duration
+	ShutdownTimeout time.Duration
+	Policy          string
+}
+
+// Policies of choosing and ordering.
+const (
+	PolicyDefault = "default"
+	PolicyNaive   = "naive"
+)
+
+// Defaults of settings that have one.
+const (
+	defaultListen          = "127.0.0.1:8080"
+	defaultInternalListen  = "127.0.0.1:8081"
+	defaultRequestTimeout  = 10 * time.Minute
+	defaultShutdownTimeout = 2 * time.Minute
+)
+
+// environmentPrefix starts the name of each environment variable.
+const environmentPrefix = "COMFREYFRONT_"
+
+// Errors of the settings layer.
+var (
+	Errors = errorx.NewNamespace("settings")
+	// ErrInvalid lists every setting that is wrong.
+	ErrInvalid = Errors.NewType("invalid")
+)
+
+// Flag describes one setting to a command line parser.
+type Flag struct {
+	Name  string
+	Usage string
+	// Text or Duration is the variable that the flag sets.
+	Text     *string
+	Duration *time.Duration
+}
+
+// Environment returns the name of the flag's environment variable.
+func (f Flag) Environment() string {
+	return environmentPrefix + strings.ToUpper(strings.ReplaceAll(f.Name, "-", "_"))
+}
+
+// Default returns settings with their default values.
+func Default() *Entry {
+	return &Entry{
+		Listen:          defaultListen,
+		InternalListen:  defaultInternalListen,
+		LogLevel:        slog.LevelInfo.String(),
+		RequestTimeout:  defaultRequestTimeout,
+		ShutdownTimeout: defaultShutdownTimeout,
+		Policy:          PolicyDefault,
+	}
+}
+
+// Flags lists the settings.
+func (e *Entry) Flags() []Flag {
+	return []Flag{
+		{Name: "id", Usage: "name of this instance, as in the instance list", Text: &e.ID},
+		{Name: "failure-domain", Usage: "failure domain of this instance", Text: &e.FailureDomain},
+		{Name: "region", Usage: "region of this instance", Text: &e.Region},
+		{Name: "listen", Usage: "host:port for callers", Text: &e.Listen},
+		{Name: "internal-listen", Usage: "host:port for entries, operators and probes", Text: &e.InternalListen},
+		{Name: "store-address", Usage: "host:port of the platform's key-value service", Text: &e.StoreAddress},
+		{Name: "list-address", Usage: "host:port of the platform's instance list", Text: &e.ListAddress},
+		{Name: "data-folder", Usage: "folder for bulk data, empty for none", Text: &e.DataFolder},
+		{Name: "log-level", Usage: "DEBUG, INFO, WARN or ERROR", Text: &e.LogLevel},
+		{Name: "request-timeout", Usage: "longest time for one request, as 10m or 30s", Duration: &e.RequestTimeout},
+		{Name: "shutdown-timeout", Usage: "longest time to finish work in flight, as 2m", Duration: &e.ShutdownTimeout},
+		{Name: "policy", Usage: "default, or naive for comparisons", Text: &e.Policy},
+	}
+}
+
+// ReadEnvironment sets values from environment variables; flags that are parsed
+// later go before them. It returns ErrInvalid with every malformed variable.
+func (e *Entry) ReadEnvironment(lookup func(string) (string, bool)) error {
+	var mistakes []string
+	for _, flag := range e.Flags() {
+		value, set := lookup(flag.Environment())
+		if !set {
+			continue
+		}
+		if flag.Text != nil {
+			*flag.Text = value
+			continue
+		}
+		duration, err := time.ParseDuration(value)
+		if err != nil {
+			mistakes = append(mistakes, fmt.Sprintf("%s: %q is no duration such as 30s", flag.Environment(), value))
+			continue
+		}
+		*flag.Duration = duration
+	}
+	return invalid(mistakes)
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// Check returns ErrInvalid with every mistake, or nil.
+func (e *Entry) Check() error {
+	var mistakes []string
+	add := func(format string, args ...any) { mistakes = append(mistakes, fmt.Sprintf(format, args...)) }
+	for _, name := range []struct{ flag, value string }{{"id", e.ID}, {"failure-domain", e.FailureDomain}, {"region", e.Region}} {
+		if !namePattern.MatchString(name.value) {
+			add("--%s: %q must be 1 to 63 letters, digits, dots, dashes or underscores", name.flag, name.value)
+		}
+	}
+	for _, address := range []struct{ flag, value string }{
+		{"listen", e.Listen}, {"internal-listen", e.InternalListen}, {"store-address", e.StoreAddress}, {"list-address", e.ListAddress},
+	} {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			add("--%s: %q must be host:port", address.flag, address.value)
+		}
+	}
+	if e.RequestTimeout <= 0 {
+		add("--request-timeout: %s must be above zero", e.RequestTimeout)
+	}
+	if e.ShutdownTimeout <= 0 {
+		add("--shutdown-timeout: %s must be above zero", e.ShutdownTimeout)
+	}
+	if e.Policy != PolicyDefault && e.Policy != PolicyNaive {
+		add("--policy: %q must be %s or %s", e.Policy, PolicyDefault, PolicyNaive)
+	}
+	if _, err := e.Level(); err != nil {
+		add("--log-level: %q must be DEBUG, INFO, WARN or ERROR", e.LogLevel)
+	}
+	if e.DataFolder != "" {
+		if info, err := os.Stat(e.DataFolder); err != nil || !info.IsDir() {
+			add("--data-folder: %q must be a folder that exists", e.DataFolder)
+		}
+	}
+	return invalid(mistakes)
+}
+
+// Level returns the lowest level that is logged.
+func (e *Entry) Level() (slog.Level, error) {
+	var level slog.Level
+	err := level.UnmarshalText([]byte(e.LogLevel))
+	return level, err
+}
+
+func invalid(mistakes []string) error {
+	if len(mistakes) == 0 {
+		return nil
+	}
+	return ErrInvalid.New("%s", strings.Join(mistakes, "\n"))
+}
--- /dev/null
+++ b/internal/traffic/caller.go
@@ -0,0 +1,151 @@
+package traffic
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// Bounds of what callers send.
+const (
+	maxBodySize   = 1 << 20 // bytes
+	maxKeyLength  = 255     // bytes of an Idempotency-Key
+	defaultTenant = "default"
+)
+
+// HeaderIdempotent overrides whether a request may run more than once.
+const HeaderIdempotent = "X-Idempotent"
+
+// errTooLarge: the body is above maxBodySize.
+var errTooLarge = request.Errors.NewSubNamespace("body").NewType("too_large")
+
+var (
+	tenantPattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+)
+
+// caller is what the headers of a request say.
+type caller struct {
+	requestID  string
+	class      class.Class
+	tenant     string
+	key        string
+	idempotent bool
+	minVersion int64
+	arrived    time.Time
+}
+
+// readCaller reads and checks the headers, and echoes the request's identifier.
+// It always returns a caller, so that a refusal can be logged.
+func (s *Server) readCaller(w http.ResponseWriter, r *http.Request) (*caller, error) {
+	c := &caller{arrived: s.now(), requestID: r.Header.Get(request.HeaderRequestID), tenant: defaultTenant}
+	if !requestIDPattern.MatchString(c.requestID) {
+		c.requestID = dispatch.NewID()
+	}
+	w.Header().Set(request.HeaderRequestID, c.requestID)
+	steps := []func(*http.Request) error{c.readTenant, c.readKey, c.readMinVersion, s.classReader(c)}
+	for _, step := range steps {
+		if err := step(r); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+func (s *Server) classReader(c *caller) func(*http.Request) error {
+	return func(r *http.Request) error {
+		name := r.Header.Get(request.HeaderClass)
+		found, ok := s.options.Snapshots.Load().Classes.Find(name)
+		if !ok {
+			return request.ErrInvalid.New("header %s: there is no class %q; an operator creates classes with `comfreyfront class apply`", request.HeaderClass, name)
+		}
+		c.class = found
+		return nil
+	}
+}
+
+func (c *caller) readTenant(r *http.Request) error {
+	tenant := r.Header.Get(request.HeaderTenant)
+	if tenant == "" {
+		return nil
+	}
+	if !tenantPattern.MatchString(tenant) {
+		return request.ErrInvalid.New("header %s: must be 1 to 63 letters, digits, dots, dashes or underscores", request.HeaderTenant)
+	}
+	c.tenant = tenant
+	return nil
+}
+
+func (c *caller) readKey(r *http.Request) error {
+	keys := r.Header.Values(request.HeaderIdempotencyKey)
+	if len(keys) > 1 || (len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxKeyLength)) {
+		return request.ErrInvalid.New("header %s: give one key of 1 to %d bytes", request.HeaderIdempotencyKey, maxKeyLength)
+	}
+	c.key = r.Header.Get(request.HeaderIdempotencyKey)
+	return c.readIdempotent(r)
+}
+
+// readIdempotent decides whether the request may run more than once: what the
+// caller states, else by the method; a key always means at most once.
+func (c *caller) readIdempotent(r *http.Request) error {
+	switch stated := r.Header.Get(HeaderIdempotent); stated {
+	case "":
+		c.idempotent = c.key == "" && r.Method != http.MethodPost && r.Method != http.MethodPatch
+	case "true":
+		if c.key != "" {
+			return request.ErrInvalid.New("header %s: true contradicts %s", HeaderIdempotent, request.HeaderIdempotencyKey)
+		}
+		c.idempotent = true
+	case "false":
+		c.idempotent = false
+	default:
+		return request.ErrInvalid.New("header %s: must be true or false", HeaderIdempotent)
+	}
+	return nil
+}
+
+func (c *caller) readMinVersion(r *http.Request) error {
+	text := r.Header.Get(request.HeaderMinVersion)
+	if text == "" {
+		return nil
+	}
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || version < 0 {
+		return request.ErrInvalid.New("header %s: %q is no weight version, such as 17", request.HeaderMinVersion, text)
+	}
+	c.minVersion = version
+	return nil
+}
+
+// readBody reads the whole body within its bound.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, request.ErrInvalid.Wrap(errTooLarge.New("at most %d bytes are taken", maxBodySize), "body")
+	case err != nil:
+		return nil, request.ErrInvalid.Wrap(err, "the body did not arrive whole")
+	}
+	return body, nil
+}
+
+// call returns what the dispatcher needs to know.
+func (c *caller) call(fingerprint dispatch.Fingerprint) dispatch.Call {
+	return dispatch.Call{
+		RequestID:   c.requestID,
+		Class:       c.class,
+		Tenant:      c.tenant,
+		Arrived:     c.arrived,
+		MinVersion:  c.minVersion,
+		Idempotent:  c.idempotent,
+		Fingerprint: fingerprint,
+	}
+}
--- /dev/null
+++ b/internal/traffic/problem.go
@@ -0,0 +1,75 @@
+package traffic
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// writeProblem answers with a problem; the outcome is also in a header.
+func writeProblem(w http.ResponseWriter, problem request.Problem) {
+	header := w.Header()
+	header.Set("Content-Type", request.ProblemContentType)
+	header.Set(request.HeaderOutcome, string(problem.Outcome))
+	if problem.RetryAfterMillis > 0 {
+		seconds := (problem.RetryAfterMillis + time.Second.Milliseconds() - 1) / time.Second.Milliseconds()
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(problem.Status)
+	// The caller may be gone; nothing is left to tell it then.
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
+// fail answers with the problem of an error of the request layer, logs it and
+// returns its outcome.
+func (s *Server) fail(w http.ResponseWriter, c *caller, err error) request.Outcome {
+	problem := c.problem(err)
+	s.logFailure(c, problem, err)
+	writeProblem(w, problem)
+	return problem.Outcome
+}
+
+func (c *caller) problem(err error) request.Problem {
+	problem := request.ProblemOf(err)
+	problem.RequestID = c.requestID
+	if errorx.IsOfType(err, errTooLarge) {
+		problem.Status = http.StatusRequestEntityTooLarge
+	}
+	return problem
+}
+
+func (s *Server) logFailure(c *caller, problem request.Problem, err error) {
+	kind := event.RequestRefused
+	if problem.Outcome == request.Unknown {
+		kind = event.RequestUnknown
+	}
+	kind.Log(context.Background(), s.logger,
+		slog.String("request", c.requestID),
+		slog.String("class", c.class.Name),
+		slog.String("tenant", c.tenant),
+		slog.String("cause", err.Error()))
+}
+
+// recoverFault logs a panic of a handler and cuts the answer off, so that a
+// part of it cannot pass as whole.
+func (s *Server) recoverFault(r *http.Request) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if err, ok := fault.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		event.HandlerPanicked.Log(r.Context(), s.logger,
+			slog.String("path", r.URL.Path), slog.Any("fault", fault), slog.String("stack", string(debug.Stack())))
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/traffic/record.go
@@ -0,0 +1,24 @@
+package traffic
+
+import (
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// record counts how a request ended.
+func (s *Server) record(c *caller, outcome request.Outcome, effort dispatch.Effort) {
+	if c.class.Name == "" {
+		return
+	}
+	took := s.now().Sub(c.arrived)
+	s.options.Metrics.Ended(c.class.Name, c.tenant, outcome, took)
+	s.options.Recorder.Record(Record{
+		Class:    c.class.Name,
+		Tenant:   c.tenant,
+		Outcome:  outcome,
+		Took:     took,
+		InTime:   outcome == request.Answered && (c.class.Lateness <= 0 || took <= c.class.Lateness),
+		Attempts: effort.Attempts,
+		Hedges:   effort.Hedges,
+	})
+}
--- /dev/null
+++ b/internal/traffic/services.go
@@ -0,0 +1,131 @@
+package traffic
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"strconv"
+
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// forwardedHeaders go from a caller to a plain service.
+var forwardedHeaders = []string{
+	"Accept", "Accept-Language", "Authorization", "Content-Type", "If-Match", "If-None-Match",
+	request.HeaderIdempotencyKey, request.HeaderClass, request.HeaderTenant,
+}
+
+// returnedHeaders go from a plain service to the caller.
+var returnedHeaders = []string{"Cache-Control", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location"}
+
+// serveService runs one call of a plain service.
+func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
+	c, err := s.readCaller(w, r)
+	if err != nil {
+		s.record(c, s.fail(w, c, err), dispatch.Effort{})
+		return
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		s.record(c, s.fail(w, c, err), dispatch.Effort{})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), s.options.RequestTimeout)
+	defer cancel()
+	answer, effort, err := s.runService(ctx, c, s.serviceRequest(c, r, body))
+	if err != nil {
+		s.record(c, s.fail(w, c, err), effort)
+		return
+	}
+	writeReply(w, answer)
+	s.record(c, request.Answered, effort)
+}
+
+func (s *Server) serviceRequest(c *caller, r *http.Request, body []byte) *dispatch.ServiceRequest {
+	application := r.PathValue("application")
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return &dispatch.ServiceRequest{
+		Call:        c.call(fingerprintOf(application, r.Method, path, string(body))),
+		Application: application,
+		Send:        engine.ServiceCall{Method: r.Method, Path: path, Header: pickHeaders(r.Header, forwardedHeaders), Body: body},
+	}
+}
+
+// runService admits the request first, so that a refusal leaves no claim.
+func (s *Server) runService(ctx context.Context, c *caller, send *dispatch.ServiceRequest) (*reply, dispatch.Effort, error) {
+	leave, err := s.options.Dispatcher.Admit(ctx, send)
+	if err != nil {
+		return nil, dispatch.Effort{}, err
+	}
+	run := func(ctx context.Context) (*reply, dispatch.Effort, error) {
+		defer leave()
+		answer, effort, err := s.options.Dispatcher.Serve(ctx, send)
+		if err != nil {
+			return nil, effort, err
+		}
+		return replyOf(answer), effort, nil
+	}
+	if c.key == "" {
+		return run(ctx)
+	}
+	return s.runKeyed(ctx, c, keyed{scope: send.Application, content: keyedContent(send), run: run, drop: leave})
+}
+
+// keyedContent is what must be the same when a key is used again.
+func keyedContent(send *dispatch.ServiceRequest) []byte {
+	return append([]byte(send.Send.Method+" "+send.Send.Path+"\n"), send.Send.Body...)
+}
+
+func replyOf(answer *engine.ServiceAnswer) *reply {
+	return &reply{
+		status:      answer.Status,
+		contentType: answer.Header.Get("Content-Type"),
+		header:      pickHeaders(answer.Header, returnedHeaders),
+		body:        answer.Body,
+	}
+}
+
+// writeReply answers whole, with the length stated so that a cut shows.
+func writeReply(w http.ResponseWriter, answer *reply) {
+	header := w.Header()
+	for name, values := range answer.header {
+		header[name] = values
+	}
+	if answer.contentType != "" {
+		header.Set("Content-Type", answer.contentType)
+	}
+	if answer.replayed {
+		header.Set(HeaderReplayed, "true")
+	}
+	header.Set(request.HeaderOutcome, string(request.Answered))
+	header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	w.WriteHeader(answer.status)
+	// The caller may be gone; a keyed answer is stored for its repeat.
+	_, _ = w.Write(answer.body)
+}
+
+func pickHeaders(from http.Header, names []string) http.Header {
+	to := make(http.Header, len(names))
+	for _, name := range names {
+		if values := from.Values(name); len(values) > 0 {
+			to[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	return to
+}
+
+// fingerprintOf identifies the content of a request.
+func fingerprintOf(parts ...string) dispatch.Fingerprint {
+	digest := sha256.New()
+	for _, part := range parts {
+		digest.Write([]byte(strconv.Itoa(len(part))))
+		digest.Write([]byte{':'})
+		digest.Write([]byte(part))
+	}
+	return dispatch.Fingerprint(digest.Sum(nil)[:len(dispatch.Fingerprint{})])
+}
