Stand-ins say why they refuse when they leave

Cause: the protocol gained a header for it; a fault lets an engine go on taking work while it leaves, so that a test can see who still sends some.

go test ./internal/standin/...: ok.

--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -23,6 +23,11 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if s.turnsAway() {
+		w.Header().Set(protocol.HeaderLeaving, "true")
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
 	q := s.submit(r.Header.Get(protocol.HeaderRequestID), request)
 	if q == nil {
 		refuse(w, http.StatusServiceUnavailable)
@@ -45,12 +50,19 @@
 	return s.fault.Fail || s.takeLocked(func(f *Fault) *int { return &f.FailNext })
 }
 
+// turnsAway reports whether the engine takes no work because it is leaving.
+func (s *Server) turnsAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving && !s.fault.AcceptWhileLeaving
+}
+
 // submit queues a request; nil when the engine takes no work.
 func (s *Server) submit(id string, request protocol.CompletionRequest) *sequence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	refused := s.takeLocked(func(f *Fault) *int { return &f.RefuseNext })
-	if refused || s.leaving || s.weights.Broken || s.dead {
+	if refused || s.weights.Broken || s.dead {
 		return nil
 	}
 	s.arrivals++
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -25,6 +25,8 @@
 	LateMillis int64 `json:"late_ms,omitempty"`
 	// MixUpNext: this many answers carry the identifier of another request.
 	MixUpNext int `json:"mix_up_next,omitempty"`
+	// AcceptWhileLeaving: a leaving engine says so and still takes work.
+	AcceptWhileLeaving bool `json:"accept_while_leaving,omitempty"`
 	// FailActivations: this many activate orders fail partway.
 	FailActivations int `json:"fail_activations,omitempty"`
 	// LoseReplies: this many orders take effect and get no reply.
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -257,6 +257,7 @@
 	refused := b.post(t.Context(), t, protocol.PathCompletions, "r2", ask("p", 1))
 	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
 	require.Equal(t, protocol.OutcomeNotRun, refused.Header.Get(protocol.HeaderOutcome))
+	require.NotEmpty(t, refused.Header.Get(protocol.HeaderLeaving))
 	require.True(t, readStream(t, resp).ended)
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -134,6 +134,7 @@
 		return
 	}
 	if s.isLeaving() {
+		w.Header().Set(engine.HeaderLeaving, "true")
 		refuse(w)
 		return
 	}
