--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -62,6 +62,8 @@
 type Endpoint struct {
 	*Process
 	ID string
+	// Kind is the stand-in that runs: "engine" or "service".
+	Kind string
 	// Journal is the file of its journal, which outlives it.
 	Journal string
 	args    []string
@@ -207,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	endpoint := &Endpoint{Process: process, ID: id, Journal: journal, args: args}
+	endpoint := &Endpoint{Process: process, ID: id, Kind: args[0], Journal: journal, args: args}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endpoints[id] = endpoint
--- a/internal/standin/journal/journal.go
+++ b/internal/standin/journal/journal.go
@@ -3,7 +3,6 @@
 package journal
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"os"
@@ -55,21 +54,22 @@
 	return append([]T{}, j.records...)
 }
 
-// ReadFile returns the records of a journal's file.
+// ReadFile returns the records of a journal's file. A last line that is not
+// whole is left out: its writer is still at it, or was killed before the record
+// held.
 func ReadFile[T any](path string) ([]T, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
 	var records []T
-	lines := bufio.NewScanner(bytes.NewReader(content))
-	lines.Buffer(nil, len(content)+1)
-	for lines.Scan() {
+	whole := content[:bytes.LastIndexByte(content, '\n')+1]
+	for line := range bytes.Lines(whole) {
 		var record T
-		if err := json.Unmarshal(lines.Bytes(), &record); err != nil {
+		if err := json.Unmarshal(line, &record); err != nil {
 			return nil, err
 		}
 		records = append(records, record)
 	}
-	return records, lines.Err()
+	return records, nil
 }
