--- a/internal/proctest/build.go
+++ b/internal/proctest/build.go
@@ -13,12 +13,25 @@
 	Standin string
 }
 
+// Import paths of the programs.
+const (
+	packageEntry   = "github.com/comfreyfront/comfreyfront/cmd/comfreyfront"
+	packageStandin = "github.com/comfreyfront/comfreyfront/cmd/standin"
+)
+
 // Build builds both programs into folder. It runs in any folder of the module.
 func Build(folder string) (Binaries, error) {
-	command := exec.Command("go", "build", "-o", folder+string(os.PathSeparator),
-		"github.com/comfreyfront/comfreyfront/cmd/comfreyfront",
-		"github.com/comfreyfront/comfreyfront/cmd/standin")
-	if output, err := command.CombinedOutput(); err != nil {
+	return build(folder, packageEntry, packageStandin)
+}
+
+// BuildStandin builds the stand-ins alone.
+func BuildStandin(folder string) (Binaries, error) {
+	return build(folder, packageStandin)
+}
+
+func build(folder string, packages ...string) (Binaries, error) {
+	arguments := append([]string{"build", "-o", folder + string(os.PathSeparator)}, packages...)
+	if output, err := exec.Command("go", arguments...).CombinedOutput(); err != nil {
 		return Binaries{}, fmt.Errorf("build: %w: %s", err, output)
 	}
 	return InFolder(folder), nil
--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -32,7 +32,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	if binaries, err = proctest.Build(folder); err != nil {
+	if binaries, err = proctest.BuildStandin(folder); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
