Deliver a step's samples exactly once, with a client for trainers

Cause: a sample must reach its trainer exactly once, within its staleness bound, and name the versions that made it, over lost replies, killed and frozen owners and moving weights.

Change: internal/step holds the aggregate, the service and the router of steps; trainer is the client. The trainer's account (holdings, pull number, highest epoch) travels with each pull and decides; the owner keeps nothing that must outlive it. A stored reply is repeated byte for byte, or refused as expired once a sample of it is over the bound.

Ruled out: an owner that stops delivering in an outage of the platform's service. The account keeps delivery exact with two owners, so that an outage costs at most double work and not the trainer's time.

--- /dev/null
+++ b/internal/event/step.go
@@ -0,0 +1,18 @@
+package event
+
+import "log/slog"
+
+// Events of training steps: 3000 to 3099.
+var (
+	StepTaken      = define(3000, "step taken", slog.LevelInfo, "This entry owns the step from now on and generates its samples.")
+	StepComplete   = define(3001, "step complete", slog.LevelInfo, "The trainer holds all samples of the step.")
+	StepLost       = define(3002, "step lost", slog.LevelWarn, "Another entry owns the step now; this one stopped its work on it.")
+	StepCancelled  = define(3003, "step cancelled", slog.LevelInfo, "The trainer cancelled the step.")
+	StepAbandoned  = define(3004, "step abandoned", slog.LevelWarn, "The trainer has not pulled for long; the step was dropped. A pull brings it back.")
+	StepIdle       = define(3005, "step idle", slog.LevelInfo, "The trainer has not pulled lately; no further samples are started until it does.")
+	StepUnleased   = define(3006, "step without lease", slog.LevelWarn, "The platform's service cannot confirm the ownership; the step goes on, since the trainer's own account decides what is delivered.")
+	SampleRefused  = define(3007, "sample refused", slog.LevelWarn, "An endpoint or the entry refused the sample's prompt for good; the trainer gets the sample without text.")
+	SampleRetried  = define(3008, "sample retried", slog.LevelDebug, "A generation failed and is tried again with the tokens that it has.")
+	StepPastDue    = define(3009, "step past deadline", slog.LevelWarn, "The step was not whole at its deadline; failed samples are not tried again.")
+	StepForwardBad = define(3010, "step call not forwarded", slog.LevelWarn, "No entry that could own the step was reached; the trainer is asked to come back.")
+)
--- /dev/null
+++ b/internal/step/call.go
@@ -0,0 +1,161 @@
+package step
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+)
+
+// Limits of the bodies of calls, in bytes.
+const (
+	maxSpecBytes = 32 << 20
+	maxCallBytes = 1 << 20
+)
+
+const jsonContentType = "application/json"
+
+// target is what a call's path and method name.
+type target struct {
+	trainer string
+	step    int64
+	action  string
+}
+
+// actions of calls that their method names.
+const (
+	actionCreate   = "create"
+	actionProgress = "progress"
+	actionCancel   = "cancel"
+)
+
+func (t target) unit() string { return UnitOf(t.trainer, t.step) }
+
+// parseTarget reads the target of a call; a create names its step in the body.
+func parseTarget(call *peerpb.StepCall) (target, error) {
+	rest, ok := strings.CutPrefix(call.Path, wire.PathSteps)
+	if !ok {
+		return target{}, ErrInvalid.New("no such path")
+	}
+	if rest == "" || rest == "/" {
+		return parseCreate(call)
+	}
+	parts := strings.Split(strings.TrimPrefix(rest, "/"), "/")
+	if len(parts) < 2 || len(parts) > 3 || !namePattern.MatchString(parts[0]) {
+		return target{}, ErrInvalid.New("the path must be %s/{trainer}/{step}", wire.PathSteps)
+	}
+	number, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil || number < 0 {
+		return target{}, ErrInvalid.New("the step must be a whole number")
+	}
+	t := target{trainer: parts[0], step: number}
+	t.action, err = actionOf(call.Method, parts[2:])
+	return t, err
+}
+
+func actionOf(method string, rest []string) (string, error) {
+	switch {
+	case len(rest) == 0 && method == http.MethodGet:
+		return actionProgress, nil
+	case len(rest) == 0 && method == http.MethodDelete:
+		return actionCancel, nil
+	case len(rest) == 1 && method == http.MethodPost && (rest[0] == wire.ActionPull || rest[0] == wire.ActionConfirm):
+		return rest[0], nil
+	}
+	return "", ErrInvalid.New("no such call")
+}
+
+func parseCreate(call *peerpb.StepCall) (target, error) {
+	if call.Method != http.MethodPost {
+		return target{}, ErrInvalid.New("%s takes POST", wire.PathSteps)
+	}
+	var name struct {
+		Trainer string `json:"trainer"`
+		Step    int64  `json:"step"`
+	}
+	if err := json.Unmarshal(call.Body, &name); err != nil {
+		return target{}, ErrInvalid.Wrap(err, "malformed body")
+	}
+	return target{trainer: name.Trainer, step: name.Step, action: actionCreate}, nil
+}
+
+// decode reads one JSON value strictly.
+func decode(body []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return ErrInvalid.Wrap(err, "malformed body")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return ErrInvalid.New("more than one value in the body")
+	}
+	return nil
+}
+
+// Call answers a trainer's call, or one that another entry forwarded. Status
+// 421 says that this entry does not own the step.
+func (s *Service) Call(ctx context.Context, call *peerpb.StepCall) *peerpb.StepResult {
+	named, err := parseTarget(call)
+	if err != nil {
+		return problemResult(err)
+	}
+	if !s.enter() {
+		return problemResult(ErrNotOwner.New("the entry is leaving"))
+	}
+	defer s.calls.Done()
+	body, err := s.dispatch(ctx, named, call)
+	if err != nil {
+		return problemResult(err)
+	}
+	return &peerpb.StepResult{Status: http.StatusOK, ContentType: jsonContentType, Body: body}
+}
+
+func (s *Service) dispatch(ctx context.Context, named target, call *peerpb.StepCall) ([]byte, error) {
+	switch named.action {
+	case actionCreate:
+		return s.callCreate(ctx, call)
+	case wire.ActionPull:
+		var req wire.PullRequest
+		if err := decode(call.Body, &req); err != nil {
+			return nil, err
+		}
+		return s.Pull(ctx, named.unit(), &req)
+	case wire.ActionConfirm:
+		var req wire.ConfirmRequest
+		if err := decode(call.Body, &req); err != nil {
+			return nil, err
+		}
+		return encode(s.Confirm(ctx, named.unit(), &req))
+	case actionCancel:
+		return encode(struct{}{}, s.Cancel(ctx, named.unit()))
+	default:
+		return encode(s.Progress(ctx, named.unit()))
+	}
+}
+
+func (s *Service) callCreate(ctx context.Context, call *peerpb.StepCall) ([]byte, error) {
+	var req wire.CreateRequest
+	if err := decode(call.Body, &req); err != nil {
+		return nil, err
+	}
+	if req.Class == "" {
+		req.Class = call.Class
+	}
+	if req.Tenant == "" {
+		req.Tenant = call.Tenant
+	}
+	return encode(s.Create(ctx, &req))
+}
+
+func encode[T any](value T, err error) ([]byte, error) {
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(value)
+}
--- /dev/null
+++ b/internal/step/router.go
@@ -0,0 +1,206 @@
+package step
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2"
+
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+)
+
+// Limits of routing.
+const (
+	// maxHops bounds the entries that one call is tried at.
+	maxHops = 3
+	// forwardMargin is the time that a forwarded call may take beyond the
+	// wait that it asks for.
+	forwardMargin = 5 * time.Second
+	hintEntries   = 1024
+)
+
+// RouterOptions configure a Router. All but Logger are required.
+type RouterOptions struct {
+	Service *Service
+	// Self is the identifier of this entry.
+	Self string
+	// Peers returns the live entries.
+	Peers func() []control.Peer
+	// Rank orders the identifiers of entries by their claim to a unit.
+	Rank func(unit string, ids []string) []string
+	// Dial returns the client of a peer.
+	Dial   func(peer control.Peer) peerpb.Peer
+	Logger *slog.Logger
+}
+
+// Router is the HTTP side for trainers: it answers the calls of steps that
+// this entry owns and forwards others to their owners. A forwarded call is
+// never forwarded again, and no call visits more than maxHops entries.
+type Router struct {
+	options RouterOptions
+	// holders remembers which entry answered last for a unit.
+	holders *lru.Cache[string, string]
+}
+
+// NewRouter returns a Router.
+func NewRouter(options RouterOptions) *Router {
+	holders, err := lru.New[string, string](hintEntries)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Router{options: options, holders: holders}
+}
+
+// Server answers calls that other entries forward.
+type Server struct{ Service *Service }
+
+// Step implements the peer protocol.
+func (s Server) Step(ctx context.Context, call *peerpb.StepCall) (*peerpb.StepResult, error) {
+	return s.Service.Call(ctx, call), nil
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	call, err := readCall(w, req)
+	if err != nil {
+		writeResult(w, problemResult(err))
+		return
+	}
+	writeResult(w, r.Route(req.Context(), call))
+}
+
+func readCall(w http.ResponseWriter, req *http.Request) (*peerpb.StepCall, error) {
+	limit := int64(maxCallBytes)
+	if req.URL.Path == wire.PathSteps {
+		limit = maxSpecBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+	if err != nil {
+		return nil, ErrInvalid.Wrap(err, "the body was cut off or has over %d bytes", limit)
+	}
+	return &peerpb.StepCall{
+		Method: req.Method, Path: req.URL.Path, Body: body,
+		RequestId: req.Header.Get(request.HeaderRequestID),
+		Class:     req.Header.Get(request.HeaderClass),
+		Tenant:    req.Header.Get(request.HeaderTenant),
+	}, nil
+}
+
+func writeResult(w http.ResponseWriter, result *peerpb.StepResult) {
+	w.Header().Set("Content-Type", result.ContentType)
+	outcome := request.Answered
+	if result.Status != http.StatusOK {
+		outcome = request.NotRun
+	}
+	w.Header().Set(request.HeaderOutcome, string(outcome))
+	w.WriteHeader(int(result.Status))
+	_, _ = w.Write(result.Body)
+}
+
+// Route answers a trainer's call at the entry that owns its step.
+func (r *Router) Route(ctx context.Context, call *peerpb.StepCall) *peerpb.StepResult {
+	named, err := parseTarget(call)
+	if err != nil {
+		return problemResult(err)
+	}
+	unit := named.unit()
+	targets := r.targets(unit)
+	for hop := 0; hop < maxHops && hop < len(targets); hop++ {
+		result := r.ask(ctx, targets[hop], call)
+		if result == nil {
+			r.holders.Remove(unit)
+			continue
+		}
+		if result.Status != http.StatusMisdirectedRequest {
+			r.holders.Add(unit, targets[hop])
+			return result
+		}
+		r.holders.Remove(unit)
+		targets = redirect(targets, hop, result)
+	}
+	event.StepForwardBad.Log(ctx, r.options.Logger, slog.String("step", unit))
+	return problemResult(ErrUnreachable.New("the owner of %s was not reached", unit))
+}
+
+// targets lists the entries to try: this one if it runs the step, the one that
+// answered last, then the others by rank.
+func (r *Router) targets(unit string) []string {
+	var targets []string
+	if r.options.Service.Owns(unit) {
+		targets = append(targets, r.options.Self)
+	}
+	if holder, ok := r.holders.Get(unit); ok && holder != r.options.Self {
+		targets = append(targets, holder)
+	}
+	for _, id := range r.options.Rank(unit, r.liveIDs()) {
+		if !slices.Contains(targets, id) {
+			targets = append(targets, id)
+		}
+	}
+	return targets
+}
+
+func (r *Router) liveIDs() []string {
+	var ids []string
+	for _, peer := range r.options.Peers() {
+		if !peer.Leaving {
+			ids = append(ids, peer.ID)
+		}
+	}
+	return ids
+}
+
+// redirect puts the holder that a misdirected call was told of next, unless it
+// was tried already.
+func redirect(targets []string, hop int, result *peerpb.StepResult) []string {
+	var told misdirected
+	if json.Unmarshal(result.Body, &told) != nil || told.Holder == "" {
+		return targets
+	}
+	tried := targets[:hop+1]
+	if slices.Contains(tried, told.Holder) {
+		return tried
+	}
+	return append(slices.Clone(tried), told.Holder)
+}
+
+// ask answers a call here or at another entry; nil when that was not reached.
+func (r *Router) ask(ctx context.Context, id string, call *peerpb.StepCall) *peerpb.StepResult {
+	if id == r.options.Self {
+		return r.options.Service.Call(ctx, call)
+	}
+	at := slices.IndexFunc(r.options.Peers(), func(p control.Peer) bool { return p.ID == id })
+	if at < 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout(call))
+	defer cancel()
+	result, err := r.options.Dial(r.options.Peers()[at]).Step(ctx, call)
+	if err != nil {
+		return nil
+	}
+	return result
+}
+
+// forwardTimeout is the time that a forwarded call may take.
+func forwardTimeout(call *peerpb.StepCall) time.Duration {
+	var asked struct {
+		WaitMillis int64 `json:"wait_ms"`
+	}
+	if len(call.Body) <= maxCallBytes && json.Unmarshal(call.Body, &asked) == nil {
+		return waitOf(&wire.PullRequest{WaitMillis: asked.WaitMillis}) + forwardMargin
+	}
+	return forwardMargin
+}
--- /dev/null
+++ b/internal/step/wire/holdings_test.go
@@ -0,0 +1,26 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestHoldingsAgainstASetOfSamples(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var holds Holdings
+		oracle := map[SampleID]bool{}
+		for range 60 {
+			id := SampleID{Group: rapid.IntRange(0, 2).Draw(t, "group"), Index: rapid.IntRange(0, 9).Draw(t, "index")}
+			require.Equal(t, oracle[id], holds.Has(id))
+			require.Equal(t, !oracle[id], holds.Add(id))
+			oracle[id] = true
+			require.Equal(t, len(oracle), holds.Len())
+		}
+		for i := 1; i < len(holds); i++ {
+			apart := holds[i-1].Group < holds[i].Group || holds[i-1].To < holds[i].From
+			require.True(t, apart, "ranges touch: %v", holds)
+		}
+	})
+}
