Run the control goroutine and the exchange between entries

Cause: entries must agree on classes, endpoints, peers and versions without a coordination service. Merge rules and faults are tested next.

--- /dev/null
+++ b/internal/control/loads.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+)
+
+// Errors of the control layer.
+var (
+	Errors = errorx.NewNamespace("control")
+	// ErrLoad: a load report could not be read.
+	ErrLoad = Errors.NewType("load", errorx.Temporary())
+)
+
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 16 << 10
+
+// HTTPLoads reads load reports over HTTP.
+type HTTPLoads struct {
+	client *http.Client
+}
+
+// NewHTTPLoads returns a LoadReader on an HTTP client.
+func NewHTTPLoads(client *http.Client) *HTTPLoads {
+	return &HTTPLoads{client: client}
+}
+
+// Load reads one report. It fails with ErrLoad.
+func (h *HTTPLoads) Load(ctx context.Context, address string) (engine.LoadReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+engine.PathLoad, nil)
+	if err != nil {
+		return engine.LoadReport{}, ErrLoad.New("load of %s: %v", address, err)
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return engine.LoadReport{}, ErrLoad.New("load of %s: %v", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return engine.LoadReport{}, ErrLoad.New("load of %s: status %d", address, response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxLoadBytes))
+	if err != nil {
+		return engine.LoadReport{}, ErrLoad.New("load of %s: %v", address, err)
+	}
+	return decodeLoad(body)
+}
+
+func decodeLoad(body []byte) (engine.LoadReport, error) {
+	var report engine.LoadReport
+	if err := json.Unmarshal(body, &report); err != nil {
+		return engine.LoadReport{}, ErrLoad.New("load report: %v", err)
+	}
+	if report.Running < 0 || report.Waiting < 0 || report.Slots < 0 || report.WeightVersion < 0 {
+		return engine.LoadReport{}, ErrLoad.New("load report with negative numbers")
+	}
+	return report, nil
+}
+
+// target is an endpoint whose load is read.
+type target struct {
+	id, address string
+}
+
+// pollLoads reads the load of the followed endpoints in turn, evenly spread
+// over the interval.
+func (m *Manager) pollLoads(ctx context.Context) error {
+	var group errgroup.Group
+	group.SetLimit(maxLoadReads)
+	for next := 0; ; next++ {
+		targets := m.followed.Load()
+		spacing := m.options.LoadInterval
+		if targets != nil && len(*targets) > 0 {
+			to := (*targets)[next%len(*targets)]
+			group.TryGo(func() error { m.readLoad(ctx, to); return nil })
+			spacing = max(m.options.LoadInterval/time.Duration(len(*targets)), minPollSpacing)
+		}
+		if !pause(ctx, jittered(spacing)) {
+			return group.Wait()
+		}
+	}
+}
+
+func (m *Manager) readLoad(ctx context.Context, to target) {
+	call, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	started := m.options.Now()
+	report, err := m.options.Loads.Load(call, to.address)
+	if ctx.Err() == nil {
+		m.send(ctx, loaded{target: to, startedAt: started, report: report, err: err})
+	}
+}
+
+// loaded is one reading of a load report.
+type loaded struct {
+	target
+	startedAt time.Time
+	report    engine.LoadReport
+	err       error
+}
+
+func (l loaded) apply(ctx context.Context, m *Manager, now time.Time) {
+	t, known := m.endpoints[l.id]
+	if !known || t.instance.Address != l.address {
+		return
+	}
+	if l.err != nil {
+		m.endpointFailed(ctx, t)
+		return
+	}
+	m.endpointAnswered(ctx, t)
+	t.running, t.waiting, t.slots = l.report.Running, l.report.Waiting, l.report.Slots
+	t.version, t.reportedAt = l.report.WeightVersion, l.report.ReportedAt
+	m.touch(false)
+	if l.report.Leaving {
+		m.state.EndpointLeaves(l.id, now)
+	} else {
+		t.returnedAt = l.startedAt
+	}
+	m.reviewLeaving()
+}
+
+// endpointFailed counts a failure; several in a row make an endpoint unready.
+func (m *Manager) endpointFailed(ctx context.Context, t *tracked) {
+	t.failures++
+	if t.failures == failuresToUnready {
+		event.EndpointUnready.Log(ctx, m.logger, slog.String("endpoint", t.instance.ID))
+		m.touch(false)
+		m.dirty.urgent = true
+	}
+}
+
+// endpointAnswered ends a row of failures.
+func (m *Manager) endpointAnswered(ctx context.Context, t *tracked) {
+	if t.failures >= failuresToUnready {
+		event.EndpointReady.Log(ctx, m.logger, slog.String("endpoint", t.instance.ID))
+		m.touch(false)
+		m.dirty.urgent = true
+	}
+	t.failures = 0
+}
--- /dev/null
+++ b/internal/control/manager.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/exchange"
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+)
+
+// Manager is the control goroutine's state and its doors: everything below
+// "owned" is touched by Run's one goroutine alone.
+type Manager struct {
+	options      Options
+	logger       *slog.Logger
+	metrics      *metrics
+	inputs       chan input
+	observations chan input
+	observer     *Observer
+	// stopped is closed when Run ends.
+	stopped chan struct{}
+	// alone: no live peer; read by the watch.
+	alone atomic.Bool
+	// followed is read by the poller.
+	followed atomic.Pointer[[]target]
+
+	// owned by the control goroutine:
+	state      *exchange.State
+	classes    *class.Document
+	endpoints  map[string]*tracked
+	entries    map[string]platform.Instance // entries of the list, but this one
+	judges     map[string]Judge
+	random     *rand.Rand
+	lastTick   time.Time
+	epoch      int // rises with each gap of the clock
+	running    map[string]bool
+	heard      map[string]time.Time // peers that answered since the last confirmation
+	peerAt     time.Time            // when a peer answered last
+	storeOK    bool
+	storeStale bool
+	judgedAt   time.Time
+	dirty      dirtiness
+	listDown   bool
+	started    bool // was connected once
+	isolated   bool
+	// liveSignature tells sets of live peers apart.
+	liveSignature uint64
+	// call starts an exchange.
+	call func(ctx context.Context, to exchange.Member)
+}
+
+// dirtiness says what the next snapshot must show anew.
+type dirtiness struct {
+	any       bool
+	endpoints bool
+	follow    bool
+	// urgent: publish at once.
+	urgent bool
+}
+
+// input is one message to the control goroutine.
+type input interface {
+	apply(ctx context.Context, m *Manager, now time.Time)
+}
+
+// New returns a Manager that does nothing until Run.
+func New(options Options, logger *slog.Logger, registerer prometheus.Registerer) *Manager {
+	options = options.withDefaults()
+	m := &Manager{
+		options:      options,
+		logger:       logger,
+		inputs:       make(chan input, inputBuffer),
+		observations: make(chan input, observationBuffer),
+		stopped:      make(chan struct{}),
+		classes:      &class.Document{},
+		endpoints:    map[string]*tracked{},
+		entries:      map[string]platform.Instance{},
+		judges:       map[string]Judge{},
+		random:       rand.New(rand.NewPCG(uint64(options.Incarnation), hashOf(options.ID))),
+		running:      map[string]bool{},
+		heard:        map[string]time.Time{},
+		state: exchange.NewState(exchange.Options{
+			ID: options.ID, Address: options.Address, FailureDomain: options.FailureDomain,
+			Incarnation: options.Incarnation, Suspects: options.Suspects,
+		}),
+	}
+	m.metrics = newMetrics(registerer)
+	m.observer = &Observer{manager: m}
+	m.alone.Store(true)
+	return m
+}
+
+// Snapshots returns where the pictures of the control state are published.
+func (m *Manager) Snapshots() *Snapshots {
+	return m.options.Snapshots
+}
+
+// Run owns the control state until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.own(ctx, group) })
+	group.Go(func() error { return m.watchConfig(ctx) })
+	group.Go(func() error { return m.readList(ctx) })
+	group.Go(func() error { return m.pollLoads(ctx) })
+	return group.Wait()
+}
+
+// own is the control goroutine.
+func (m *Manager) own(ctx context.Context, group *errgroup.Group) error {
+	defer close(m.stopped)
+	m.call = func(ctx context.Context, to exchange.Member) { m.startExchange(ctx, group, to) }
+	rounds := time.NewTicker(m.options.RoundInterval)
+	defer rounds.Stop()
+	flush := time.NewTicker(flushInterval)
+	defer flush.Stop()
+	m.lastTick = m.options.Now()
+	m.publish(m.lastTick)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case in := <-m.inputs:
+			in.apply(ctx, m, m.options.Now())
+		case in := <-m.observations:
+			in.apply(ctx, m, m.options.Now())
+		case <-rounds.C:
+			m.tick(ctx, m.options.Now())
+		case <-flush.C:
+			m.flush(m.options.Now())
+		}
+		if m.dirty.urgent {
+			m.publish(m.options.Now())
+		}
+	}
+}
+
+// tick is one round.
+func (m *Manager) tick(ctx context.Context, now time.Time) {
+	gap := now.Sub(m.lastTick)
+	m.lastTick = now
+	if gap >= clockGap {
+		m.thawed(ctx, now, gap)
+	}
+	m.state.Tick(now)
+	m.judge(now)
+	m.round(ctx, now, m.options.RoundPeers)
+	m.reviewMembers(now)
+}
+
+func (m *Manager) flush(now time.Time) {
+	if m.dirty.any {
+		m.publish(now)
+	}
+}
+
+// send hands an input to the control goroutine; false when it has ended or the
+// context did.
+func (m *Manager) send(ctx context.Context, in input) bool {
+	select {
+	case m.inputs <- in:
+		return true
+	case <-m.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// do runs f in the control goroutine and waits for it; false when it did not
+// run or may not have.
+func (m *Manager) do(ctx context.Context, f func(now time.Time)) bool {
+	done := make(chan struct{})
+	if !m.send(ctx, task{run: f, done: done}) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-m.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// task is a piece of work for the control goroutine.
+type task struct {
+	run  func(now time.Time)
+	done chan struct{}
+}
+
+func (t task) apply(_ context.Context, _ *Manager, now time.Time) {
+	t.run(now)
+	close(t.done)
+}
--- /dev/null
+++ b/internal/control/publish.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/exchange"
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+)
+
+// publish makes a snapshot of the control state. Parts that did not change are
+// shared with the one before.
+func (m *Manager) publish(now time.Time) {
+	if m.dirty.follow {
+		m.chooseFollowed()
+	}
+	last := m.options.Snapshots.Load()
+	snapshot := &Snapshot{
+		Self:           peerOf(m.state.Self()),
+		Peers:          m.peers(now),
+		Classes:        m.classes,
+		ConfirmedAt:    m.state.ConfirmedAt(),
+		Endpoints:      last.Endpoints,
+		Versions:       m.versions(),
+		StoreReachable: m.storeOK,
+		PeersReachable: m.peersReachable(now),
+	}
+	if m.dirty.endpoints || last.Endpoints == nil {
+		snapshot.Endpoints = m.pictures()
+	}
+	m.noteIsolation(snapshot)
+	m.dirty = dirtiness{}
+	m.options.Snapshots.Publish(snapshot)
+}
+
+func (m *Manager) peersReachable(now time.Time) bool {
+	return !m.peerAt.IsZero() && now.Sub(m.peerAt) < peersLately
+}
+
+func (m *Manager) noteIsolation(snapshot *Snapshot) {
+	isolated := snapshot.Isolated()
+	if isolated == m.isolated || !m.started {
+		m.started = m.started || !isolated
+		return
+	}
+	m.isolated = isolated
+	if isolated {
+		event.EntryIsolated.Log(context.Background(), m.logger)
+		return
+	}
+	event.EntryConnected.Log(context.Background(), m.logger)
+}
+
+func peerOf(member exchange.Member) Peer {
+	return Peer{
+		ID: member.ID, Address: member.Address, FailureDomain: member.FailureDomain, Incarnation: member.Incarnation,
+		Leaving: member.Leaving, ConfigRevision: member.ConfigRevision,
+	}
+}
+
+func (m *Manager) peers(now time.Time) []Peer {
+	live := m.state.Live(now)
+	peers := make([]Peer, 0, len(live)+1)
+	peers = append(peers, peerOf(m.state.Self()))
+	for _, member := range live {
+		peers = append(peers, peerOf(member))
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return peers
+}
+
+func (m *Manager) versions() map[string]Versions {
+	versions := map[string]Versions{}
+	m.state.Versions(func(model string, newest, floor int64) {
+		versions[model] = Versions{Newest: newest, Floor: floor}
+	})
+	return versions
+}
+
+// pictures builds the followed endpoints by what they serve, in order of ID.
+func (m *Manager) pictures() map[string][]*endpoint.Endpoint {
+	endpoints := map[string][]*endpoint.Endpoint{}
+	for _, t := range m.endpoints {
+		if t.followed {
+			endpoints[t.instance.Serves] = append(endpoints[t.instance.Serves], m.picture(t))
+		}
+	}
+	for _, list := range endpoints {
+		slices.SortFunc(list, func(a, b *endpoint.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return endpoints
+}
+
+func (m *Manager) picture(t *tracked) *endpoint.Endpoint {
+	return &endpoint.Endpoint{
+		ID:            t.instance.ID,
+		Kind:          kindOf(t.instance.Kind),
+		Serves:        t.instance.Serves,
+		Address:       t.instance.Address,
+		FailureDomain: t.instance.FailureDomain,
+		Region:        t.instance.Region,
+		ChecksFence:   t.instance.ChecksFence,
+		Leaving:       m.leaves(t),
+		Unready:       t.held || t.failures >= failuresToUnready,
+		ActiveVersion: t.version,
+		Demotion:      max(t.demotion, m.state.Demotion(t.instance.ID)),
+		Running:       t.running,
+		Waiting:       t.waiting,
+		Slots:         t.slots,
+		ReportedAt:    t.reportedAt,
+		Live:          t.live,
+	}
+}
+
+func kindOf(kind platform.InstanceKind) endpoint.Kind {
+	if kind == platform.KindService {
+		return endpoint.Service
+	}
+	return endpoint.Engine
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -3,6 +3,8 @@
 package control
 
 import (
+	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,12 +44,31 @@
 	Versions map[string]Versions
 	// StoreReachable: the platform's key-value service answered lately.
 	StoreReachable bool
+	// PeersReachable: a peer answered lately.
+	PeersReachable bool
+}
+
+// FreshFor is how long a confirmation of the class document holds.
+const FreshFor = 4 * time.Second
+
+// Fresh reports whether the class document was known to be the newest lately.
+func (s *Snapshot) Fresh(now time.Time) bool {
+	return now.Sub(s.ConfirmedAt) <= FreshFor
+}
+
+// Isolated reports whether neither the platform's service nor a peer answered
+// lately, so that the class document can't be confirmed.
+func (s *Snapshot) Isolated() bool {
+	return !s.StoreReachable && !s.PeersReachable
 }
 
 // Snapshots hands the newest snapshot from the control goroutine to traffic
 // goroutines through one atomic pointer. The zero value holds an empty one.
 type Snapshots struct {
 	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	changed chan struct{} // closed by the next Publish
 }
 
 // Load returns the newest snapshot, never nil.
@@ -61,4 +82,41 @@
 // Publish makes snapshot the newest. The caller must not change it afterwards.
 func (s *Snapshots) Publish(snapshot *Snapshot) {
 	s.current.Store(snapshot)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// Changed returns a channel that the next Publish closes.
+func (s *Snapshots) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// Confirmed returns a snapshot whose class document is confirmed. It waits for
+// one until the context ends or the entry is isolated, and then returns the
+// newest with false: work that a stale class would not harm may go on.
+func (s *Snapshots) Confirmed(ctx context.Context, now func() time.Time) (*Snapshot, bool) {
+	for {
+		changed := s.Changed()
+		snapshot := s.Load()
+		if snapshot.Fresh(now()) {
+			return snapshot, true
+		}
+		if snapshot.Isolated() {
+			return snapshot, false
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return s.Load(), false
+		}
+	}
 }
--- /dev/null
+++ b/internal/exchange/caller.go
@@ -0,0 +1,32 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+)
+
+// Caller swaps news with one peer. It fails with ErrUnreachable.
+type Caller interface {
+	Exchange(ctx context.Context, address string, news *peerpb.News) (*peerpb.News, error)
+}
+
+// HTTPCaller calls peers by twirp over one HTTP client.
+type HTTPCaller struct {
+	client *http.Client
+}
+
+// NewHTTPCaller returns a Caller on an HTTP client.
+func NewHTTPCaller(client *http.Client) *HTTPCaller {
+	return &HTTPCaller{client: client}
+}
+
+// Exchange calls the peer at host:port.
+func (c *HTTPCaller) Exchange(ctx context.Context, address string, news *peerpb.News) (*peerpb.News, error) {
+	reply, err := peerpb.NewPeerProtobufClient("http://"+address, c.client).Exchange(ctx, news)
+	if err != nil {
+		return nil, ErrUnreachable.New("exchange with %s: %v", address, err)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/exchange/receive.go
@@ -0,0 +1,157 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+)
+
+// Bounds of news that is taken in.
+const (
+	maxListItems   = 1024
+	maxTextBytes   = 256
+	maxConfigBytes = 1 << 18
+	maxMembers     = 4096
+	maxLeaving     = 16384
+	maxOutliers    = 4096
+	maxModels      = 1024
+	maxDigests     = 32768
+)
+
+// Config is a class document that a peer passed on.
+type Config struct {
+	Revision int64
+	Data     []byte
+}
+
+// Receive merges the news of a peer. It fails with ErrInvalid and then takes
+// nothing. A newer class document is returned and not adopted; SetConfig does
+// that once it has been read.
+func (s *State) Receive(now time.Time, news *peerpb.News) (*Config, error) {
+	if err := check(news); err != nil {
+		return nil, err
+	}
+	for _, seen := range news.Peers {
+		s.mergeMember(now, seen)
+	}
+	for _, l := range news.Leaving {
+		s.mergeLeaving(now, l)
+	}
+	for _, o := range news.Outliers {
+		if age(o.AgeMs) <= outlierMemory {
+			s.mergeOutlier(now.Add(-age(o.AgeMs)), o)
+		}
+	}
+	for _, v := range news.Versions {
+		s.mergeVersion(v)
+	}
+	for _, d := range news.Digests {
+		if age(d.AgeMs) > digestMemory {
+			continue
+		}
+		s.mergeDigest(now.Add(-age(d.AgeMs)), d)
+	}
+	if s.options.Suspects != nil && len(news.Suspects) > 0 {
+		s.options.Suspects.Merge(news.Suspects)
+	}
+	if news.ConfigRevision > s.config.revision && len(news.Config) > 0 {
+		return &Config{Revision: news.ConfigRevision, Data: news.Config}, nil
+	}
+	return nil, nil
+}
+
+func (s *State) mergeLeaving(now time.Time, news *peerpb.Leaving) {
+	since := age(news.AgeMs)
+	if since <= leavingMemory && s.leaving.len() < maxLeaving {
+		s.EndpointLeaves(news.Endpoint, now.Add(-since))
+	}
+}
+
+// mergeOutlier takes the judgement with the highest (sequence, entry).
+func (s *State) mergeOutlier(at time.Time, news *peerpb.Outlier) {
+	known, exists := s.outliers.get(news.Endpoint)
+	if exists && !laterJudgement(news, known.news) || !exists && s.outliers.len() >= maxOutliers {
+		return
+	}
+	s.outliers.put(news.Endpoint, outlier{news: news, at: at})
+}
+
+func laterJudgement(a, b *peerpb.Outlier) bool {
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	if a.Entry != b.Entry {
+		return a.Entry > b.Entry
+	}
+	return a.Demotion > b.Demotion
+}
+
+func (s *State) mergeVersion(news *peerpb.ModelVersion) bool {
+	known, exists := s.versions.get(news.Model)
+	if !exists && s.versions.len() >= maxModels {
+		return false
+	}
+	if exists && news.Newest <= known.Newest && news.Floor <= known.Floor {
+		return false
+	}
+	raised := &peerpb.ModelVersion{Model: news.Model, Newest: max(news.Newest, known.GetNewest()), Floor: max(news.Floor, known.GetFloor())}
+	s.versions.put(news.Model, raised)
+	return true
+}
+
+func (s *State) mergeDigest(at time.Time, news *peerpb.ClassDigest) {
+	key := news.Entry + "\x00" + news.Class
+	known, exists := s.digests.get(key)
+	if exists && news.Sequence <= known.news.Sequence || !exists && s.digests.len() >= maxDigests {
+		return
+	}
+	s.digests.put(key, digest{news: news, at: at})
+}
+
+// age is a wire age as a duration, bounded from both sides.
+func age(millis int64) time.Duration {
+	const maxAge = time.Hour
+	return time.Duration(min(max(millis, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
+func check(news *peerpb.News) error {
+	if news == nil || news.From == "" {
+		return ErrInvalid.New("news without a sender")
+	}
+	items := max(len(news.Peers), len(news.Leaving), len(news.Outliers), len(news.Suspects), len(news.Versions), len(news.Digests))
+	if items > maxListItems {
+		return ErrInvalid.New("a list of %d items, at most %d", items, maxListItems)
+	}
+	if len(news.Config) > maxConfigBytes {
+		return ErrInvalid.New("a class document of %d bytes, at most %d", len(news.Config), maxConfigBytes)
+	}
+	for _, text := range names(news) {
+		if text == "" || len(text) > maxTextBytes {
+			return ErrInvalid.New("a name of %d bytes, 1 to %d", len(text), maxTextBytes)
+		}
+	}
+	return nil
+}
+
+func names(news *peerpb.News) []string {
+	all := []string{news.From}
+	for _, p := range news.Peers {
+		all = append(all, p.GetId(), p.GetAddress())
+	}
+	for _, l := range news.Leaving {
+		all = append(all, l.GetEndpoint())
+	}
+	for _, o := range news.Outliers {
+		all = append(all, o.GetEndpoint(), o.GetEntry())
+	}
+	for _, v := range news.Versions {
+		all = append(all, v.GetModel())
+	}
+	for _, d := range news.Digests {
+		if age(d.AgeMs) > digestMemory {
+			continue
+		}
+		all = append(all, d.GetEntry(), d.GetClass())
+	}
+	return all
+}
--- /dev/null
+++ b/internal/exchange/rotation.go
@@ -0,0 +1,110 @@
+package exchange
+
+import "container/heap"
+
+// rotation keeps items by key and hands them out in turn: those sent least
+// often first, and among them the ones that changed last.
+type rotation[V any] struct {
+	byKey map[string]*rotated[V]
+	order rotationHeap[V]
+	clock int64
+}
+
+// rotated is one item of a rotation.
+type rotated[V any] struct {
+	key     string
+	value   V
+	sent    int
+	changed int64
+	index   int
+}
+
+func newRotation[V any]() *rotation[V] {
+	return &rotation[V]{byKey: map[string]*rotated[V]{}}
+}
+
+func (r *rotation[V]) get(key string) (V, bool) {
+	if item, ok := r.byKey[key]; ok {
+		return item.value, true
+	}
+	var zero V
+	return zero, false
+}
+
+// put sets a value and makes it news.
+func (r *rotation[V]) put(key string, value V) {
+	r.clock++
+	if item, ok := r.byKey[key]; ok {
+		item.value, item.sent, item.changed = value, 0, r.clock
+		heap.Fix(&r.order, item.index)
+		return
+	}
+	item := &rotated[V]{key: key, value: value, changed: r.clock}
+	r.byKey[key] = item
+	heap.Push(&r.order, item)
+}
+
+// set changes a value without making it news.
+func (r *rotation[V]) set(key string, value V) {
+	r.byKey[key].value = value
+}
+
+func (r *rotation[V]) remove(key string) {
+	if item, ok := r.byKey[key]; ok {
+		heap.Remove(&r.order, item.index)
+		delete(r.byKey, key)
+	}
+}
+
+func (r *rotation[V]) len() int {
+	return len(r.byKey)
+}
+
+// each calls visit with all items, in no order; visit may remove the item.
+func (r *rotation[V]) each(visit func(key string, value V)) {
+	for key, item := range r.byKey {
+		visit(key, item.value)
+	}
+}
+
+// take hands items in turn to add until one was sent maxSent times already, or
+// add refuses one, or all were handed out. A refused item keeps its turn.
+func (r *rotation[V]) take(maxSent int, add func(key string, value V) bool) {
+	for range len(r.byKey) {
+		first := r.order[0]
+		if first.sent >= maxSent || !add(first.key, first.value) {
+			return
+		}
+		first.sent++
+		heap.Fix(&r.order, 0)
+	}
+}
+
+// rotationHeap orders items by turn; it implements heap.Interface.
+type rotationHeap[V any] []*rotated[V]
+
+func (h rotationHeap[V]) Len() int { return len(h) }
+
+func (h rotationHeap[V]) Less(i, j int) bool {
+	if h[i].sent != h[j].sent {
+		return h[i].sent < h[j].sent
+	}
+	return h[i].changed > h[j].changed
+}
+
+func (h rotationHeap[V]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *rotationHeap[V]) Push(item any) {
+	added := item.(*rotated[V])
+	added.index = len(*h)
+	*h = append(*h, added)
+}
+
+func (h *rotationHeap[V]) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
