--- /dev/null
+++ b/internal/measure/classes.go
@@ -0,0 +1,25 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+)
+
+// Names of the classes of work.
+const (
+	classLookup   = "lookup"
+	classDraft    = "draft"
+	classHint     = "hint"
+	classTraining = "training"
+	classUpdate   = "update"
+)
+
+// classes of both deployments.
+var classes = []class.Class{
+	{Name: classLookup, Lateness: time.Second, Completeness: 0.99},
+	{Name: classUpdate, Lateness: time.Second, Completeness: 0.99},
+	{Name: classDraft, Lateness: 3 * time.Second, Completeness: 0.8},
+	{Name: classHint, Lateness: time.Second, Completeness: 0.3},
+	{Name: classTraining, Lateness: time.Minute, Completeness: 0.95},
+}
--- /dev/null
+++ b/internal/measure/crossings.go
@@ -0,0 +1,29 @@
+package measure
+
+import (
+	"context"
+	"time"
+)
+
+// Sizes of the work in Crossings.
+const (
+	crossingsPerSecond = 150.0
+	crossingsSpan      = 5 * time.Second
+)
+
+// Crossings sends interactive work at a moderate load, and counts the calls
+// that leave the failure domain of their entry.
+func Crossings(ctx context.Context, arm Arm, seed uint64) ([]Value, error) {
+	w, err := NewWorld(arm, hydrometraDelay, classes)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	pause(ctx, 3*pollInterval)
+	replies := millis(w.drive(ctx, shortWork(newRandom(seed), crossingsPerSecond, crossingsSpan)))
+	return []Value{
+		{"crossings", "share", float64(w.Traffic.Crossings.Load()) / float64(w.Traffic.Calls.Load())},
+		{"crossings_p99", "ms", quantile(replies, 0.99)},
+		{"crossings_p50", "ms", quantile(replies, 0.5)},
+	}, nil
+}
--- /dev/null
+++ b/internal/measure/failing.go
@@ -0,0 +1,36 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
+)
+
+// Sizes of the work in Failing.
+const (
+	failingPerSecond = 100.0
+	failingSpan      = 5 * time.Second
+	failingEngines   = engineCount / 3
+)
+
+// Failing sends interactive work while a third of the engines answer with
+// errors.
+func Failing(ctx context.Context, arm Arm, seed uint64) ([]Value, error) {
+	w, err := NewWorld(arm, hydrometraDelay, classes)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	random := newRandom(seed)
+	pause(ctx, 3*pollInterval)
+	for i := range failingEngines {
+		w.Site.Engines[(int(seed)+3*i)%engineCount].SetFault(engine.Fault{Fail: true})
+	}
+	replies := w.drive(ctx, shortWork(random, failingPerSecond, failingSpan))
+	answered := len(millis(replies))
+	return []Value{
+		{"retry_amplification", "x", float64(w.Traffic.Calls.Load()) / float64(len(replies))},
+		{"failing_answered", "share", float64(answered) / float64(len(replies))},
+	}, nil
+}
--- /dev/null
+++ b/internal/measure/overload.go
@@ -0,0 +1,81 @@
+package measure
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// Sizes of the work in Overload.
+const (
+	// overloadFactor is the offered work over the capacity.
+	overloadFactor = 2.0
+	overloadSpan   = 6 * time.Second
+	// hangUp is how many times its lateness a caller waits.
+	hangUp = 2
+	// shares of the classes in the offered requests.
+	lookupShare, draftShare = 0.3, 0.4
+	overloadTokens          = 16
+)
+
+// capacity of the engines, in tokens a second, when all slots are full.
+func capacity() float64 {
+	step := stepBase + slots*stepPerSequence
+	return engineCount * slots / step.Seconds()
+}
+
+// Overload offers three classes at twice the capacity of the engines.
+func Overload(ctx context.Context, arm Arm, seed uint64) ([]Value, error) {
+	w, err := NewWorld(arm, hydrometraDelay, classes)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	random := newRandom(seed)
+	pause(ctx, 3*pollInterval)
+	perSecond := overloadFactor * capacity() / overloadTokens
+	all := arrivals(random, perSecond, overloadSpan, func(number int) Ask { return mixed(random, number) })
+	replies := w.drive(ctx, all)
+	return overloadValues(w, all, replies), nil
+}
+
+func mixed(random *rand.Rand, number int) Ask {
+	name := classHint
+	switch draw := random.Float64(); {
+	case draw < lookupShare:
+		name = classLookup
+	case draw < lookupShare+draftShare:
+		name = classDraft
+	}
+	tokens := overloadTokens/2 + random.IntN(overloadTokens+1)
+	return Ask{Class: name, Prompt: prompt(random.IntN(4), number, tokens), MaxTokens: 2 * overloadTokens, HangUp: hangUp}
+}
+
+func overloadValues(w *World, all []arrival, replies []Reply) []Value {
+	good, offered := map[string]float64{}, map[string]float64{}
+	var goodTokens float64
+	var refusals []float64
+	for i, r := range replies {
+		name := all[i].ask.Class
+		offered[name]++
+		if r.Err == nil && r.Took <= w.classes[name].Lateness+2*clientDelay {
+			good[name]++
+			goodTokens += float64(r.Answer.Tokens)
+		}
+		if errorx.IsOfType(r.Err, request.ErrRefused) {
+			refusals = append(refusals, r.Took.Seconds()*1000)
+		}
+	}
+	values := []Value{{"overload_goodput", "share", goodTokens / (capacity() * overloadSpan.Seconds())}}
+	for _, name := range []string{classLookup, classDraft, classHint} {
+		values = append(values, Value{"overload_" + name + "_in_time", "share", good[name] / offered[name]})
+	}
+	if len(refusals) == 0 {
+		return values
+	}
+	return append(values, Value{"overload_refusal_p50", "ms", quantile(refusals, 0.5)})
+}
--- /dev/null
+++ b/internal/measure/page.go
@@ -0,0 +1,123 @@
+package measure
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+	"os"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Sizes of a plot.
+const (
+	plotWidth  = 340
+	plotHeight = 110
+	dotRadius  = 4
+)
+
+// Colours of the two versions.
+var (
+	naiveColour = color.RGBA{R: 0xb0, G: 0x3a, B: 0x2e, A: 0xff}
+	oursColour  = color.RGBA{R: 0x1f, G: 0x61, B: 0x8d, A: 0xff}
+)
+
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8">
+<meta name="viewport" content="width=device-width, initial-scale=1">
+<title>comfreyfront: measured</title>
+<style>
+body{font:16px/1.4 system-ui,sans-serif;margin:0 auto;padding:12px;max-width:420px;color:#222;background:#fff}
+h2{font-size:17px;margin:20px 0 2px;overflow-wrap:anywhere}
+p{margin:2px 0}
+svg{width:100%;height:auto}
+.naive{color:#b03a2e}.ours{color:#1f618d}
+</style></head><body>
+<h1>Measured</h1>
+<p><span class="naive">naive</span> and <span class="ours">ours</span> on the same work; one dot per seed.</p>
+{{range .}}<h2>{{.Name}}</h2>
+<p>{{.Unit}}: <span class="naive">{{printf "%.4g" .NaiveMedian}}</span> / <span class="ours">{{printf "%.4g" .OursMedian}}</span> &middot; {{.Verdict}}</p>
+{{.Plot}}
+{{end}}</body></html>
+`))
+
+// section is one figure of the page.
+type section struct {
+	Name, Unit, Verdict     string
+	NaiveMedian, OursMedian float64
+	Plot                    template.HTML
+}
+
+// WritePage writes a page with one plot per figure.
+func WritePage(path string, spreads []Spread) error {
+	var sections []section
+	for _, s := range spreads {
+		image, err := draws(s)
+		if err != nil {
+			return err
+		}
+		sections = append(sections, section{
+			Name: s.Name, Unit: s.Unit, Verdict: s.Verdict(),
+			NaiveMedian: Median(s.Naive), OursMedian: Median(s.Ours),
+			Plot: image,
+		})
+	}
+	var out bytes.Buffer
+	if err := page.Execute(&out, sections); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, out.Bytes(), 0o644)
+}
+
+// draws returns the plot of one figure as an SVG element.
+func draws(s Spread) (template.HTML, error) {
+	p := plot.New()
+	p.X.Label.Text = s.Unit
+	p.X.Min = 0
+	p.Y.Min, p.Y.Max = -0.5, 1.5
+	p.NominalY("ours", "naive")
+	for row, values := range [][]float64{s.Ours, s.Naive} {
+		dots, err := scatter(values, float64(row))
+		if err != nil {
+			return "", err
+		}
+		p.Add(dots)
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	element := out.Bytes()
+	if start := bytes.Index(element, []byte("<svg")); start > 0 {
+		element = element[start:]
+	}
+	return template.HTML(element), nil
+}
+
+func scatter(values []float64, row float64) (*plotter.Scatter, error) {
+	points := make(plotter.XYs, len(values))
+	for i, v := range values {
+		points[i] = plotter.XY{X: v, Y: row}
+	}
+	dots, err := plotter.NewScatter(points)
+	if err != nil {
+		return nil, err
+	}
+	dots.Shape = draw.CircleGlyph{}
+	dots.Radius = vg.Points(dotRadius)
+	dots.Color = naiveColour
+	if row == 0 {
+		dots.Color = oursColour
+	}
+	return dots, nil
+}
--- /dev/null
+++ b/internal/measure/site.go
@@ -0,0 +1,127 @@
+// Package measure runs the naive and the adaptive policy on the same seeded
+// work before the same stand-ins, over HTTP on loopback, and reports the
+// figures of both.
+package measure
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
+	"github.com/comfreyfront/comfreyfront/internal/standin/service"
+)
+
+// Names of what a site serves.
+const (
+	model       = "model"
+	application = "application"
+	region      = "region"
+)
+
+// Sizes of a site.
+const (
+	domains     = 4
+	engineCount = 9
+	serviceCnt  = 4
+	entryCount  = 6
+	// slots of an engine.
+	slots = 8
+	// reportLag is the age of load reports.
+	reportLag = 500 * time.Millisecond
+	// serviceTime is the time of a call of a service.
+	serviceTime = 5 * time.Millisecond
+	// clientDelay is the one-way delay between clients and entries.
+	clientDelay = 3 * time.Millisecond
+)
+
+// Times of an engine's step.
+const (
+	stepBase        = 5 * time.Millisecond
+	stepPerSequence = 500 * time.Microsecond
+	prefillPerChar  = 10 * time.Microsecond
+)
+
+// One-way delays between failure domains.
+const (
+	hydrometraDelay  = 5 * time.Millisecond
+	vanersborgDelay  = 4 * time.Millisecond
+	firstVersion     = 1
+	readHeaderWindow = 10 * time.Second
+)
+
+// Site is one deployment of stand-ins.
+type Site struct {
+	OneWay   time.Duration
+	Engines  []*engine.Server
+	Services []*service.Server
+
+	endpoints []endpoint.Endpoint
+	servers   []*http.Server
+}
+
+// NewSite starts engines and services, spread over the failure domains.
+func NewSite(oneWay time.Duration) (*Site, error) {
+	s := &Site{OneWay: oneWay}
+	for i := range engineCount {
+		e, err := engine.New(engine.Options{
+			Model: model, Slots: slots, Version: firstVersion, ReportLag: reportLag,
+			StepBase: stepBase, StepPerSequence: stepPerSequence, PrefillPerChar: prefillPerChar,
+		})
+		if err != nil {
+			return nil, err
+		}
+		s.Engines = append(s.Engines, e)
+		if err := s.serve(e.Handler(), endpoint.Engine, model, i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range serviceCnt {
+		v, err := service.New(service.Options{Delay: serviceTime, Slots: slots, ReportLag: reportLag})
+		if err != nil {
+			return nil, err
+		}
+		s.Services = append(s.Services, v)
+		if err := s.serve(v.Handler(), endpoint.Service, application, i); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) serve(handler http.Handler, kind endpoint.Kind, serves string, number int) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderWindow}
+	s.servers = append(s.servers, server)
+	s.endpoints = append(s.endpoints, endpoint.Endpoint{
+		ID:            fmt.Sprintf("%s-%d", serves, number),
+		Kind:          kind,
+		Serves:        serves,
+		Address:       listener.Addr().String(),
+		FailureDomain: domainOf(number),
+		Region:        region,
+		ActiveVersion: firstVersion,
+	})
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// domainOf spreads instances over the failure domains.
+func domainOf(number int) string {
+	return fmt.Sprintf("domain-%d", number%domains)
+}
+
+// Close stops everything.
+func (s *Site) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	for _, e := range s.Engines {
+		e.Close()
+	}
+}
--- /dev/null
+++ b/internal/measure/slowed.go
@@ -0,0 +1,43 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
+)
+
+// Sizes of the work in Slowed.
+const (
+	slowedPerSecond = 80.0
+	slowedSpan      = 6 * time.Second
+	slowedEngines   = 2
+	slowedFactor    = 10
+)
+
+// Slowed sends interactive work before and while two of nine engines run ten
+// times slower without a word.
+func Slowed(ctx context.Context, arm Arm, seed uint64) ([]Value, error) {
+	w, err := NewWorld(arm, vanersborgDelay, classes)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	random := newRandom(seed)
+	pause(ctx, 3*pollInterval)
+	w.drive(ctx, shortWork(random, slowedPerSecond, warmUp))
+	none := millis(w.drive(ctx, shortWork(random, slowedPerSecond, slowedSpan/2)))
+	for i := range slowedEngines {
+		w.Site.Engines[(int(seed)+i*4)%engineCount].SetFault(engine.Fault{SlowFactor: slowedFactor})
+	}
+	before := w.Traffic.Calls.Load()
+	replies := w.drive(ctx, shortWork(random, slowedPerSecond, slowedSpan))
+	calls := w.Traffic.Calls.Load() - before
+	slowed := millis(replies)
+	return []Value{
+		{"slowed_p99", "ms", quantile(slowed, 0.99)},
+		{"slowed_none_p99", "ms", quantile(none, 0.99)},
+		{"slowed_over_none", "x", quantile(slowed, 0.99) / quantile(none, 0.99)},
+		{"slowed_extra_calls", "share", float64(calls)/float64(len(replies)) - 1},
+	}, nil
+}
