--- /dev/null
+++ b/e2e/store_test.go
@@ -0,0 +1,65 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
+)
+
+// TestStoreFaultsUnderUpdates: promises 5 and 6 while the key-value service is
+// down, slow, and losing the replies of writes that took effect.
+func TestStoreFaultsUnderUpdates(t *testing.T) {
+	w := newWorld(t, smallWorld)
+	l := &load{w: w, workers: 8, rounds: 60, attempts: 20, timeout: 3 * time.Second, kinds: []kind{kindUpdate, kindAnswer, kindLookup}}
+	wait := l.start()
+	for i, f := range []fault.Fault{{LoseReplies: 5}, {SlowMillis: 200}, {Drop: true}, {Down: true}} {
+		l.reach(t, int64(40+60*i))
+		require.NoError(t, w.StoreControl().Put("/faults", f))
+	}
+	require.NoError(t, w.StoreControl().Delete("/faults"))
+	wait()
+	l.checkTruth()
+}
+
+// TestStoreDownForLong: what needs no claim is still served in an outage, and
+// updates are refused as not run and go on after it.
+func TestStoreDownForLong(t *testing.T) {
+	w := newWorld(t, smallWorld)
+	require.NoError(t, w.StoreControl().Put("/faults", fault.Fault{Down: true}))
+	safe := &load{w: w, workers: 4, rounds: 20, attempts: 1, kinds: append([]kind{kindLookup}, answers...)}
+	safe.run()
+	safe.checkTruth()
+	safe.requireAllWhole()
+	updates := &load{w: w, workers: 4, rounds: 5, attempts: 1, kinds: []kind{kindUpdate}}
+	updates.run()
+	updates.checkTruth()
+	for _, a := range updates.asked {
+		assert.NotEqual(t, outcomeUnknown, a.last.outcome, "not known although it reached no service: %s", a)
+	}
+	require.NoError(t, w.StoreControl().Delete("/faults"))
+	c := newCaller(w, w.Front())
+	require.Eventually(t, func() bool {
+		return c.update("/wells/after", "after", "x", callTimeout).outcome == outcomeAnswered
+	}, patience, 100*time.Millisecond)
+}
+
+// TestEntryCutOffFromTheStore: promises 5 and 6 when one entry alone loses the
+// key-value service past its lease, and gets it back.
+func TestEntryCutOffFromTheStore(t *testing.T) {
+	w := newWorld(t, smallWorld)
+	l := &load{w: w, workers: 8, rounds: 60, attempts: 30, timeout: 3 * time.Second, kinds: []kind{kindUpdate}}
+	wait := l.start()
+	l.reach(t, 50)
+	victim := w.Entries()[1]
+	victim.StoreLink.Hold()
+	l.reach(t, 200)
+	victim.StoreLink.Cut()
+	l.reach(t, 300)
+	victim.StoreLink.Restore()
+	wait()
+	l.checkTruth()
+}
