Run the whole path as separate processes, and demonstrate it

Cause: the parts existed but nothing ran them together. Ruled out: a control role of its own (no instance is set aside for control). Change: the entry process puts control, ownership, claims, steps, dispatcher and callers' side together and shuts down gracefully; the operator's interface and commands; make demo, which kills an entry on the way and compares what callers were told with the endpoints' journals. Before: nothing ran. Conclusion: the thin path stands; report, suspects and rollouts are to be wired.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,15 @@
 
 check-generated:
 	@sh .ci/check-generated
+
+demo:
+	$(GO) run ./cmd/demo
+
+measure:
+	$(GO) run ./cmd/measure
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+fuzz:
+	@sh .ci/fuzz
--- a/cmd/comfreyfront/main.go
+++ b/cmd/comfreyfront/main.go
@@ -2,4 +2,18 @@
 // operator's commands.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/comfreyfront/comfreyfront/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/demo/callers.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/trainer"
+)
+
+// Sizes of the work.
+const (
+	groups            = 8
+	groupSize         = 4
+	sampleTokens      = 64
+	lookups           = 40
+	updates           = 20
+	samplesBeforeKill = 8
+	maxTries          = 40
+	tryPause          = 250 * time.Millisecond
+)
+
+// callers sends the demonstration's work through the balancer.
+type callers struct {
+	front   string
+	http    *http.Client
+	results *results
+}
+
+// trainStep pulls one whole training step.
+func (c *callers) trainStep(ctx context.Context) error {
+	spec := trainer.Spec{Trainer: "permits", Step: 1, Model: model, Class: "training", WeightVersion: 1, Staleness: 1}
+	for i := range groups {
+		prompt := fmt.Sprintf("Summarise the permit of well %d in Thessaly.", i)
+		spec.Groups = append(spec.Groups, trainer.Group{Prompt: prompt, Size: groupSize, MaxTokens: sampleTokens})
+	}
+	client := trainer.New(trainer.Options{URL: c.front, Wait: 2 * time.Second, MaxSamples: groupSize})
+	return client.Run(ctx, spec, func(sample trainer.Sample) error {
+		c.results.took(sample)
+		return nil
+	})
+}
+
+// lookUp sends lookups one after another, as an inspector would.
+func (c *callers) lookUp(ctx context.Context) error {
+	for i := range lookups {
+		body, err := json.Marshal(engine.CompletionRequest{Model: model, Prompt: fmt.Sprintf("Who holds permit %d?", i), MaxTokens: 16})
+		if err != nil {
+			return err
+		}
+		answer, err := c.send(ctx, "/v1/completions", "field-lookup", "", body)
+		if err != nil {
+			return err
+		}
+		c.results.lookedUp(answer)
+	}
+	return nil
+}
+
+// update sends register updates, every fifth of them twice.
+func (c *callers) update(ctx context.Context) error {
+	for i := range updates {
+		key := fmt.Sprintf("update-%d", i)
+		body := fmt.Appendf(nil, "well %d changed hands", i)
+		repeats := 1
+		if i%5 == 0 {
+			repeats = 2
+		}
+		for range repeats {
+			answer, err := c.send(ctx, "/services/register/wells", "register-update", key, body)
+			if err != nil {
+				return err
+			}
+			c.results.updated(key, answer)
+		}
+	}
+	return nil
+}
+
+// answer is what a caller was told.
+type answer struct {
+	status  int
+	outcome request.Outcome
+	body    []byte
+}
+
+// send posts a request and repeats it, with its key if it has one, until it is
+// answered or its outcome is final.
+func (c *callers) send(ctx context.Context, path, class, key string, body []byte) (answer, error) {
+	for range maxTries {
+		got, err := c.try(ctx, path, class, key, body)
+		if err == nil && got.final() {
+			return got, nil
+		}
+		if err := sleep(ctx, tryPause); err != nil {
+			return answer{}, err
+		}
+	}
+	return answer{}, fmt.Errorf("%s was not answered after %d tries", path, maxTries)
+}
+
+// final reports whether a repeat could not tell more.
+func (a answer) final() bool {
+	return a.outcome == request.Answered || a.status == http.StatusConflict
+}
+
+func (c *callers) try(ctx context.Context, path, class, key string, body []byte) (answer, error) {
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, c.front+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	post.Header.Set("Content-Type", "application/json")
+	post.Header.Set(request.HeaderClass, class)
+	post.Header.Set(request.HeaderTenant, "hydrometra")
+	if key != "" {
+		post.Header.Set(request.HeaderIdempotencyKey, key)
+	}
+	got, err := c.http.Do(post)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = got.Body.Close() }()
+	text, err := io.ReadAll(got.Body)
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{status: got.StatusCode, outcome: request.Outcome(got.Header.Get(request.HeaderOutcome)), body: text}, nil
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,58 @@
+// Package command is the command line of comfreyfront: the entry process and
+// the operator's commands.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes of the program.
+const (
+	exitOK = iota
+	exitFailed
+	// exitUsage: mistakes in flags, settings or files; nothing was changed.
+	exitUsage
+	// exitUnknown: it is not known whether a change was accepted.
+	exitUnknown
+)
+
+// streams are where a command writes.
+type streams struct {
+	out, err io.Writer
+}
+
+// leaf is one command that can be run.
+type leaf struct {
+	subcommand *flaggy.Subcommand
+	run        func(ctx context.Context, streams streams) int
+}
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, arguments []string, out, errors io.Writer) int {
+	parser := flaggy.NewParser("comfreyfront")
+	parser.Description = "Rollout service for reinforcement learning."
+	parser.AdditionalHelpAppend = "Each flag of a command can be set by an environment variable; `comfreyfront COMMAND --help` names them."
+	parser.DisableShowVersionWithVersion()
+	leaves := []leaf{entryCommand(parser), reportCommand(parser), versionCommand(parser)}
+	leaves = append(leaves, classCommands(parser)...)
+	if err := parser.ParseArgs(arguments); err != nil {
+		fmt.Fprintln(errors, err)
+		return exitUsage
+	}
+	for _, leaf := range leaves {
+		if leaf.subcommand.Used {
+			return leaf.run(ctx, streams{out: out, err: errors})
+		}
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+func fail(streams streams, code int, format string, args ...any) int {
+	fmt.Fprintf(streams.err, format+"\n", args...)
+	return code
+}
--- /dev/null
+++ b/internal/command/operator.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/comfreyfront/comfreyfront/internal/operator"
+)
+
+// environmentEntry names the entry that the operator's commands call.
+const environmentEntry = "COMFREYFRONT_ENTRY"
+
+// Defaults of the operator's commands.
+const (
+	defaultEntry    = "127.0.0.1:8081"
+	operatorTimeout = 15 * time.Second
+)
+
+// target is the entry that a command calls.
+type target struct {
+	entry string
+}
+
+// addFlag adds the flag for the entry's address.
+func (t *target) addFlag(subcommand *flaggy.Subcommand) {
+	t.entry = defaultEntry
+	if value := os.Getenv(environmentEntry); value != "" {
+		t.entry = value
+	}
+	subcommand.String(&t.entry, "e", "entry", fmt.Sprintf("host:port of any entry's internal interface [%s]", environmentEntry))
+}
+
+func (t *target) client() *operator.Client {
+	return operator.NewClient(t.entry, &http.Client{Timeout: operatorTimeout})
+}
+
+func reportCommand(parser *flaggy.Parser) leaf {
+	subcommand := flaggy.NewSubcommand("report")
+	subcommand.Description = "Prints whether each class meets its targets and what to do."
+	entry := &target{}
+	entry.addFlag(subcommand)
+	parser.AttachSubcommand(subcommand, 1)
+	return leaf{subcommand: subcommand, run: func(ctx context.Context, streams streams) int {
+		text, err := entry.client().Report(ctx)
+		if err != nil {
+			return fail(streams, exitFailed, "no report: %v", err)
+		}
+		fmt.Fprint(streams.out, text)
+		return exitOK
+	}}
+}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -1,8 +1,24 @@
 package dispatch
 
+import (
+	"crypto/sha256"
+	"strconv"
+)
+
 // Fingerprint identifies the content of a request.
 type Fingerprint [16]byte
 
+// FingerprintOf hashes the parts of a request's content.
+func FingerprintOf(parts ...string) Fingerprint {
+	digest := sha256.New()
+	for _, part := range parts {
+		digest.Write([]byte(strconv.Itoa(len(part))))
+		digest.Write([]byte{':'})
+		digest.Write([]byte(part))
+	}
+	return Fingerprint(digest.Sum(nil)[:len(Fingerprint{})])
+}
+
 // Ending is how a request ended at an endpoint, as far as it matters for
 // finding requests that crash endpoints.
 type Ending int
@@ -39,3 +55,12 @@
 		return EndingOther
 	}
 }
+
+// NoSuspects suspects nothing.
+type NoSuspects struct{}
+
+// Check implements Suspects.
+func (NoSuspects) Check(Fingerprint) (bool, error) { return false, nil }
+
+// Begin implements Suspects.
+func (NoSuspects) Begin(Fingerprint, string) (func(Ending), error) { return func(Ending) {}, nil }
--- /dev/null
+++ b/internal/entry/build.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/comfreyfront/comfreyfront/internal/claim"
+	"github.com/comfreyfront/comfreyfront/internal/config"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/exchange"
+	"github.com/comfreyfront/comfreyfront/internal/metrics"
+	"github.com/comfreyfront/comfreyfront/internal/operator"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/platform/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/platform/listclient"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+	"github.com/comfreyfront/comfreyfront/internal/policy/adaptive"
+	"github.com/comfreyfront/comfreyfront/internal/policy/naive"
+	"github.com/comfreyfront/comfreyfront/internal/queue"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/settings"
+	"github.com/comfreyfront/comfreyfront/internal/step"
+	"github.com/comfreyfront/comfreyfront/internal/traffic"
+)
+
+// parts are what an entry is made of.
+type parts struct {
+	callers  http.Handler
+	internal http.Handler
+	health   *health
+	control  *control.Manager
+	owner    *ownership.Manager
+	claims   *claim.Server
+	steps    *step.Service
+	traffic  *traffic.Server
+	// runs are the parts that run until their context ends.
+	runs []func(ctx context.Context) error
+}
+
+// builder holds what several parts need.
+type builder struct {
+	chosen     *settings.Entry
+	logger     *slog.Logger
+	registry   *prometheus.Registry
+	snapshots  *control.Snapshots
+	store      platform.Store
+	dialer     *dialer
+	peerClient *http.Client
+	metrics    *metrics.Traffic
+	recorder   traffic.Recorder
+}
+
+// build makes the parts of an entry whose internal interface is at address.
+func build(chosen *settings.Entry, address string, logger *slog.Logger) *parts {
+	b := newBuilder(chosen, logger)
+	p := &parts{health: &health{snapshots: b.snapshots}}
+	p.owner = ownership.New(b.store, chosen.ID, ownership.Options{}, logger)
+	p.claims = claim.NewServer(b.store, p.owner, claim.Options{}, logger, b.registry)
+	p.control = b.newControl(address)
+	dispatcher := b.newDispatcher(p)
+	p.steps = b.newSteps(p, dispatcher)
+	p.traffic = b.newTraffic(p, dispatcher)
+	p.callers = p.traffic
+	p.internal = b.newInternal(p)
+	p.runs = append(p.runs, p.control.Run, p.owner.Run, p.claims.Run)
+	return p
+}
+
+func newBuilder(chosen *settings.Entry, logger *slog.Logger) *builder {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	peerClient := &http.Client{Transport: engine.NewTransport()}
+	return &builder{
+		chosen:     chosen,
+		logger:     logger,
+		registry:   registry,
+		snapshots:  &control.Snapshots{},
+		store:      kvclient.New(kvclient.Options{Address: chosen.StoreAddress, ClientID: chosen.ID}),
+		dialer:     newDialer(peerClient),
+		peerClient: peerClient,
+		metrics:    metrics.NewTraffic(registry),
+		recorder:   noRecorder{},
+	}
+}
+
+func (b *builder) newControl(address string) *control.Manager {
+	return control.New(control.Options{
+		ID:            b.chosen.ID,
+		Address:       address,
+		FailureDomain: b.chosen.FailureDomain,
+		Region:        b.chosen.Region,
+		Config:        config.NewStore(b.store, config.Options{}, b.logger),
+		List:          listclient.New(listclient.Options{Address: b.chosen.ListAddress, ClientID: b.chosen.ID}),
+		Peers:         exchange.NewHTTPCaller(b.peerClient),
+		Loads:         control.NewHTTPLoads(&http.Client{Transport: engine.NewTransport()}),
+		Snapshots:     b.snapshots,
+	}, b.logger, b.registry)
+}
+
+// newDispatcher makes the sending side with the chosen policy.
+func (b *builder) newDispatcher(p *parts) *dispatch.Dispatcher {
+	var decisions policy.Policy
+	if b.chosen.Policy == settings.PolicyNaive {
+		decisions = naive.New()
+	} else {
+		var waiting *queue.Queue
+		decisions, waiting = adaptive.New(adaptive.Options{FailureDomain: b.chosen.FailureDomain, Region: b.chosen.Region})
+		p.runs = append(p.runs, func(ctx context.Context) error { return b.refresh(ctx, waiting) })
+	}
+	transport := engine.NewTransport()
+	return dispatch.New(dispatch.Options{
+		Snapshots: b.snapshots,
+		Policy:    decisions,
+		Observer:  p.control.Observer(),
+		Suspects:  dispatch.NoSuspects{},
+		Metrics:   b.metrics,
+		Engines:   engine.NewClient(transport),
+		Services:  engine.NewServiceClient(transport, engine.NewSingleUseTransport()),
+	}, b.logger)
+}
+
+// refresh hands each snapshot to the queue.
+func (b *builder) refresh(ctx context.Context, waiting *queue.Queue) error {
+	for {
+		changed := b.snapshots.Changed()
+		snapshot := b.snapshots.Load()
+		waiting.Refresh(snapshot.Classes, snapshot.Endpoints, len(snapshot.Peers))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (b *builder) newSteps(p *parts, dispatcher *dispatch.Dispatcher) *step.Service {
+	return step.NewService(step.Options{
+		Owner:      p.owner,
+		Generator:  &generator{dispatcher: dispatcher, snapshots: b.snapshots, record: b.recordSample},
+		Newest:     func(model string) int64 { return b.snapshots.Load().Versions[model].Newest },
+		Logger:     b.logger,
+		Registerer: b.registry,
+	})
+}
+
+func (b *builder) recordSample(class, tenant string, outcome request.Outcome, took time.Duration, effort dispatch.Effort) {
+	b.metrics.Ended(class, tenant, outcome, took)
+}
+
+func (b *builder) newTraffic(p *parts, dispatcher *dispatch.Dispatcher) *traffic.Server {
+	router := step.NewRouter(step.RouterOptions{
+		Service: p.steps,
+		Self:    b.chosen.ID,
+		Peers:   func() []control.Peer { return b.snapshots.Load().Peers },
+		Rank:    ownership.Rank,
+		Dial:    func(peer control.Peer) peerpb.Peer { return b.dialer.dial(peer.Address) },
+		Logger:  b.logger,
+	})
+	claimer := claim.NewRouter(b.chosen.ID, p.claims, b.claimPeers,
+		func(peer claim.Peer) claim.Owner { return b.dialer.dial(peer.Address) }, claim.Options{}, b.logger)
+	return traffic.New(traffic.Options{
+		Snapshots:      b.snapshots,
+		Dispatcher:     dispatcher,
+		Claimer:        claimer,
+		Metrics:        b.metrics,
+		Recorder:       b.recorder,
+		Steps:          router,
+		Rollouts:       http.NotFoundHandler(),
+		Ready:          p.health,
+		RequestTimeout: b.chosen.RequestTimeout,
+	}, b.logger)
+}
+
+func (b *builder) claimPeers() []claim.Peer {
+	snapshot := b.snapshots.Load()
+	peers := make([]claim.Peer, 0, len(snapshot.Peers))
+	for _, peer := range snapshot.Peers {
+		peers = append(peers, claim.Peer{ID: peer.ID, Address: peer.Address, Leaving: peer.Leaving})
+	}
+	return peers
+}
+
+// newInternal makes the interface for entries, operators and probes.
+func (b *builder) newInternal(p *parts) http.Handler {
+	mux := http.NewServeMux()
+	peers := peerpb.NewPeerServer(&peerServer{control: p.control, claims: p.claims, steps: step.Server{Service: p.steps}})
+	mux.Handle(peers.PathPrefix(), peers)
+	operators := operator.New(operator.Options{Snapshots: b.snapshots, Configuration: p.control, Reporter: noReport{}})
+	mux.Handle(operator.PathClasses, operators)
+	mux.Handle(operator.PathHistory, operators)
+	mux.Handle(operator.PathReport, operators)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(b.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /livez", serveLive)
+	mux.Handle("GET /readyz", p.health)
+	return mux
+}
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -6,5 +6,6 @@
 var (
 	EntryStarted  = define(1000, "entry started", slog.LevelInfo, "The process serves; its settings are in the line.")
 	EntryDraining = define(1001, "entry draining", slog.LevelInfo, "SIGTERM came; readiness fails and work in flight is finished.")
+	EntryCutOff   = define(1003, "shutdown cut work off", slog.LevelError, "Work in flight was not finished within --shutdown-timeout; raise it.")
 	EntryStopped  = define(1002, "entry stopped", slog.LevelInfo, "Everything in flight was finished; the process exits.")
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -172,3 +172,11 @@
 	}
 	return ErrInvalid.New("%s", strings.Join(mistakes, "\n"))
 }
+
+// Explain renders an ErrInvalid for an operator, a line for each mistake.
+func Explain(err error) string {
+	if cast := errorx.Cast(err); cast != nil {
+		return cast.Message()
+	}
+	return err.Error()
+}
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -124,7 +124,7 @@
 	return nil
 }
 
-// readBody reads the whole body within its bound.
+// readBody reads the whole body within its bounds of size and time.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
 	var tooLarge *http.MaxBytesError
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -85,8 +85,8 @@
 }
 
 func (s *Server) newCompletion(c *caller, parsed *engine.CompletionRequest) *dispatch.Completion {
-	prompt := fingerprintOf(parsed.Model, parsed.Prompt, strconv.Itoa(parsed.MaxTokens))
-	return &dispatch.Completion{Call: c.call(prompt), Request: *parsed, Fresh: s.freshness(c, parsed.Model)}
+	content := dispatch.FingerprintOf(parsed.Model, parsed.Prompt)
+	return &dispatch.Completion{Call: c.call(content), Request: *parsed, Fresh: s.freshness(c, parsed.Model)}
 }
 
 // freshness returns a function that tells the lowest weight version that may
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -79,6 +79,7 @@
 // ServeHTTP serves one request and recovers from faults of a handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.recoverFault(r)
+	r.Body = newTimedBody(w, r.Body)
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"net/http"
 	"strconv"
 
@@ -50,7 +49,7 @@
 		path += "?" + r.URL.RawQuery
 	}
 	return &dispatch.ServiceRequest{
-		Call:        c.call(fingerprintOf(application, r.Method, path, string(body))),
+		Call:        c.call(dispatch.FingerprintOf(application, r.Method, path, string(body))),
 		Application: application,
 		Send:        engine.ServiceCall{Method: r.Method, Path: path, Header: pickHeaders(r.Header, forwardedHeaders), Body: body},
 	}
@@ -118,14 +117,3 @@
 	}
 	return to
 }
-
-// fingerprintOf identifies the content of a request.
-func fingerprintOf(parts ...string) dispatch.Fingerprint {
-	digest := sha256.New()
-	for _, part := range parts {
-		digest.Write([]byte(strconv.Itoa(len(part))))
-		digest.Write([]byte{':'})
-		digest.Write([]byte(part))
-	}
-	return dispatch.Fingerprint(digest.Sum(nil)[:len(dispatch.Fingerprint{})])
-}
