Make keyed requests run at most once with partition owners

Cause: a caller repeats a keyed request through the balancer and it reaches another entry. Router finds the owner, Server decides. Before: the naive version (a map per entry) runs requests twice in the scenarios of the stateful test; after: no violation in the default checks.

--- /dev/null
+++ b/internal/claim/fleet_test.go
@@ -0,0 +1,204 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+)
+
+// fleet is a few entries that share a store and call each other over links on
+// which replies get lost. It runs inside a synctest bubble.
+type fleet struct {
+	options Options
+	entries []*testEntry
+}
+
+// storeDelay keeps calls of the store in flight while other things happen.
+const storeDelay = 20 * time.Millisecond
+
+// testEntry is one entry. A frozen one sends nothing and handles nothing until
+// it is thawed; then it goes on where it was.
+type testEntry struct {
+	fleet  *fleet
+	id     string
+	store  *memstore.Store
+	server *Server
+	router *Router
+	stop   context.CancelFunc
+	loops  sync.WaitGroup
+	starts int
+
+	mu          sync.Mutex
+	thawed      chan struct{} // closed while the entry is not frozen
+	dead        atomic.Bool
+	loseReplies atomic.Int32
+}
+
+func newFleet(entries int, options Options) *fleet {
+	f := &fleet{options: options}
+	root := memstore.New(nil)
+	for i := range entries {
+		e := &testEntry{fleet: f, id: fmt.Sprint(i), store: root.View(), thawed: make(chan struct{})}
+		close(e.thawed)
+		e.store.Intercept(func(context.Context, memstore.Operation, string) error {
+			<-time.After(storeDelay)
+			e.awaitThaw()
+			return nil
+		})
+		f.entries = append(f.entries, e)
+		e.start()
+	}
+	return f
+}
+
+func (e *testEntry) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	e.stop = stop
+	e.starts++
+	manager := ownership.New(e.store, fmt.Sprintf("%s.%d", e.id, e.starts), ownership.Options{}, quiet)
+	e.server = NewServer(e.store, entryOwner{manager}, e.fleet.options, quiet, nil)
+	e.router = NewRouter(e.id, e.server, e.peers, e.dial, e.fleet.options, quiet)
+	server := e.server
+	e.loops.Go(func() { _ = manager.Run(ctx) })
+	e.loops.Go(func() { _ = server.Run(ctx) })
+	e.dead.Store(false)
+}
+
+// entryOwner strips the number of the start from the holder's name, so that a
+// restarted entry is found under its identifier.
+type entryOwner struct{ *ownership.Manager }
+
+func (o entryOwner) Hold(ctx context.Context, unit string) (ownership.Tenure, error) {
+	tenure, err := o.Manager.Hold(ctx, unit)
+	if holder := ownership.HolderOf(err); holder != "" {
+		return tenure, ownership.HeldElsewhere(unit, holder[:1])
+	}
+	return tenure, err
+}
+
+// kill ends the entry without a word; what it held in memory is lost.
+func (e *testEntry) kill() {
+	e.thaw()
+	e.dead.Store(true)
+	e.stop()
+}
+
+func (e *testEntry) freeze() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.thawed:
+		e.thawed = make(chan struct{})
+	default:
+	}
+}
+
+func (e *testEntry) thaw() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.thawed:
+	default:
+		close(e.thawed)
+	}
+}
+
+func (e *testEntry) awaitThaw() {
+	e.mu.Lock()
+	thawed := e.thawed
+	e.mu.Unlock()
+	<-thawed
+}
+
+func (e *testEntry) isFrozen() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.thawed:
+		return false
+	default:
+		return true
+	}
+}
+
+// peers is what the entry believes of the others: frozen ones do not answer.
+func (e *testEntry) peers() []Peer {
+	var live []Peer
+	for _, other := range e.fleet.entries {
+		if !other.dead.Load() && (other == e || !other.isFrozen()) {
+			live = append(live, Peer{ID: other.id})
+		}
+	}
+	return live
+}
+
+// close ends everything, so that the bubble is empty.
+func (f *fleet) close() {
+	for _, e := range f.entries {
+		e.thaw()
+		e.stop()
+	}
+	for _, e := range f.entries {
+		e.loops.Wait()
+	}
+}
+
+func (f *fleet) claimer(entry int) Claimer { return f.entries[entry].router }
+
+// link is the way from any entry to one other.
+type link struct{ to *testEntry }
+
+func (e *testEntry) dial(to Peer) Owner {
+	for _, other := range e.fleet.entries {
+		if other.id == to.ID {
+			return link{to: other}
+		}
+	}
+	return link{to: e}
+}
+
+func (l link) Claim(ctx context.Context, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return call(ctx, l.to, func(ctx context.Context) (*peerpb.ClaimReply, error) { return l.to.server.Claim(ctx, request) })
+}
+
+func (l link) Settle(ctx context.Context, request *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	return call(ctx, l.to, func(ctx context.Context) (*peerpb.SettleReply, error) { return l.to.server.Settle(ctx, request) })
+}
+
+// call delivers a request even when its sender has stopped waiting: it then
+// stands in the buffers of a connection.
+func call[T any](ctx context.Context, to *testEntry, handle func(context.Context) (*T, error)) (*T, error) {
+	if to.dead.Load() {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	type result struct {
+		reply *T
+		err   error
+	}
+	done := make(chan result, 1)
+	to.loops.Go(func() {
+		to.awaitThaw()
+		handling, cancel := context.WithTimeout(context.Background(), to.server.options.CallTimeout)
+		defer cancel()
+		reply, err := handle(handling)
+		to.awaitThaw()
+		done <- result{reply, err}
+	})
+	select {
+	case got := <-done:
+		if to.loseReplies.Add(-1) >= 0 {
+			return nil, errors.New("connection reset")
+		}
+		return got.reply, got.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/claim/model_test.go
@@ -0,0 +1,104 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// testOptions keep all claims in two partitions, so that faults meet them, and let
+// callers wait for longer than a lease, so that a thawed owner still has some.
+func testOptions() Options {
+	return Options{Partitions: 2, CallTimeout: 20 * time.Second}
+}
+
+func TestAtMostOnceAgainstOracle(t *testing.T) {
+	granted := 0
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleTB{t}, func(t *rapid.T) {
+			scenario := scenarios().Draw(t, "scenario")
+			f, o := newFleet(scenarioEntries, testOptions()), newOracle()
+			defer f.close()
+			o.play(f, scenario, f.claimer)
+			require.Empty(t, o.violations)
+			granted += o.granted
+			// After the faults a fresh key is granted again within some leases.
+			require.True(t, f.grantsFreshKey())
+		})
+	})
+	require.Greater(t, granted, 100, "the scenarios must grant claims")
+}
+
+// bubbleTB hides Deadline, which must not be called inside a bubble.
+type bubbleTB struct{ rapid.TB }
+
+func (f *fleet) grantsFreshKey() bool {
+	for range 10 {
+		<-time.After(3 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+		grant, err := f.claimer(0).Claim(ctx, Request{Key: Key{0: 99}, Claimant: "last"})
+		cancel()
+		if err == nil {
+			return grant.Verdict == Granted
+		}
+	}
+	return false
+}
+
+// naiveClaimer is the naive version: a map per entry and no coordination.
+type naiveClaimer struct {
+	mu   sync.Mutex
+	held map[Key]*naiveClaim
+}
+
+type naiveClaim struct {
+	fingerprint Fingerprint
+	ending      Ending
+}
+
+func (n *naiveClaimer) Claim(_ context.Context, request Request) (Grant, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held, known := n.held[request.Key]
+	switch {
+	case known && held.fingerprint != request.Fingerprint:
+		return Grant{Verdict: Mismatch}, nil
+	case known && held.ending.State != NotRun:
+		return Grant{Verdict: Taken, Prior: held.ending}, nil
+	}
+	n.held[request.Key] = &naiveClaim{request.Fingerprint, Ending{State: Running}}
+	return Grant{Verdict: Granted, Key: request.Key}, nil
+}
+
+func (n *naiveClaimer) Settle(_ context.Context, grant Grant, ending Ending) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[grant.Key].ending = ending
+	return nil
+}
+
+// The same scenarios show that the naive version runs requests twice.
+func TestOracleFindsTheNaiveVersionWrong(t *testing.T) {
+	const examples = 20
+	violated := 0
+	synctest.Test(t, func(t *testing.T) {
+		for seed := range examples {
+			f, o := newFleet(scenarioEntries, testOptions()), newOracle()
+			naive := make([]*naiveClaimer, scenarioEntries)
+			for i := range naive {
+				naive[i] = &naiveClaimer{held: map[Key]*naiveClaim{}}
+			}
+			o.play(f, scenarios().Example(seed), func(entry int) Claimer { return naive[entry] })
+			f.close()
+			if len(o.violations) > 0 {
+				violated++
+			}
+		}
+	})
+	require.Greater(t, violated, examples/4)
+}
--- /dev/null
+++ b/internal/claim/router.go
@@ -0,0 +1,221 @@
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"log/slog"
+	"net"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+)
+
+// hopLimit bounds the entries that one claim or ending is sent to.
+const hopLimit = 3
+
+// Peer is a live entry that may own partitions.
+type Peer struct {
+	ID      string
+	Address string // host:port of its interface for entries
+	// Leaving: it takes no more partitions, but may still hold some.
+	Leaving bool
+}
+
+// Owner is the owner's side of claims, here or at another entry. peerpb.Peer
+// has its methods.
+type Owner interface {
+	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	Settle(context.Context, *peerpb.SettleRequest) (*peerpb.SettleReply, error)
+}
+
+// Router is the Claimer of an entry: it asks the owner of a key's partition.
+// It is safe for concurrent use.
+type Router struct {
+	self    string
+	local   Owner
+	peers   func() []Peer
+	dial    func(Peer) Owner
+	options Options
+	logger  *slog.Logger
+}
+
+var _ Claimer = (*Router)(nil)
+
+// NewRouter returns a Router for the entry self, whose own Server is local.
+// peers returns the live entries, self included; dial returns the client of
+// another one.
+func NewRouter(self string, local Owner, peers func() []Peer, dial func(Peer) Owner, options Options, logger *slog.Logger) *Router {
+	return &Router{self: self, local: local, peers: peers, dial: dial, options: options.withDefaults(), logger: logger}
+}
+
+// Claim asks for the right to run a request.
+func (r *Router) Claim(ctx context.Context, request Request) (Grant, error) {
+	partition := PartitionOf(request.Key, r.options.Partitions)
+	claimant := request.Claimant + "/" + rand.Text()
+	wire := &peerpb.ClaimRequest{
+		Partition: partition, Key: request.Key[:], Fingerprint: request.Fingerprint.Bytes(), Claimant: claimant,
+	}
+	route := r.route(partition)
+	for range hopLimit {
+		peer, ok := route.next()
+		if !ok {
+			break
+		}
+		reply, err := r.ask(ctx, peer, wire)
+		if notSent(err) {
+			continue
+		}
+		if err != nil {
+			r.withdraw(ctx, peer, wire)
+			return Grant{}, ErrUnavailable.Wrap(err, "no reply from the owner %q", peer.ID)
+		}
+		if reply.GetVerdict() == peerpb.ClaimReply_NOT_OWNER {
+			route.redirect(reply.GetOwner())
+			continue
+		}
+		return grantOf(request.Key, claimant, peer, reply)
+	}
+	return Grant{}, ErrUnavailable.New("no owner of partition %d can be reached", partition)
+}
+
+func (r *Router) ask(ctx context.Context, peer Peer, wire *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	defer cancel()
+	return r.owner(peer).Claim(ctx, wire)
+}
+
+func (r *Router) owner(peer Peer) Owner {
+	if peer.ID == r.self {
+		return r.local
+	}
+	return r.dial(peer)
+}
+
+func grantOf(key Key, claimant string, peer Peer, reply *peerpb.ClaimReply) (Grant, error) {
+	grant := Grant{Key: key, Epoch: reply.GetEpoch(), Claimant: claimant, owner: peer.ID}
+	switch reply.GetVerdict() {
+	case peerpb.ClaimReply_GRANTED:
+		grant.Verdict = Granted
+	case peerpb.ClaimReply_MISMATCH:
+		grant.Verdict = Mismatch
+	case peerpb.ClaimReply_TAKEN:
+		grant.Verdict = Taken
+		grant.Prior = Ending{State: State(reply.GetEnding()), Answer: answerFromWire(reply.GetAnswer())}
+	default:
+		return Grant{}, ErrUnavailable.New("the owner %q cannot decide", peer.ID)
+	}
+	return grant, nil
+}
+
+// withdraw asks the owner to free a claim whose reply did not come.
+func (r *Router) withdraw(ctx context.Context, peer Peer, claim *peerpb.ClaimRequest) {
+	event.ClaimWithdrawn.Log(ctx, r.logger, slog.String("owner", peer.ID), slog.Int("partition", int(claim.GetPartition())))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.options.CallTimeout/4)
+	defer cancel()
+	_, _ = r.owner(peer).Settle(ctx, &peerpb.SettleRequest{
+		Partition: claim.GetPartition(), Key: claim.GetKey(), Claimant: claim.GetClaimant(), Ending: peerpb.Ending_NOT_RUN,
+	})
+}
+
+// Settle tells the owner how a granted request ended.
+func (r *Router) Settle(ctx context.Context, grant Grant, ending Ending) error {
+	partition := PartitionOf(grant.Key, r.options.Partitions)
+	wire := &peerpb.SettleRequest{
+		Partition: partition, Key: grant.Key[:], Epoch: grant.Epoch, Claimant: grant.Claimant,
+		Ending: peerpb.Ending(ending.State), Answer: ending.Answer.bounded(r.options.AnswerLimit).wire(),
+	}
+	route := r.route(partition)
+	route.prefer(grant.owner)
+	err := error(ErrNotSettled.New("no owner of partition %d can be reached", partition))
+	for range hopLimit {
+		peer, ok := route.next()
+		if !ok {
+			break
+		}
+		var durable bool
+		durable, err = r.tell(ctx, peer, wire)
+		if durable {
+			return nil
+		}
+		if owner := ownerIn(err); owner != "" {
+			route.redirect(owner)
+		}
+	}
+	return ErrNotSettled.Wrap(err, "ending of a claim in partition %d", partition)
+}
+
+func (r *Router) tell(ctx context.Context, peer Peer, wire *peerpb.SettleRequest) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	defer cancel()
+	reply, err := r.owner(peer).Settle(ctx, wire)
+	if err != nil {
+		return false, err
+	}
+	if !reply.GetDurable() {
+		return false, ErrNotSettled.New("the owner %q could not commit", peer.ID)
+	}
+	return true, nil
+}
+
+func ownerIn(err error) string {
+	var failure twirp.Error
+	if errors.As(err, &failure) {
+		return failure.Meta(metaOwner)
+	}
+	return ""
+}
+
+// notSent reports whether a call surely did not reach the other entry.
+func notSent(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
+// route is the order in which entries are asked about a partition.
+type route struct {
+	peers  map[string]Peer
+	ranked []string
+}
+
+func (r *Router) route(partition uint32) *route {
+	live := r.peers()
+	found := &route{peers: make(map[string]Peer, len(live)), ranked: make([]string, 0, len(live))}
+	for _, peer := range live {
+		found.peers[peer.ID] = peer
+		if !peer.Leaving {
+			found.ranked = append(found.ranked, peer.ID)
+		}
+	}
+	found.ranked = ownership.Rank(UnitOf(partition), found.ranked)
+	return found
+}
+
+// next returns the entry to ask, and removes it from the route.
+func (r *route) next() (Peer, bool) {
+	if len(r.ranked) == 0 {
+		return Peer{}, false
+	}
+	id := r.ranked[0]
+	r.ranked = r.ranked[1:]
+	return r.peers[id], true
+}
+
+// redirect makes an entry the next to ask; one that is not live ends the route.
+func (r *route) redirect(id string) {
+	if _, live := r.peers[id]; !live {
+		r.ranked = nil
+		return
+	}
+	r.prefer(id)
+}
+
+// prefer makes an entry the next to ask if it is live.
+func (r *route) prefer(id string) {
+	if _, live := r.peers[id]; live {
+		r.ranked = append([]string{id}, r.ranked...)
+	}
+}
--- /dev/null
+++ b/internal/claim/server.go
@@ -0,0 +1,296 @@
+package claim
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+)
+
+// Server decides on the claims of the partitions that its entry owns. Claim
+// and Settle are the methods of peerpb.Peer. It is safe for concurrent use.
+type Server struct {
+	store   platform.Store
+	owner   ownership.Owner
+	options Options
+	logger  *slog.Logger
+	metrics *metrics
+
+	// life ends when Run does; the partitions' loops run under it.
+	life    context.Context
+	end     context.CancelFunc
+	loops   sync.WaitGroup
+	opening singleflight.Group
+
+	mu       sync.Mutex
+	open     map[uint32]*openedPartition
+	failedAt map[uint32]time.Time
+	// unresolved are claims that were in doubt when a partition was dropped.
+	unresolved map[uint32][]*pendingRow
+	leaving    bool
+}
+
+// openedPartition is a partition with the tenure that it was opened under.
+type openedPartition struct {
+	*partition
+	tenure ownership.Tenure
+	done   chan struct{} // closes when its loop has ended
+	cancel context.CancelFunc
+}
+
+// NewServer returns a Server. Run must run; registerer may be nil.
+func NewServer(store platform.Store, owner ownership.Owner, options Options, logger *slog.Logger, registerer prometheus.Registerer) *Server {
+	life, end := context.WithCancel(context.Background())
+	s := &Server{
+		store: store, owner: owner, options: options.withDefaults(), logger: logger,
+		life: life, end: end,
+		open: map[uint32]*openedPartition{}, failedAt: map[uint32]time.Time{},
+		unresolved: map[uint32][]*pendingRow{},
+	}
+	s.metrics = newMetrics(registerer, s.claimsHeld)
+	return s
+}
+
+// Run waits until ctx ends, then ends all partitions.
+func (s *Server) Run(ctx context.Context) error {
+	<-ctx.Done()
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.end()
+	s.loops.Wait()
+	return nil
+}
+
+// HandOver takes no more claims, commits what waits and gives the partitions
+// up, so that other entries can take them over at once.
+func (s *Server) HandOver(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	opened := make([]*openedPartition, 0, len(s.open))
+	for _, p := range s.open {
+		opened = append(opened, p)
+	}
+	s.mu.Unlock()
+	for _, p := range opened {
+		p.drain()
+	}
+	for _, p := range opened {
+		s.finish(ctx, p)
+	}
+}
+
+// finish waits for a drained partition and releases its unit.
+func (s *Server) finish(ctx context.Context, p *openedPartition) {
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		p.cancel()
+		<-p.done
+	}
+	_ = s.owner.Release(ctx, p.tenure.Unit) // the lease ends it when this fails
+}
+
+// Claim decides on a claim of another entry or this one.
+func (s *Server) Claim(ctx context.Context, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	key, validKey := keyFrom(request.GetKey())
+	fingerprint, validFingerprint := fingerprintFrom(request.GetFingerprint())
+	if !validKey || !validFingerprint || request.GetPartition() != PartitionOf(key, s.options.Partitions) {
+		return nil, twirp.InvalidArgumentError("key", "key, fingerprint or partition is malformed")
+	}
+	p, err := s.partition(ctx, request.GetPartition())
+	if err != nil {
+		return s.refuse(err), nil
+	}
+	grant, err := p.claim(ctx, Request{Key: key, Fingerprint: fingerprint, Claimant: request.GetClaimant()})
+	if err != nil {
+		return s.refuse(err), nil
+	}
+	reply := replyOf(grant)
+	s.metrics.countVerdict(reply.GetVerdict().String())
+	return reply, nil
+}
+
+func (s *Server) refuse(err error) *peerpb.ClaimReply {
+	reply := &peerpb.ClaimReply{Verdict: peerpb.ClaimReply_UNAVAILABLE}
+	if holder := ownership.HolderOf(err); holder != "" {
+		reply.Verdict, reply.Owner = peerpb.ClaimReply_NOT_OWNER, holder
+	}
+	s.metrics.countVerdict(reply.GetVerdict().String())
+	return reply
+}
+
+func replyOf(grant Grant) *peerpb.ClaimReply {
+	reply := &peerpb.ClaimReply{Epoch: grant.Epoch}
+	switch grant.Verdict {
+	case Granted:
+		reply.Verdict = peerpb.ClaimReply_GRANTED
+	case Mismatch:
+		reply.Verdict = peerpb.ClaimReply_MISMATCH
+	case Taken:
+		reply.Verdict = peerpb.ClaimReply_TAKEN
+		reply.Ending = peerpb.Ending(grant.Prior.State)
+		reply.Answer = grant.Prior.Answer.wire()
+	}
+	return reply
+}
+
+// Settle notes how a granted request ended.
+func (s *Server) Settle(ctx context.Context, request *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	key, validKey := keyFrom(request.GetKey())
+	state := State(request.GetEnding())
+	if !validKey || state < Answered || state > Unknown || request.GetPartition() != PartitionOf(key, s.options.Partitions) {
+		return nil, twirp.InvalidArgumentError("key", "key, ending or partition is malformed")
+	}
+	p, err := s.partition(ctx, request.GetPartition())
+	if err == nil {
+		err = p.settle(ctx, key, request.GetClaimant(), Ending{State: state, Answer: answerFromWire(request.GetAnswer())})
+	}
+	if holder := ownership.HolderOf(err); holder != "" {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "not the owner").WithMeta(metaOwner, holder)
+	}
+	return &peerpb.SettleReply{Durable: err == nil}, nil
+}
+
+// metaOwner names the owner in the error of a Settle that came to another entry.
+const metaOwner = "owner"
+
+// partition returns the partition if this entry owns it, taking it if it is
+// free.
+func (s *Server) partition(ctx context.Context, number uint32) (*partition, error) {
+	if p := s.current(number); p != nil {
+		return p, nil
+	}
+	opened := s.opening.DoChan(strconv.FormatUint(uint64(number), 10), func() (any, error) {
+		return s.takeOver(number)
+	})
+	select {
+	case result := <-opened:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*partition), nil
+	case <-ctx.Done():
+		return nil, ErrUnavailable.Wrap(ctx.Err(), "waiting for partition %d", number)
+	}
+}
+
+func (s *Server) current(number uint32) *partition {
+	s.mu.Lock()
+	p := s.open[number]
+	s.mu.Unlock()
+	if p == nil || p.isClosed() || !s.owner.Valid(p.tenure) {
+		return nil
+	}
+	return p.partition
+}
+
+// takeOver confirms the ownership and opens the partition.
+func (s *Server) takeOver(number uint32) (*partition, error) {
+	if p := s.current(number); p != nil {
+		return p, nil
+	}
+	if err := s.mayOpen(number); err != nil {
+		return nil, err
+	}
+	s.drop(number)
+	tenure, err := s.owner.Hold(s.life, UnitOf(number))
+	if errorx.IsOfType(err, ownership.ErrHeldElsewhere) {
+		return nil, err
+	}
+	if err != nil {
+		s.noteFailure(number, err)
+		return nil, ErrUnavailable.Wrap(err, "partition %d", number)
+	}
+	p, err := openPartition(s.life, s.store, number, tenure.Epoch, s.options, s.logger, s.metrics)
+	if err != nil {
+		s.noteFailure(number, err)
+		s.giveUpFenced(tenure, err)
+		return nil, ErrUnavailable.Wrap(err, "partition %d", number)
+	}
+	return p, s.start(p, tenure)
+}
+
+// mayOpen spares the platform's service when opening failed just now.
+func (s *Server) mayOpen(number uint32) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return ErrUnavailable.New("this entry is leaving")
+	}
+	if time.Since(s.failedAt[number]) < s.options.RetryInterval {
+		return ErrUnavailable.New("partition %d could not be opened just now", number)
+	}
+	return nil
+}
+
+func (s *Server) noteFailure(number uint32, err error) {
+	s.mu.Lock()
+	s.failedAt[number] = time.Now()
+	s.mu.Unlock()
+	event.PartitionRefused.Log(s.life, s.logger, slog.Int("partition", int(number)), slog.String("error", err.Error()))
+}
+
+// giveUpFenced releases a tenure whose epoch the log has left behind.
+func (s *Server) giveUpFenced(tenure ownership.Tenure, err error) {
+	if errorx.IsOfType(err, ErrFenced) {
+		_ = s.owner.Release(s.life, tenure.Unit)
+	}
+}
+
+// drop ends a partition that is closed or whose tenure has ended.
+func (s *Server) drop(number uint32) {
+	s.mu.Lock()
+	p := s.open[number]
+	delete(s.open, number)
+	s.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.cancel()
+	<-p.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unresolved[number] = append(s.unresolved[number], p.partition.unresolved()...)
+}
+
+func (s *Server) start(p *partition, tenure ownership.Tenure) error {
+	ctx, cancel := context.WithCancel(s.life)
+	opened := &openedPartition{partition: p, tenure: tenure, done: make(chan struct{}), cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		cancel()
+		return ErrUnavailable.New("this entry is leaving")
+	}
+	s.open[p.number] = opened
+	p.release(s.unresolved[p.number])
+	delete(s.unresolved, p.number)
+	s.loops.Go(func() {
+		defer close(opened.done)
+		defer cancel()
+		p.run(ctx)
+	})
+	return nil
+}
+
+func (s *Server) claimsHeld() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := 0
+	for _, p := range s.open {
+		held += p.count()
+	}
+	return float64(held)
+}
