Carry weight rollouts out: stage everywhere, then activate together

Cause: new weights must be on all replicas within seconds of one another, from a rate-limited store, and an owner that was replaced must never bring an engine back, whether the engine checks fencing numbers or ignores them.

Change: internal/rollout accepts versions by a compare-and-swap that is read back after a lost reply, and carries them out with one owner for each model and failure domain. Domains meet at marks in the platform's service before they activate. Orders are absolute, carry the tenure's epoch and a deadline, and are read back; after it takes a unit, an owner waits out the longest order before its first to an engine that ignores fencing numbers. A swap that failed partway takes the replica out until it is read back.

--- /dev/null
+++ b/internal/engine/orders.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// maxStateSize bounds the answer to an order, in bytes.
+const maxStateSize = 64 << 10
+
+// Errors of orders.
+var (
+	// ErrFenced: the engine has seen a higher fencing number.
+	ErrFenced = Errors.NewType("fenced")
+	// ErrOrderFailed: the order was refused, failed, or its answer was lost; the
+	// engine's state tells which.
+	ErrOrderFailed = Errors.NewType("order_failed")
+)
+
+// OrderClient gives weight orders to engines over HTTP.
+type OrderClient struct{ http *http.Client }
+
+// NewOrderClient returns a client on the transport.
+func NewOrderClient(transport http.RoundTripper) *OrderClient {
+	return &OrderClient{http: &http.Client{Transport: transport}}
+}
+
+// Stage makes the engine at host:port hold a version ready.
+func (c *OrderClient) Stage(ctx context.Context, address string, order WeightOrder) (WeightState, error) {
+	return c.order(ctx, "http://"+address+PathStage, order)
+}
+
+// Activate makes the engine at host:port serve a version that it holds ready.
+func (c *OrderClient) Activate(ctx context.Context, address string, order WeightOrder) (WeightState, error) {
+	return c.order(ctx, "http://"+address+PathActivate, order)
+}
+
+// State reads the weight state of the engine at host:port.
+func (c *OrderClient) State(ctx context.Context, address string) (WeightState, error) {
+	return c.call(ctx, http.MethodGet, "http://"+address+PathWeights, nil)
+}
+
+func (c *OrderClient) order(ctx context.Context, url string, order WeightOrder) (WeightState, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return WeightState{}, ErrOrderFailed.Wrap(err, "the order can't be encoded")
+	}
+	return c.call(ctx, http.MethodPost, url, body)
+}
+
+func (c *OrderClient) call(ctx context.Context, method, url string, body []byte) (WeightState, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return WeightState{}, ErrOrderFailed.Wrap(err, "malformed address")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := c.http.Do(request)
+	if err != nil {
+		return WeightState{}, ErrOrderFailed.Wrap(err, "no answer")
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return readState(answer)
+}
+
+func readState(answer *http.Response) (WeightState, error) {
+	switch answer.StatusCode {
+	case http.StatusOK:
+	case http.StatusPreconditionFailed:
+		return WeightState{}, ErrFenced.New("the engine has seen a higher fencing number")
+	default:
+		return WeightState{}, ErrOrderFailed.New("status %d", answer.StatusCode)
+	}
+	var state WeightState
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxStateSize)).Decode(&state); err != nil {
+		return WeightState{}, ErrOrderFailed.Wrap(err, "malformed state")
+	}
+	return state, nil
+}
--- /dev/null
+++ b/internal/rollout/http.go
@@ -0,0 +1,96 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// Path of the trainers' interface: POST a Record to accept it, GET below it the
+// record of a model.
+const Path = "/v1/rollouts"
+
+// maxBodySize bounds the body of a rollout, in bytes.
+const maxBodySize = 4 << 10
+
+// retryAfter is when a trainer should come back after a passing refusal.
+const retryAfter = 500 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (d *Desk) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	model, below := strings.CutPrefix(req.URL.Path, Path+"/")
+	var record Record
+	var err error
+	switch {
+	case !below && req.Method == http.MethodPost:
+		record, err = d.post(w, req)
+	case below && req.Method == http.MethodGet && modelPattern.MatchString(model):
+		record, _, err = d.read(req.Context(), model)
+	default:
+		err = ErrInvalid.New("no such call")
+	}
+	write(w, record, err)
+}
+
+func (d *Desk) post(w http.ResponseWriter, req *http.Request) (Record, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBodySize))
+	if err != nil {
+		return Record{}, ErrInvalid.Wrap(err, "the body was cut off or has over %d bytes", maxBodySize)
+	}
+	record, err := decode(body)
+	if err != nil {
+		return Record{}, err
+	}
+	return d.Accept(req.Context(), record)
+}
+
+func decode(body []byte) (Record, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var record Record
+	if err := decoder.Decode(&record); err != nil {
+		return Record{}, ErrInvalid.Wrap(err, "malformed body")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Record{}, ErrInvalid.New("more than one value in the body")
+	}
+	return record, nil
+}
+
+func write(w http.ResponseWriter, record Record, err error) {
+	var body any = record
+	status, outcome, contentType := http.StatusOK, request.Answered, "application/json"
+	if err != nil {
+		problem := problemOf(err)
+		body, status, outcome, contentType = problem, problem.Status, problem.Outcome, request.ProblemContentType
+	}
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set(request.HeaderOutcome, string(outcome))
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func problemOf(err error) request.Problem {
+	p := request.Problem{Type: "about:blank", Detail: err.Error(), Outcome: request.NotRun}
+	switch {
+	case errorx.IsOfType(err, ErrInvalid):
+		p.Status, p.Title = http.StatusBadRequest, "invalid rollout"
+	case errorx.IsOfType(err, ErrSuperseded):
+		// An earlier copy of the same call may have been accepted before.
+		p.Status, p.Title, p.Outcome = http.StatusConflict, "superseded", request.Unknown
+	case errorx.IsOfType(err, ErrUnknown):
+		p.Status, p.Title, p.Outcome = http.StatusBadGateway, "outcome unknown", request.Unknown
+		p.RetryAfterMillis = retryAfter.Milliseconds()
+	default:
+		p.Status, p.Title = http.StatusServiceUnavailable, "refused"
+		p.RetryAfterMillis = retryAfter.Milliseconds()
+	}
+	return p
+}
--- a/internal/step/exactly_once_test.go
+++ b/internal/step/exactly_once_test.go
@@ -28,34 +28,46 @@
 }
 
 func TestEachSampleIsTakenExactlyOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(bubble{t}, func(t *rapid.T) {
+	rapid.Check(t, func(check *rapid.T) {
+		inBubble(t, func() {
 			w := newWorld(func(s *Service) caller { return s }, trainer.NewAccount(testSpec, nil, 1))
 			defer w.stop()
-			t.Repeat(w.actions())
+			check.Repeat(w.actions())
 			complete := w.finish()
-			require.Empty(t, w.broken)
-			require.True(t, complete, "samples are missing")
+			require.Empty(check, w.broken)
+			require.True(check, complete, "samples are missing")
 			for g, group := range testSpec.Groups {
 				for i := range group.Size {
-					require.Equal(t, 1, w.taken[wire.SampleID{Group: g, Index: i}])
+					require.Equal(check, 1, w.taken[wire.SampleID{Group: g, Index: i}])
 				}
 			}
 		})
 	})
 }
 
+// inBubble runs one check in a bubble of its own, whose time is fake.
+func inBubble(t *testing.T, check func()) {
+	var failed any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { failed = recover() }()
+		check()
+	})
+	if failed != nil {
+		panic(failed)
+	}
+}
+
 // TestNaiveDeliveryBreaksPromises shows that the test above can fail: an entry
 // that delivers and forgets, to a trainer that takes what comes, breaks each
 // promise that it checks.
 func TestNaiveDeliveryBreaksPromises(t *testing.T) {
 	broken := map[string]bool{}
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(bubble{t}, func(t *rapid.T) {
+	rapid.Check(t, func(check *rapid.T) {
+		inBubble(t, func() {
 			w := newWorld(func(s *Service) caller { return naiveEntry{s} }, &naiveTaker{taken: map[wire.SampleID]bool{}})
 			defer w.stop()
 			w.create(w.entries[0].caller)
-			t.Repeat(w.actions())
+			check.Repeat(w.actions())
 			if !w.finish() {
 				broken["missing"] = true
 			}
@@ -105,6 +117,3 @@
 	}
 	return nil
 }
-
-// bubble hides the deadline of a test, which can't be asked within synctest.
-type bubble struct{ rapid.TB }
