Order by stated shares, know that reports are late, and start budgets low

Change: classes below their stated share go first in order of precedence, the others follow by slack; work must start early enough for most answers, not for the mean one; interactive work and the rest have a limit each; an entry takes its own work as a sample of all sharers' and gives late reports a quarter of the weight; a first failure divides an endpoint's share by 64; budgets start with one call; hedges wait for the 98th percentile.

--- a/internal/measure/overload.go
+++ b/internal/measure/overload.go
@@ -39,8 +39,9 @@
 	pause(ctx, 3*pollInterval)
 	perSecond := overloadFactor * capacity() / overloadTokens
 	all := arrivals(random, perSecond, overloadSpan, func(number int) Ask { return mixed(random, number) })
+	started := time.Now()
 	replies := w.drive(ctx, all)
-	return overloadValues(w, all, replies), nil
+	return overloadValues(w, all, replies, time.Since(started)), nil
 }
 
 func mixed(random *rand.Rand, number int) Ask {
@@ -55,7 +56,9 @@
 	return Ask{Class: name, Prompt: prompt(random.IntN(4), number, tokens), MaxTokens: 2 * overloadTokens, HangUp: hangUp}
 }
 
-func overloadValues(w *World, all []arrival, replies []Reply) []Value {
+// overloadValues sets what was answered in time against what the engines could
+// make while the work ran.
+func overloadValues(w *World, all []arrival, replies []Reply, took time.Duration) []Value {
 	good, offered := map[string]float64{}, map[string]float64{}
 	var goodTokens float64
 	var refusals []float64
@@ -70,7 +73,7 @@
 			refusals = append(refusals, r.Took.Seconds()*1000)
 		}
 	}
-	values := []Value{{"overload_goodput", "share", goodTokens / (capacity() * overloadSpan.Seconds())}}
+	values := []Value{{"overload_goodput", "share", goodTokens / (capacity() * took.Seconds())}}
 	for _, name := range []string{classLookup, classDraft, classHint} {
 		values = append(values, Value{"overload_" + name + "_in_time", "share", good[name] / offered[name]})
 	}
--- a/internal/policy/adaptive/adaptive.go
+++ b/internal/policy/adaptive/adaptive.go
@@ -30,10 +30,11 @@
 // New returns the policy and its queue, which is to be refreshed with each new
 // snapshot.
 func New(options Options) (policy.Policy, *queue.Queue) {
-	waiting := &queue.Queue{Clock: options.Clock}
+	sharers := &policy.Sharers{}
+	waiting := &queue.Queue{Clock: options.Clock, Sharers: sharers}
 	return policy.Policy{
 		Name:        "adaptive",
-		Picker:      NewPicker(options),
+		Picker:      newPicker(options, sharers),
 		Admission:   waiting,
 		Retrier:     policy.NewBudgetRetrier(),
 		Hedger:      policy.NewQuantileHedger(),
@@ -41,8 +42,8 @@
 	}, waiting
 }
 
-// NewPicker returns the endpoint choice alone.
-func NewPicker(options Options) *policy.Chooser {
+// newPicker returns the endpoint choice.
+func newPicker(options Options, sharers *policy.Sharers) *policy.Chooser {
 	crossing := policy.Crossing{
 		FailureDomain: options.FailureDomain,
 		Region:        options.Region,
@@ -50,7 +51,7 @@
 		RegionCost:    orDefault(options.RegionCost, DefaultRegionCost),
 	}
 	return &policy.Chooser{Scorers: []policy.Scorer{
-		policy.Completion{Reserve: queue.ReserveShare},
+		policy.Completion{Sharers: sharers, Reserve: queue.ReserveShare},
 		crossing,
 	}}
 }
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -14,10 +14,10 @@
 }
 
 // NewBudget allows share (0 to 1) further calls per request; at most burst of
-// them may be saved up. It starts with half of the burst.
+// them may be saved up. It starts with one.
 func NewBudget(share float64, burst int) *Budget {
 	b := &Budget{perArrival: int64(share * budgetUnit), most: int64(burst) * budgetUnit}
-	b.parts.Store(b.most / 2)
+	b.parts.Store(min(b.most, budgetUnit))
 	return b
 }
 
--- a/internal/policy/chooser.go
+++ b/internal/policy/chooser.go
@@ -37,6 +37,25 @@
 	cost     float64
 }
 
+func (c *choice) offer(e *endpoint.Endpoint, cost float64) {
+	if c.endpoint == nil || cost < c.cost {
+		*c = choice{endpoint: e, cost: cost}
+	}
+}
+
+// choices are the best endpoint of those that should take the work, and of
+// those that only may.
+type choices struct {
+	should, may choice
+}
+
+func (c *choices) best() choice {
+	if c.should.endpoint != nil {
+		return c.should
+	}
+	return c.may
+}
+
 // Pick implements Picker.
 func (c *Chooser) Pick(endpoints []*endpoint.Endpoint, work *Work, _ time.Time, random *rand.Rand) (*endpoint.Endpoint, bool) {
 	if len(endpoints) == 0 {
@@ -53,29 +72,31 @@
 }
 
 func (c *Chooser) sample(endpoints []*endpoint.Endpoint, work *Work, random *rand.Rand) choice {
-	var best choice
+	var seen choices
 	n := len(endpoints)
 	if n <= scanAll {
 		start := random.IntN(n)
 		for i := range n {
-			c.consider(&best, endpoints[(start+i)%n], work, random)
+			c.consider(&seen, endpoints[(start+i)%n], work, random)
 		}
-		return best
+		return seen.best()
 	}
 	for range sampled {
-		c.consider(&best, endpoints[random.IntN(n)], work, random)
+		c.consider(&seen, endpoints[random.IntN(n)], work, random)
 	}
-	return best
+	return seen.best()
 }
 
-func (c *Chooser) consider(best *choice, e *endpoint.Endpoint, work *Work, random *rand.Rand) {
-	if !mayTake(e, work) || !shouldTake(e, random) {
+func (c *Chooser) consider(seen *choices, e *endpoint.Endpoint, work *Work, random *rand.Rand) {
+	if !mayTake(e, work) {
 		return
 	}
 	cost := c.cost(e, work)
-	if best.endpoint == nil || cost < best.cost {
-		*best = choice{endpoint: e, cost: cost}
+	if shouldTake(e, random) {
+		seen.should.offer(e, cost)
+		return
 	}
+	seen.may.offer(e, cost)
 }
 
 func (c *Chooser) cost(e *endpoint.Endpoint, work *Work) float64 {
@@ -103,8 +124,8 @@
 	return nil
 }
 
-// scan is the last resort when the sample held nobody: it takes the least
-// demoted endpoint that may take the work at all, from a random start.
+// scan is the last resort when the sample held nobody that may take the work:
+// it looks at all from a random start and takes the least troubled one.
 func (c *Chooser) scan(endpoints []*endpoint.Endpoint, work *Work, random *rand.Rand) (*endpoint.Endpoint, bool) {
 	var found *endpoint.Endpoint
 	n := len(endpoints)
--- a/internal/policy/completion.go
+++ b/internal/policy/completion.go
@@ -15,6 +15,8 @@
 // work, in nanoseconds: the wait for a slot, then the answer itself, which is
 // slower on a fuller endpoint.
 type Completion struct {
+	// Sharers tells how many entries share the endpoints; nil is one.
+	Sharers *Sharers
 	// Reserve is the share of an endpoint's slots that is kept for interactive
 	// work, 0 to 1.
 	Reserve float64
@@ -22,7 +24,7 @@
 
 // Score implements Scorer.
 func (c Completion) Score(e *endpoint.Endpoint, work *Work) float64 {
-	held := load(e)
+	held := load(e, c.Sharers.count())
 	room := slots(e)
 	if !work.Interactive {
 		room = max(1, room*(1-c.Reserve))
--- a/internal/policy/filter.go
+++ b/internal/policy/filter.go
@@ -15,22 +15,26 @@
 	if e.ActiveVersion < work.MinVersion {
 		return false
 	}
-	if work.Alone && load(e) > 0 {
+	if work.Alone && held(e) > 0 {
 		return false
 	}
 	return !slices.Contains(work.Tried, e.ID)
 }
 
-// maxFailureHalvings bounds how rarely a failing endpoint is probed: one in 64.
-const maxFailureHalvings = 6
+// Each failure divides an endpoint's share of the work by 64, down to one part
+// in 256, which probes it.
+const (
+	failureBits    = 6
+	maxFailureBits = 8
+)
 
 // shouldTake reports whether the endpoint should take a share of the work now.
 // Demoted endpoints keep the rest of their share, and endpoints that just
-// failed get half as much with each failure; what is left probes them.
+// failed get far less with each failure; what is left probes them.
 func shouldTake(e *endpoint.Endpoint, random *rand.Rand) bool {
 	share := 1 - e.Demotion
 	if failures := e.Live.Failures.Load(); failures > 0 {
-		share /= float64(int64(1) << min(failures, maxFailureHalvings))
+		share /= float64(int64(1) << min(failures*failureBits, maxFailureBits))
 	}
 	return share >= 1 || random.Float64() < share
 }
--- a/internal/policy/fixture_test.go
+++ b/internal/policy/fixture_test.go
@@ -29,6 +29,13 @@
 	return all
 }
 
+// hold gives an endpoint n requests of this entry, which it has reported.
+func hold(e *endpoint.Endpoint, n int) {
+	e.Running, e.OwnInFlight = n, n
+	e.Live.InFlight.Store(int64(n))
+	e.Live.InFlightTokens.Store(int64(100 * n))
+}
+
 func chooser() *Chooser {
 	crossing := Crossing{FailureDomain: "domain-0", Region: "region-0", DomainCost: 15 * time.Millisecond, RegionCost: 80 * time.Millisecond}
 	return &Chooser{Scorers: []Scorer{Completion{Reserve: 0.125}, crossing}}
--- a/internal/policy/hedge.go
+++ b/internal/policy/hedge.go
@@ -5,8 +5,8 @@
 // Limits of hedges.
 const (
 	hedgeShare    = 0.04
-	hedgeBurst    = 10
-	hedgeQuantile = 0.95
+	hedgeBurst    = 5
+	hedgeQuantile = 0.98
 	// minHedgeSamples is how many calls the quantile needs.
 	minHedgeSamples = 20
 	minHedgeDelay   = 2 * time.Millisecond
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -3,8 +3,8 @@
 // Limits of retries.
 const (
 	// retryShare keeps the calls per request under 1.1.
-	retryShare = 0.09
-	retryBurst = 20
+	retryShare = 0.08
+	retryBurst = 10
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
 )
--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -2,76 +2,79 @@
 
 import "time"
 
-// admit lets an item into its line, if needed in place of items that give way
-// to it, or refuses it. Everything it refuses has not started.
+// admit lets an item into its line or refuses it. Then it refuses waiting items
+// that can no longer be in time because of it. All that it refuses has not
+// started.
 //
-// While a class is above its stated completeness it gives way; among the
-// others, lower completeness gives way first, then longer lateness.
+// Classes below their stated completeness go first, in order of precedence:
+// higher completeness, then shorter lateness. All others follow together, the
+// least slack first. So nobody's stated share is given up for a class of lower
+// precedence, and while all get their shares only slack counts.
 func (g *group) admit(i *item, now time.Time) error {
-	excess := g.wait(i) - i.startBy.Sub(now)
-	if i.work.Patient || excess <= 0 {
-		i.line.push(i)
-		return nil
-	}
-	needed := excess * time.Duration(g.room.limit)
-	victims := g.yielding(i)
-	if sumAhead(victims, i.startBy) < needed {
+	excess := g.wait(i, now) - i.startBy.Sub(now)
+	if !i.work.Patient && excess > 0 {
 		i.line.count(false)
 		return refused("it could not be in time", excess)
 	}
-	g.evict(victims, needed, now)
 	i.line.push(i)
+	g.trim(i.line, now)
 	return nil
 }
 
-// wait estimates the time until an item that enters now would start. What
-// waits already could not start, so an item that may start does so at once.
-func (g *group) wait(i *item) time.Duration {
-	if g.mayStart(i) {
+// leastPlaces is the least share of the places that an estimate counts on.
+const leastPlaces = 0.05
+
+// wait estimates the time until an item would start. What waits already found no
+// room, so an item that finds room starts at once. Lines that go before it keep
+// the places that they take now.
+func (g *group) wait(i *item, now time.Time) time.Duration {
+	if g.running < g.limit {
 		return 0
 	}
 	// What runs is half done on average.
-	ahead := sumAhead(g.lines, i.startBy) + g.runningExpected/2
-	return ahead / time.Duration(g.room.limit)
+	ahead := g.runningExpected / 2
+	places := float64(g.limit)
+	for _, l := range g.lines {
+		switch compareLines(l, i.line) {
+		case -1:
+			ahead += l.expected
+			places -= l.use.places(now)
+		case 0:
+			ahead += l.ahead(i.startBy)
+		}
+	}
+	places = max(places, leastPlaces*float64(g.limit))
+	return time.Duration(float64(ahead) / places)
 }
 
-// yielding returns the lines that give way to the item, in that order.
-func (g *group) yielding(i *item) []*line {
-	var above, below []*line
-	for rank := len(g.lines) - 1; rank >= 0; rank-- {
-		l := g.lines[rank]
-		switch {
-		case l == i.line:
-		case l.aboveShare() && (rank > i.line.rank || !i.line.aboveShare()):
-			above = append(above, l)
-		case rank > i.line.rank && !i.line.aboveShare():
-			below = append(below, l)
-		}
+// compareLines returns -1 when all of a's work goes before b's, 1 when it goes
+// after it, and 0 when slack decides.
+func compareLines(a, b *line) int {
+	aboveA, aboveB := a.aboveShare(), b.aboveShare()
+	switch {
+	case a == b || aboveA && aboveB:
+		return 0
+	case aboveB || !aboveA && a.rank < b.rank:
+		return -1
 	}
-	return append(above, below...)
+	return 1
 }
 
-// evict refuses waiting items of the lines, in order, until enough of their
-// expected time has gone.
-func (g *group) evict(lines []*line, needed time.Duration, now time.Time) {
-	for _, l := range lines {
-		for needed > 0 && l.tail() != nil {
-			i := l.tail()
-			if i.work.Patient {
+// trim refuses the later items of lines that the line's new item delays, while
+// they cannot be in time.
+func (g *group) trim(by *line, now time.Time) {
+	for _, l := range g.lines {
+		if l == by || compareLines(l, by) < 0 {
+			continue
+		}
+		for i := l.tail(); i != nil && !i.work.Patient; i = l.tail() {
+			excess := g.wait(i, now) - i.startBy.Sub(now)
+			if excess <= 0 {
 				break
 			}
 			l.remove(i)
 			l.count(false)
-			needed -= i.expected
-			i.refuse("it gave way to other work", i.startBy.Sub(now))
+			i.refuse("it gave way to other work", excess)
 		}
 	}
 }
-
-func sumAhead(lines []*line, startBy time.Time) time.Duration {
-	var sum time.Duration
-	for _, l := range lines {
-		sum += l.ahead(startBy)
-	}
-	return sum
-}
--- a/internal/queue/group.go
+++ b/internal/queue/group.go
@@ -7,15 +7,16 @@
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 )
 
-// group is the queue of one model or application: a line per class.
+// group is the queue of one model or application and one pool: a line per
+// class.
 type group struct {
-	room room
+	// limit is how many may run.
+	limit int
 	// lines are in order of precedence; the last holds classes not known.
-	lines []*line
-	pace  pace
-	items uint64
-	// running counts all that runs, batch what of it nobody waits on.
-	running, batch int
+	lines   []*line
+	pace    pace
+	items   uint64
+	running int
 	// runningExpected is the sum of the expected times of what runs.
 	runningExpected time.Duration
 }
@@ -71,21 +72,13 @@
 	if deadline.IsZero() {
 		deadline = now.Add(noDeadline)
 	}
-	i.startBy = deadline.Add(-i.expected)
+	i.startBy = deadline.Add(-g.pace.most(work.ExpectedTokens))
 	return i
 }
 
-// mayStart reports whether there is room for the item.
-func (g *group) mayStart(i *item) bool {
-	if i.work.Interactive {
-		return g.running < g.room.limit
-	}
-	return g.running < g.room.limit && g.batch < g.room.batchLimit
-}
-
-// dispatch starts waiting work while there is room: the least slack first.
+// dispatch starts waiting work while there is room, in the order of admit.
 func (g *group) dispatch(now time.Time) {
-	for {
+	for g.running < g.limit {
 		i := g.next(now)
 		if i == nil {
 			return
@@ -93,31 +86,31 @@
 		i.line.remove(i)
 		g.running++
 		g.runningExpected += i.expected
-		if !i.work.Interactive {
-			g.batch++
-		}
 		i.line.count(true)
+		i.line.use.start(now, i.expected)
 		i.start(now)
 	}
 }
 
-// next returns the waiting item with the least slack that may start, and
-// refuses on its way those that can no longer be in time.
+// next returns the waiting item that starts next, nil when none waits, and refuses on its way those
+// that can no longer be in time.
 func (g *group) next(now time.Time) *item {
 	var found *item
 	for _, l := range g.lines {
 		g.refuseLate(l, now)
 		i := l.head()
-		if i == nil || !g.mayStart(i) {
-			continue
-		}
-		if found == nil || i.startBy.Before(found.startBy) {
+		if i != nil && (found == nil || goesBefore(i, found)) {
 			found = i
 		}
 	}
 	return found
 }
 
+func goesBefore(a, b *item) bool {
+	order := compareLines(a.line, b.line)
+	return order < 0 || order == 0 && a.startBy.Before(b.startBy)
+}
+
 func (g *group) refuseLate(l *line, now time.Time) {
 	for i := l.head(); i != nil && i.late(now); i = l.head() {
 		l.remove(i)
@@ -129,9 +122,6 @@
 func (g *group) end(i *item, took time.Duration) {
 	g.running--
 	g.runningExpected -= i.expected
-	if !i.work.Interactive {
-		g.batch--
-	}
 	if took > 0 {
 		g.pace.observe(i.work.ExpectedTokens, took)
 	}
@@ -151,5 +141,5 @@
 	for _, l := range g.lines {
 		sum += l.expected
 	}
-	return sum / time.Duration(g.room.limit)
+	return sum / time.Duration(g.limit)
 }
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -18,7 +18,7 @@
 	number uint64
 	// expected is how long it should run.
 	expected time.Duration
-	// startBy is when it must start to be in time.
+	// startBy is when it must start to be in time, almost surely.
 	startBy   time.Time
 	verdict   chan error
 	started   bool
--- a/internal/queue/line.go
+++ b/internal/queue/line.go
@@ -14,6 +14,8 @@
 	// keptRefusals is how many refusals in that span the stated share allows.
 	keptRefusals  = 4
 	maxKeptMemory = 1 << 16
+	// shareMargin evens out rounding.
+	shareMargin = 1e-9
 )
 
 // line holds the waiting work of one class for one model.
@@ -27,10 +29,16 @@
 	latest time.Time
 	// kept is the moving share of its work that was not refused.
 	kept float64
+	// use is how many of the running places it takes.
+	use use
 }
 
+// newLine returns a line that just gets its stated share, so that an order of
+// precedence holds from the first refusal on.
 func newLine(c class.Class, rank int) *line {
-	return &line{class: c, rank: rank, kept: 1}
+	l := &line{class: c, rank: rank}
+	l.kept = l.class.Completeness / (1 - 1/l.memory())
+	return l
 }
 
 // memory is how many requests the moving share spans: enough for the stated
@@ -100,7 +108,7 @@
 // aboveShare reports whether it would get its stated share also if one more of
 // its requests were refused.
 func (l *line) aboveShare() bool {
-	return l.kept*(1-1/l.memory()) >= l.class.Completeness
+	return l.kept*(1-1/l.memory())+shareMargin >= l.class.Completeness
 }
 
 // items is a heap, ordered by startBy, then by arrival.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -18,24 +18,32 @@
 type Queue struct {
 	// Clock tells the time; nil is time.Now.
 	Clock func() time.Time
+	// Sharers is told the number of entries; nil is nobody to tell.
+	Sharers *policy.Sharers
 
 	mu      sync.Mutex
-	groups  map[string]*group
+	groups  map[groupKey]*group
 	classes []class.Class // in order of precedence
 }
 
 // Refresh takes over the classes, the endpoints by model, and the number of
 // live entries that share them. It is to be called with each new snapshot.
 func (q *Queue) Refresh(classes *class.Document, endpoints map[string][]*endpoint.Endpoint, entries int) {
+	if q.Sharers != nil {
+		q.Sharers.Set(entries)
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.classes = policy.Precedence(classes.Classes)
 	now := q.now()
 	for model, members := range endpoints {
-		g := q.group(model)
-		g.setClasses(q.classes)
-		g.room = roomOf(members, entries)
-		g.dispatch(now)
+		room := roomOf(members, entries)
+		for _, p := range pools {
+			g := q.group(groupKey{model: model, pool: p})
+			g.setClasses(q.classes)
+			g.limit = room.of(p)
+			g.dispatch(now)
+		}
 	}
 }
 
@@ -65,7 +73,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	g := q.group(work.Model)
+	g := q.group(groupKey{model: work.Model, pool: poolOf(work)})
 	i := g.newItem(work, now)
 	if err := g.admit(i, now); err != nil {
 		return nil, err
@@ -100,24 +108,25 @@
 	Waiting, Running, Limit int
 }
 
-// Depth returns the state of the model's queue.
-func (q *Queue) Depth(model string) Depth {
+// Depth returns the state of the model's queue, of the work that people wait on
+// or of the rest.
+func (q *Queue) Depth(model string, interactive bool) Depth {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	g := q.group(model)
-	return Depth{Waiting: g.waiting(), Running: g.running, Limit: g.room.limit}
+	g := q.group(groupKey{model: model, pool: poolOf(&policy.Work{Interactive: interactive})})
+	return Depth{Waiting: g.waiting(), Running: g.running, Limit: g.limit}
 }
 
-func (q *Queue) group(model string) *group {
-	if found := q.groups[model]; found != nil {
+func (q *Queue) group(key groupKey) *group {
+	if found := q.groups[key]; found != nil {
 		return found
 	}
 	if q.groups == nil {
-		q.groups = make(map[string]*group)
+		q.groups = make(map[groupKey]*group)
 	}
-	g := &group{room: roomOf(nil, 1)}
+	g := &group{limit: roomOf(nil, 1).of(key.pool)}
 	g.setClasses(q.classes)
-	q.groups[model] = g
+	q.groups[key] = g
 	return g
 }
 
