Prove the sending side against an oracle

Cause: outcomes of completions were not checked against what engines truly did. Change: rapid tests that play whole, cut, failing and leaving engines and check text, versions, 'not run' and at-most-once; a race of hedged streams; the transport's own repeat of keyed requests shown and kept out. Found on the way: a stream that lacked only its end marker was resumed without need; it ends as unknown now. Conclusion: holds; the pause between attempts is an option now.

--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -22,10 +22,11 @@
 	reasonHedge  = "hedge"
 )
 
-// retryPause is the pause before a further attempt; it doubles up to maxPause.
+// Pauses before further attempts; each is twice the one before.
 const (
-	retryPause = 10 * time.Millisecond
-	maxPause   = 500 * time.Millisecond
+	defaultRetryPause = 10 * time.Millisecond
+	maxPause          = 500 * time.Millisecond
+	maxDoublings      = 10
 )
 
 // Completion is one completion to run.
@@ -150,17 +151,17 @@
 		return err
 	case v.ran() && !r.call.Idempotent:
 		return err
-	case r.relayed && r.progress.tooOld(r.minVersion()):
-		return err
+	case r.relayed && (r.progress.FinishReason != "" || r.progress.tooOld(r.minVersion())):
+		return err // what the caller has can neither be gone on from nor taken back
 	case !r.d.options.Policy.Retrier.Allow(r.work, r.attempts):
 		return err
 	}
 	event.RequestRetried.Log(ctx, r.d.logger, retryAttrs(r.call, result.endpoint.ID, r.attempts, err)...)
-	return sleep(ctx, pauseAfter(r.attempts))
+	return sleep(ctx, r.d.pauseAfter(r.attempts))
 }
 
-func pauseAfter(attempts int) time.Duration {
-	pause := retryPause << min(attempts-1, 10)
+func (d *Dispatcher) pauseAfter(attempts int) time.Duration {
+	pause := d.options.RetryPause << min(attempts-1, maxDoublings)
 	return min(pause, maxPause)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	Metrics   *metrics.Traffic
 	Engines   *engine.Client
 	Services  *engine.ServiceClient
+	// RetryPause is the first pause before a further attempt; zero takes the
+	// default.
+	RetryPause time.Duration
 	// Clock tells the time; nil is time.Now.
 	Clock func() time.Time
 }
@@ -49,6 +52,9 @@
 
 // New returns a dispatcher.
 func New(options Options, logger *slog.Logger) *Dispatcher {
+	if options.RetryPause == 0 {
+		options.RetryPause = defaultRetryPause
+	}
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,332 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/metrics"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+	"github.com/comfreyfront/comfreyfront/internal/policy/naive"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+const (
+	testModel  = "drafting"
+	testTokens = 12
+)
+
+// behaviour is what the fleet does with one attempt.
+type behaviour struct {
+	Kind   string // whole, cut, fail, not-run, leaving
+	Tokens int    // given before a cut
+	// Version is the weight version of the tokens.
+	Version int64
+}
+
+// fleet plays engines; attempt n behaves as the n-th behaviour, later ones are
+// whole. Its journal is the truth.
+type fleet struct {
+	mu         sync.Mutex
+	behaviours []behaviour
+	attempts   int
+	begun      int
+	spans      []engine.Span // of what was generated, by token
+}
+
+func (f *fleet) next() behaviour {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.attempts++
+	if f.attempts <= len(f.behaviours) {
+		return f.behaviours[f.attempts-1]
+	}
+	return behaviour{Kind: "whole", Version: 9}
+}
+
+func (f *fleet) begin() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun++
+}
+
+func (f *fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body engine.CompletionRequest
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	b := f.next()
+	id := r.Header.Get(engine.HeaderRequestID)
+	w.Header().Set(engine.HeaderRequestID, id)
+	switch b.Kind {
+	case "not-run", "leaving":
+		w.Header().Set(engine.HeaderOutcome, engine.OutcomeNotRun)
+		if b.Kind == "leaving" {
+			w.Header().Set(engine.HeaderLeaving, "true")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "fail":
+		f.begin()
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	f.begin()
+	f.stream(w, id, body, b)
+}
+
+// stream generates tokens "t0 ", "t1 " and so on from where the request resumes.
+func (f *fleet) stream(w http.ResponseWriter, id string, body engine.CompletionRequest, b behaviour) {
+	last := body.MaxTokens
+	if b.Kind == "cut" {
+		last = min(body.ResumeTokens+b.Tokens, body.MaxTokens)
+	}
+	for i := body.ResumeTokens; i < last; i++ {
+		choice := engine.CompletionChoice{Text: fmt.Sprintf("t%d ", i), Tokens: 1, WeightVersion: b.Version}
+		if i == body.MaxTokens-1 {
+			choice.FinishReason = "length"
+		}
+		data, _ := json.Marshal(engine.CompletionChunk{ID: id, Choices: []engine.CompletionChoice{choice}})
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+	}
+	_ = http.NewResponseController(w).Flush()
+	if b.Kind == "cut" {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func wholeText() string {
+	var text strings.Builder
+	for i := range testTokens {
+		fmt.Fprintf(&text, "t%d ", i)
+	}
+	return text.String()
+}
+
+// observer counts what the dispatcher tells of endpoints.
+type observer struct {
+	mu      sync.Mutex
+	leaving int
+}
+
+func (o *observer) EndpointLeaving(string) { o.mu.Lock(); o.leaving++; o.mu.Unlock() }
+func (o *observer) EndpointFailed(string)  {}
+func (o *observer) EndpointAnswered(string) {
+}
+
+// newFleet returns a dispatcher before two engines that the fleet plays.
+func newFleet(f *fleet, decisions policy.Policy, watch Observer) (*Dispatcher, func()) {
+	quiet := slog.New(slog.DiscardHandler)
+	server := httptest.NewUnstartedServer(f)
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	server.Start()
+	address := strings.TrimPrefix(server.URL, "http://")
+	snapshots := &control.Snapshots{}
+	snapshots.Publish(&control.Snapshot{Classes: &class.Document{}, Endpoints: map[string][]*endpoint.Endpoint{testModel: {
+		{ID: "a", Address: address, Serves: testModel, Live: &endpoint.Live{}},
+		{ID: "b", Address: address, Serves: testModel, Live: &endpoint.Live{}},
+	}}})
+	transport := engine.NewTransport()
+	d := New(Options{
+		Snapshots: snapshots, Policy: decisions, Observer: watch, Suspects: NoSuspects{}, RetryPause: time.Microsecond,
+		Metrics:  metrics.NewTraffic(prometheus.NewRegistry()),
+		Engines:  engine.NewClient(transport),
+		Services: engine.NewServiceClient(transport, engine.NewSingleUseTransport()),
+	}, quiet)
+	return d, func() {
+		transport.CloseIdleConnections()
+		server.Close()
+	}
+}
+
+func newCompletion(idempotent bool) *Completion {
+	return &Completion{
+		Call: Call{
+			Class: class.Class{Name: "lookup", Lateness: 50 * time.Millisecond}, Tenant: "t",
+			Arrived: time.Now(), Idempotent: idempotent,
+		},
+		Request: engine.CompletionRequest{Model: testModel, Prompt: "p", MaxTokens: testTokens},
+	}
+}
+
+// generous allows as many retries as there are behaviours.
+func generous() policy.Policy {
+	decisions := naive.New()
+	decisions.Retrier = manyRetries{}
+	return decisions
+}
+
+type manyRetries struct{}
+
+func (manyRetries) Arrive()                          {}
+func (manyRetries) Allow(_ *policy.Work, n int) bool { return n < 5 }
+
+// TestOutcomesAgainstOracle checks each outcome against what the engines truly
+// did: whole text and true versions, "not run" only if nothing began, and at
+// most one beginning of what must not run twice.
+func TestOutcomesAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{behaviours: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
+			return behaviour{
+				Kind:    rapid.SampledFrom([]string{"whole", "cut", "fail", "not-run", "leaving"}).Draw(t, "kind"),
+				Tokens:  rapid.IntRange(0, testTokens).Draw(t, "tokens"),
+				Version: int64(rapid.IntRange(1, 3).Draw(t, "version")),
+			}
+		}), 0, 6).Draw(t, "behaviours")}
+		d, closeFleet := newFleet(f, generous(), &observer{})
+		defer closeFleet()
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		completion := newCompletion(idempotent)
+		var relayed strings.Builder
+		if rapid.Bool().Draw(t, "stream") {
+			completion.OnPiece = func(piece engine.CompletionChoice) error {
+				relayed.WriteString(piece.Text)
+				return nil
+			}
+		}
+		done, _, err := d.Complete(context.Background(), completion)
+		checkOutcome(t, f, idempotent, done, err)
+		if completion.OnPiece != nil && err == nil && relayed.String() != wholeText() {
+			t.Fatalf("the caller was given %q", relayed.String())
+		}
+	})
+}
+
+func checkOutcome(t *rapid.T, f *fleet, idempotent bool, done Progress, err error) {
+	if !idempotent && f.begun > 1 {
+		t.Fatalf("ran %d times", f.begun)
+	}
+	if err != nil {
+		if request.ProblemOf(err).Outcome == request.NotRun && f.begun > 0 {
+			t.Fatalf("said not run, but %d began: %v", f.begun, err)
+		}
+		if request.ProblemOf(err).Outcome == request.Answered {
+			t.Fatalf("an error cannot be an answer: %v", err)
+		}
+		return
+	}
+	if done.Text != wholeText() || done.FinishReason == "" {
+		t.Fatalf("given as whole: %q", done.Text)
+	}
+	if want := trueSpans(f); !slices.Equal(want, done.Spans) {
+		t.Fatalf("spans %v, truly %v", done.Spans, want)
+	}
+}
+
+// trueSpans replays the behaviours: which version made which token.
+func trueSpans(f *fleet) []engine.Span {
+	b := newBuilder(Progress{})
+	for n := 0; b.tokens < testTokens; n++ {
+		step := behaviour{Kind: "whole", Version: 9}
+		if n < len(f.behaviours) {
+			step = f.behaviours[n]
+		}
+		tokens := 0
+		switch step.Kind {
+		case "whole":
+			tokens = testTokens
+		case "cut":
+			tokens = step.Tokens
+		}
+		for i := 0; i < tokens && b.tokens < testTokens; i++ {
+			b.add(engine.CompletionChoice{Tokens: 1, WeightVersion: step.Version})
+		}
+		if step.Kind == "cut" && b.tokens == testTokens { // whole but for its end: generated again
+			b = newBuilder(Progress{})
+		}
+	}
+	return b.spans
+}
+
+func TestTooOldAnswerIsGeneratedAgain(t *testing.T) {
+	f := &fleet{behaviours: []behaviour{{Kind: "whole", Version: 1}, {Kind: "whole", Version: 5}}}
+	d, closeFleet := newFleet(f, generous(), &observer{})
+	defer closeFleet()
+	completion := newCompletion(true)
+	completion.Fresh = func() int64 { // the floor rises while the first answer is made
+		if f.attempts == 0 {
+			return 0
+		}
+		return 5
+	}
+	snapshot := d.options.Snapshots.Load()
+	for _, e := range snapshot.Endpoints[testModel] {
+		e.ActiveVersion = 5
+	}
+	done, _, err := d.Complete(context.Background(), completion)
+	require.NoError(t, err)
+	require.Equal(t, []engine.Span{{WeightVersion: 5, Tokens: testTokens}}, done.Spans)
+}
+
+func TestLeavingIsReported(t *testing.T) {
+	f := &fleet{behaviours: []behaviour{{Kind: "leaving"}}}
+	watch := &observer{}
+	d, closeFleet := newFleet(f, generous(), watch)
+	defer closeFleet()
+	_, _, err := d.Complete(context.Background(), newCompletion(true))
+	require.NoError(t, err)
+	require.Equal(t, 1, watch.leaving)
+}
+
+// hedgeAtOnce hedges each work without a wait.
+type hedgeAtOnce struct{ naive.NoHedge }
+
+func (hedgeAtOnce) After(*policy.Work) (time.Duration, bool) { return 0, true }
+func (hedgeAtOnce) Take() bool                               { return true }
+
+// TestHedgedStreamsNeverMix races two attempts and checks that the caller is
+// given the pieces of one of them, whatever happens to the other.
+func TestHedgedStreamsNeverMix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{behaviours: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) behaviour {
+			return behaviour{
+				Kind:    rapid.SampledFrom([]string{"whole", "cut", "fail"}).Draw(t, "kind"),
+				Tokens:  rapid.IntRange(0, testTokens-1).Draw(t, "tokens"),
+				Version: 1,
+			}
+		}), 0, 4).Draw(t, "behaviours")}
+		decisions := generous()
+		decisions.Hedger = hedgeAtOnce{}
+		d, closeFleet := newFleet(f, decisions, &observer{})
+		defer closeFleet()
+		completion := newCompletion(true)
+		var relayed strings.Builder
+		completion.OnPiece = func(piece engine.CompletionChoice) error {
+			relayed.WriteString(piece.Text)
+			return nil
+		}
+		_, _, err := d.Complete(context.Background(), completion)
+		if err == nil && relayed.String() != wholeText() {
+			t.Fatalf("the caller was given %q", relayed.String())
+		}
+	})
+}
+
+func TestUnknownModelDidNotRun(t *testing.T) {
+	d, closeFleet := newFleet(&fleet{}, generous(), &observer{})
+	defer closeFleet()
+	completion := newCompletion(true)
+	completion.Request.Model = "other"
+	completion.Class.Lateness = time.Millisecond
+	_, _, err := d.Complete(context.Background(), completion)
+	require.True(t, errorx.IsOfType(err, request.ErrNoEndpoint), "%v", err)
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -90,7 +90,7 @@
 	}
 	r.work.Tried = append(r.work.Tried, result.endpoint.ID)
 	event.RequestRetried.Log(ctx, r.d.logger, retryAttrs(&r.request.Call, result.endpoint.ID, r.attempts, result.err)...)
-	return sleep(ctx, pauseAfter(r.attempts))
+	return sleep(ctx, r.d.pauseAfter(r.attempts))
 }
 
 // race makes a call and, when the policy hedges the work, a second one
