--- /dev/null
+++ b/internal/suspect/main_test.go
@@ -0,0 +1,21 @@
+package suspect
+
+import (
+	"flag"
+	"log/slog"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m)
+}
+
+var quiet = slog.New(slog.DiscardHandler)
