Set endpoints apart for interactive work, as many as it needs

Change: policy.Lane sets the endpoints with the lowest hashes apart from work that nobody waits on, enough that interactive work fills 35 % of their slots on average; entries agree on them without a word. Where there is no lane, one slot in eight stays reserved. The measure runs the short work also while the long work warms up, for both versions.

--- a/internal/measure/overload.go
+++ b/internal/measure/overload.go
@@ -15,6 +15,8 @@
 	// overloadFactor is the offered work over the capacity.
 	overloadFactor = 2.0
 	overloadSpan   = 6 * time.Second
+	// overloadRamp comes before it and is not counted: queues fill.
+	overloadRamp = 3 * time.Second
 	// hangUp is how many times its lateness a caller waits.
 	hangUp = 2
 	// shares of the classes in the offered requests.
@@ -38,10 +40,20 @@
 	random := newRandom(seed)
 	pause(ctx, 3*pollInterval)
 	perSecond := overloadFactor * capacity() / overloadTokens
-	all := arrivals(random, perSecond, overloadSpan, func(number int) Ask { return mixed(random, number) })
+	draw := func(number int) Ask { return mixed(random, number) }
+	ramp := arrivals(random, perSecond, overloadRamp, draw)
+	rampEnded := make(chan struct{})
+	go func() {
+		w.drive(ctx, ramp)
+		close(rampEnded)
+	}()
+	pause(ctx, overloadRamp)
+	all := arrivals(random, perSecond, overloadSpan, draw)
 	started := time.Now()
 	replies := w.drive(ctx, all)
-	return overloadValues(w, all, replies, time.Since(started)), nil
+	took := time.Since(started)
+	<-rampEnded
+	return overloadValues(w, all, replies, took), nil
 }
 
 func mixed(random *rand.Rand, number int) Ask {
--- a/internal/measure/short.go
+++ b/internal/measure/short.go
@@ -30,7 +30,7 @@
 
 	longCtx, stop := context.WithCancel(ctx)
 	long := w.fill(longCtx, random, longInFlight)
-	pause(ctx, warmUp)
+	w.drive(ctx, shortWork(random, shortPerSecond, warmUp))
 	started := time.Now()
 	before := long.tokens()
 	busy := millis(w.drive(ctx, shortWork(random, shortPerSecond, shortSpan)))
--- a/internal/policy/adaptive/adaptive.go
+++ b/internal/policy/adaptive/adaptive.go
@@ -30,11 +30,11 @@
 // New returns the policy and its queue, which is to be refreshed with each new
 // snapshot.
 func New(options Options) (policy.Policy, *queue.Queue) {
-	sharers := &policy.Sharers{}
-	waiting := &queue.Queue{Clock: options.Clock, Sharers: sharers}
+	sharers, lane := &policy.Sharers{}, &policy.Lane{}
+	waiting := &queue.Queue{Clock: options.Clock, Sharers: sharers, Lane: lane}
 	return policy.Policy{
 		Name:        "adaptive",
-		Picker:      newPicker(options, sharers),
+		Picker:      newPicker(options, sharers, lane),
 		Admission:   waiting,
 		Retrier:     policy.NewBudgetRetrier(),
 		Hedger:      policy.NewQuantileHedger(),
@@ -43,14 +43,14 @@
 }
 
 // newPicker returns the endpoint choice.
-func newPicker(options Options, sharers *policy.Sharers) *policy.Chooser {
+func newPicker(options Options, sharers *policy.Sharers, lane *policy.Lane) *policy.Chooser {
 	crossing := policy.Crossing{
 		FailureDomain: options.FailureDomain,
 		Region:        options.Region,
 		DomainCost:    orDefault(options.DomainCost, DefaultDomainCost),
 		RegionCost:    orDefault(options.RegionCost, DefaultRegionCost),
 	}
-	return &policy.Chooser{Scorers: []policy.Scorer{
+	return &policy.Chooser{Lane: lane, Scorers: []policy.Scorer{
 		policy.Completion{Sharers: sharers, Reserve: queue.ReserveShare},
 		crossing,
 	}}
--- a/internal/policy/chooser.go
+++ b/internal/policy/chooser.go
@@ -29,6 +29,8 @@
 // It is safe for concurrent use; the zero value picks at random.
 type Chooser struct {
 	Scorers []Scorer
+	// Lane is kept free of work that nobody waits on; nil is none.
+	Lane *Lane
 }
 
 // choice is the best endpoint seen so far.
@@ -92,13 +94,20 @@
 		return
 	}
 	cost := c.cost(e, work)
-	if shouldTake(e, random) {
+	if c.shouldTake(e, work, random) {
 		seen.should.offer(e, cost)
 		return
 	}
 	seen.may.offer(e, cost)
 }
 
+func (c *Chooser) shouldTake(e *endpoint.Endpoint, work *Work, random *rand.Rand) bool {
+	if !work.Interactive && c.Lane.Has(e) {
+		return false
+	}
+	return shouldTake(e, random)
+}
+
 func (c *Chooser) cost(e *endpoint.Endpoint, work *Work) float64 {
 	var sum float64
 	for _, s := range c.Scorers {
@@ -114,7 +123,7 @@
 	}
 	for k := range prefixHomes {
 		e := endpoints[home(work.Prefix, k, len(endpoints))]
-		if !mayTake(e, work) || !shouldTake(e, random) {
+		if !mayTake(e, work) || !c.shouldTake(e, work, random) {
 			continue
 		}
 		if c.cost(e, work) <= best.cost*affinityBound {
--- a/internal/queue/group.go
+++ b/internal/queue/group.go
@@ -13,8 +13,10 @@
 	// limit is how many may run.
 	limit int
 	// lines are in order of precedence; the last holds classes not known.
-	lines   []*line
-	pace    pace
+	lines []*line
+	pace  pace
+	// demand is how many places its work takes over a longer time.
+	demand  use
 	items   uint64
 	running int
 	// runningExpected is the sum of the expected times of what runs.
@@ -88,6 +90,7 @@
 		g.runningExpected += i.expected
 		i.line.count(true)
 		i.line.use.start(now, i.expected)
+		g.demand.start(now, i.expected)
 		i.start(now)
 	}
 }
--- a/internal/queue/line.go
+++ b/internal/queue/line.go
@@ -36,7 +36,7 @@
 // newLine returns a line that just gets its stated share, so that an order of
 // precedence holds from the first refusal on.
 func newLine(c class.Class, rank int) *line {
-	l := &line{class: c, rank: rank}
+	l := &line{class: c, rank: rank, use: use{memory: waitMemory}}
 	l.kept = l.class.Completeness / (1 - 1/l.memory())
 	return l
 }
--- a/internal/queue/model_test.go
+++ b/internal/queue/model_test.go
@@ -108,7 +108,7 @@
 		}
 	}
 	limit := m.q.group(groupKey{model: "drafting", pool: p}).limit
-	require.Equal(t, roomOf(engines(1, 4)["drafting"], 1).of(p), limit)
+	require.Equal(t, roomOf(engines(1, 4)["drafting"], 1, nil).of(p), limit)
 	require.Equal(t, Depth{Waiting: waiting, Running: running, Limit: limit}, m.q.Depth("drafting", p == interactivePool))
 	require.LessOrEqual(t, running, limit)
 	require.True(t, waiting == 0 || running == limit, "room is left while work waits")
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -20,6 +20,8 @@
 	Clock func() time.Time
 	// Sharers is told the number of entries; nil is nobody to tell.
 	Sharers *policy.Sharers
+	// Lane is fitted to the interactive work; nil is none.
+	Lane *policy.Lane
 
 	mu      sync.Mutex
 	groups  map[groupKey]*group
@@ -37,7 +39,11 @@
 	q.classes = policy.Precedence(classes.Classes)
 	now := q.now()
 	for model, members := range endpoints {
-		room := roomOf(members, entries)
+		if q.Lane != nil {
+			demand := q.group(groupKey{model: model, pool: interactivePool}).demand.places(now)
+			q.Lane.Resize(model, members, demand*float64(entries))
+		}
+		room := roomOf(members, entries, q.Lane)
 		for _, p := range pools {
 			g := q.group(groupKey{model: model, pool: p})
 			g.setClasses(q.classes)
@@ -124,7 +130,7 @@
 	if q.groups == nil {
 		q.groups = make(map[groupKey]*group)
 	}
-	g := &group{limit: roomOf(nil, 1).of(key.pool)}
+	g := &group{limit: roomOf(nil, 1, nil).of(key.pool), demand: use{memory: demandMemory}}
 	g.setClasses(q.classes)
 	q.groups[key] = g
 	return g
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -218,12 +218,12 @@
 
 func TestRoomOfOneEntryAmongSeveral(t *testing.T) {
 	all := engines(4, 8)["drafting"]
-	require.Equal(t, room{interactive: 30, batch: 28}, roomOf(all, 2), "the others' part is idle")
+	require.Equal(t, room{interactive: 30, batch: 28}, roomOf(all, 2, nil), "the others' part is idle")
 	for _, e := range all {
 		e.Running, e.OwnInFlight = 8, 2
 	}
-	require.Equal(t, room{interactive: 20, batch: 14}, roomOf(all, 2), "the equal share is kept")
+	require.Equal(t, room{interactive: 20, batch: 14}, roomOf(all, 2, nil), "the equal share is kept")
 	all[0].Leaving, all[1].Unready = true, true
-	require.Equal(t, room{interactive: 10, batch: 7}, roomOf(all, 2))
-	require.Equal(t, room{interactive: 1, batch: 1}, roomOf(nil, 6))
+	require.Equal(t, room{interactive: 10, batch: 7}, roomOf(all, 2, nil))
+	require.Equal(t, room{interactive: 1, batch: 1}, roomOf(nil, 6, nil))
 }
--- a/internal/queue/room.go
+++ b/internal/queue/room.go
@@ -1,6 +1,9 @@
 package queue
 
-import "github.com/comfreyfront/comfreyfront/internal/endpoint"
+import (
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+)
 
 // Limits of what may run at once.
 const (
@@ -32,25 +35,46 @@
 // each request. A late report can lend too much for as long as it is late; then
 // work waits at the endpoints instead, in the order of its priority numbers, and
 // the admission of interactive work, which needs true estimates, borrows little.
-func roomOf(endpoints []*endpoint.Endpoint, entries int) room {
+//
+// Work that nobody waits on keeps out of the lane; where there is none, it leaves
+// a reserve.
+func roomOf(endpoints []*endpoint.Endpoint, entries int, lane *policy.Lane) room {
 	entries = max(entries, 1)
-	total, free := 0, 0
+	var outside, inside capacity
 	for _, e := range endpoints {
-		if e.Leaving || e.Unready {
-			continue
-		}
-		slots := e.Slots
-		if slots <= 0 {
-			slots = defaultSlots
+		switch {
+		case e.Leaving || e.Unready:
+		case lane.Has(e):
+			inside.add(e)
+		default:
+			outside.add(e)
 		}
-		others := max(e.Running+e.Waiting-e.OwnInFlight, 0)
-		total += slots
-		free += max(slots-others, 0)
 	}
-	share := (total + entries - 1) / entries
-	borrowed := max(free-share, 0)
-	batch := share + borrowed
-	batch -= int(float64(batch) * ReserveShare)
-	interactive := int(interactiveSurplus * float64(share+borrowed/entries))
-	return room{interactive: max(interactive, 1), batch: max(batch, 1)}
+	batch := outside.share(entries) + outside.borrowed(entries)
+	if inside.total == 0 {
+		batch -= int(float64(batch) * ReserveShare)
+	}
+	outside.total += inside.total
+	outside.free += inside.free
+	surplus := interactiveSurplus * float64(outside.share(entries)+outside.borrowed(entries)/entries)
+	return room{interactive: max(int(surplus), 1), batch: max(batch, 1)}
+}
+
+// capacity counts slots, and those of them that other entries leave free.
+type capacity struct {
+	total, free int
+}
+
+func (c *capacity) add(e *endpoint.Endpoint) {
+	slots := e.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	others := max(e.Running+e.Waiting-e.OwnInFlight, 0)
+	c.total += slots
+	c.free += max(slots-others, 0)
 }
+
+func (c *capacity) share(entries int) int { return (c.total + entries - 1) / entries }
+
+func (c *capacity) borrowed(entries int) int { return max(c.free-c.share(entries), 0) }
