Wire suspects, weight rollouts and own work in late reports

Cause: three parts stood beside the path: requests that kill were not held back, rollouts could not be sent, and a late load report counted this entry's own requests twice. Ruled out: counting every broken stream as the endpoint's death (a cut link would convict the innocent); an endpoint counts as dead only when it refuses a new connection. Letting the exchange alone spread a raised floor: an entry could answer below it after the trainer was told 'accepted'; live peers are told first now, and the trainer is told when one could not be. Change: suspects in the dispatcher with endpoints reserved for a lone run, rollout desk and carrier in the entry, history of own work in the control side. Conclusion: report and recorder are left to wire.

--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
 )
 
 // tracked is what the control goroutine knows of one endpoint.
@@ -27,6 +28,9 @@
 	returnedAt time.Time
 	// leaveLogged: the event was written.
 	leaveLogged bool
+	// history and ownInFlight relate a late report to this entry's own work.
+	history     *policy.History
+	ownInFlight int
 	running     int
 	waiting     int
 	slots       int
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 )
@@ -120,6 +121,8 @@
 	m.endpointAnswered(ctx, t)
 	t.running, t.waiting, t.slots = l.report.Running, l.report.Waiting, l.report.Slots
 	t.version, t.reportedAt = l.report.WeightVersion, l.report.ReportedAt
+	t.noteOwnWork(l.startedAt, l.report.ReportedAt)
+	m.forgetLeaveWord(t, now)
 	m.touch(false)
 	if l.report.Leaving {
 		m.state.EndpointLeaves(l.id, now)
@@ -129,6 +132,25 @@
 	m.reviewLeaving()
 }
 
+// noteOwnWork remembers how much of this entry's own work the endpoint held,
+// and looks up how much it was when the late report was taken.
+func (t *tracked) noteOwnWork(now, reportedAt time.Time) {
+	if t.history == nil {
+		t.history = &policy.History{}
+	}
+	t.history.Record(now, int(t.live.InFlight.Load()))
+	t.ownInFlight = t.history.At(reportedAt)
+}
+
+// forgetLeaveWord lets traffic use an endpoint again that said it leaves and
+// has reported for a while that it does not.
+func (m *Manager) forgetLeaveWord(t *tracked, now time.Time) {
+	word := t.live.LastLeaveWord.Load()
+	if word != 0 && !m.leaves(t) && now.Sub(time.Unix(0, word)) > leaveHold {
+		t.live.LastLeaveWord.Store(0)
+	}
+}
+
 // endpointFailed counts a failure; several in a row make an endpoint unready.
 func (m *Manager) endpointFailed(ctx context.Context, t *tracked) {
 	t.failures++
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -108,6 +108,7 @@
 		Unready:       t.held || t.failures >= failuresToUnready,
 		ActiveVersion: t.version,
 		Demotion:      max(t.demotion, m.state.Demotion(t.instance.ID)),
+		OwnInFlight:   t.ownInFlight,
 		Running:       t.running,
 		Waiting:       t.waiting,
 		Slots:         t.slots,
--- a/internal/control/rounds.go
+++ b/internal/control/rounds.go
@@ -175,6 +175,7 @@
 			invalid = exchange.ErrInvalid.New("news of %q", news.GetFrom())
 			return
 		}
+		m.publishVersions(now)
 		reply = m.state.Reply(now, news)
 	})
 	if !ran {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -33,6 +33,7 @@
 	from     Progress
 	request  engine.CompletionRequest
 	expected int64
+	alone    bool
 	onPiece  func(engine.CompletionChoice) error
 }
 
@@ -47,13 +48,14 @@
 		from:     r.progress,
 		request:  body,
 		expected: int64(max(r.work.ExpectedTokens-r.progress.Tokens, 1)),
+		alone:    r.work.Alone,
 		onPiece:  onPiece,
 	}
 }
 
 // attempt carries a plan out.
-func (d *Dispatcher) attempt(ctx context.Context, fingerprint Fingerprint, p plan) attempt {
-	ended, err := d.options.Suspects.Begin(fingerprint, p.endpoint.ID)
+func (d *Dispatcher) attempt(ctx context.Context, call *Call, p plan) attempt {
+	ended, err := d.begin(ctx, call, p.alone, p.endpoint)
 	if err != nil {
 		return attempt{endpoint: p.endpoint, progress: p.from, err: err}
 	}
@@ -82,7 +84,7 @@
 	if !errorx.IsOfType(err, errRelay) {
 		d.observe(p.endpoint, err)
 	}
-	ended(endingOf(verdictOf(err)))
+	ended(err)
 	return attempt{endpoint: p.endpoint, progress: done, err: err}
 }
 
--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -82,11 +82,9 @@
 
 // admit waits until the work may start.
 func (d *Dispatcher) admit(ctx context.Context, call *Call, work *policy.Work) (func(), error) {
-	alone, err := d.options.Suspects.Check(call.Fingerprint)
-	if err != nil {
+	if _, err := d.options.Suspects.Check(call.Fingerprint); err != nil {
 		return nil, err
 	}
-	work.Alone = alone
 	leave, err := d.options.Policy.Admission.Enter(ctx, work)
 	if err != nil {
 		return nil, fromQueue(err)
@@ -108,7 +106,7 @@
 	reason := reasonFirst
 	for {
 		r.dropTooOld()
-		chosen, err := r.d.pick(ctx, r.work)
+		chosen, err := r.d.choose(ctx, r.call, r.work)
 		if err != nil {
 			return err
 		}
@@ -116,6 +114,13 @@
 		r.d.options.Metrics.Attempted(r.call.Class.Name, reason)
 		started := r.d.now()
 		result := r.race(ctx, chosen)
+		if errorx.IsOfType(result.err, ErrHeldBack) {
+			r.attempts--
+			if err := r.d.holdBack(ctx, r.work, result.err); err != nil {
+				return err
+			}
+			continue
+		}
 		r.take(result)
 		if result.err == nil && !r.progress.tooOld(r.minVersion()) {
 			r.d.options.Policy.Hedger.Observe(r.work, r.d.now().Sub(started))
@@ -131,7 +136,7 @@
 // take keeps what an attempt brought.
 func (r *completionRun) take(result attempt) {
 	r.progress = result.progress
-	if verdictOf(result.err).ran() && !errorx.IsOfType(result.err, request.ErrSuspect) {
+	if verdictOf(result.err).ran() {
 		r.ran = true
 	}
 	if result.err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/class"
@@ -15,6 +16,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/metrics"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
+	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
 // Observer is told what traffic sees of endpoints. Its methods do not block.
@@ -110,16 +112,38 @@
 // pollInterval is how often a request that finds no endpoint looks again.
 const pollInterval = 20 * time.Millisecond
 
+// choose checks what is known of the request by now and picks an endpoint.
+func (d *Dispatcher) choose(ctx context.Context, call *Call, work *policy.Work) (*endpoint.Endpoint, error) {
+	standing, err := d.options.Suspects.Check(call.Fingerprint)
+	if err != nil {
+		return nil, err
+	}
+	work.Alone = standing.Alone
+	return d.pick(ctx, work, standing.Avoid)
+}
+
+// holdGrace is how long after it was due a suspect is still held back.
+const holdGrace = 10 * time.Second
+
+// holdBack waits a little, so that a suspect that may not run now is tried
+// again, or fails with the reason when that has taken too long.
+func (d *Dispatcher) holdBack(ctx context.Context, work *policy.Work, reason error) error {
+	if !work.Patient && d.now().After(work.Deadline.Add(holdGrace)) {
+		return request.ErrRefused.Wrap(reason, "it could not run alone in time")
+	}
+	return sleep(ctx, pollInterval)
+}
+
 // pick chooses an endpoint; endpoints that were tried are taken again only when
 // no other is left. It waits for one until the work is due, and fails with
 // ErrNoEndpoint.
-func (d *Dispatcher) pick(ctx context.Context, work *policy.Work) (*endpoint.Endpoint, error) {
+func (d *Dispatcher) pick(ctx context.Context, work *policy.Work, avoid []string) (*endpoint.Endpoint, error) {
 	for {
-		chosen, err := d.pickNow(work)
+		chosen, err := d.pickNow(work, avoid)
 		if err == nil {
 			return chosen, nil
 		}
-		if !work.Patient && !d.now().Before(work.Deadline) {
+		if !work.Patient && !work.Alone && !d.now().Before(work.Deadline) {
 			return nil, err
 		}
 		if err := sleep(ctx, pollInterval); err != nil {
@@ -128,20 +152,21 @@
 	}
 }
 
-func (d *Dispatcher) pickNow(work *policy.Work) (*endpoint.Endpoint, error) {
+func (d *Dispatcher) pickNow(work *policy.Work, avoid []string) (*endpoint.Endpoint, error) {
 	endpoints := d.options.Snapshots.Load().Endpoints[work.Model]
 	if len(endpoints) == 0 {
 		return nil, errNoneServes(work.Model)
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if chosen, ok := d.options.Policy.Picker.Pick(endpoints, work, d.now(), random); ok {
+	candidate := *work
+	candidate.Tried = append(slices.Clone(work.Tried), avoid...)
+	if chosen, ok := d.options.Policy.Picker.Pick(endpoints, &candidate, d.now(), random); ok {
 		return chosen, nil
 	}
-	if len(work.Tried) > 0 {
-		work.Tried = nil
-		if chosen, ok := d.options.Policy.Picker.Pick(endpoints, work, d.now(), random); ok {
-			return chosen, nil
-		}
+	work.Tried = nil
+	candidate.Tried = avoid
+	if chosen, ok := d.options.Policy.Picker.Pick(endpoints, &candidate, d.now(), random); ok {
+		return chosen, nil
 	}
 	return nil, errNoneReady(work.Model)
 }
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -10,6 +10,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
+// Errors of the dispatch layer that do not leave it but by ErrHeldBack.
+var Errors = errorx.NewNamespace("dispatch")
+
 // noEndpointRetryAfter is when a caller should come back who found no endpoint.
 const noEndpointRetryAfter = time.Second
 
@@ -40,8 +43,6 @@
 // whether any attempt may have run.
 func final(err error, ran bool) error {
 	switch {
-	case errorx.IsOfType(err, request.ErrSuspect):
-		return err
 	case verdictOf(err) == verdictRejected:
 		return request.ErrInvalid.Wrap(err, "the endpoint rejected it")
 	case ran:
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -42,7 +42,7 @@
 func (r *completionRun) race(ctx context.Context, first *endpoint.Endpoint) attempt {
 	delay, hedge := r.hedgeDelay()
 	if !hedge {
-		return r.d.attempt(ctx, r.call.Fingerprint, r.plan(first, r.relay))
+		return r.d.attempt(ctx, r.call, r.plan(first, r.relay))
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -78,7 +78,7 @@
 	r := c.run
 	p := r.plan(chosen, func(piece engine.CompletionChoice) error { return c.relay(number, piece) })
 	go func() {
-		c.results <- numbered{attempt: r.d.attempt(ctx, r.call.Fingerprint, p), number: number}
+		c.results <- numbered{attempt: r.d.attempt(ctx, r.call, p), number: number}
 	}()
 }
 
@@ -102,7 +102,7 @@
 	}
 	other := *r.work
 	other.Tried = append(slices.Clone(r.work.Tried), first.ID)
-	chosen, err := r.d.pickNow(&other)
+	chosen, err := r.d.pickNow(&other, nil)
 	if err != nil || chosen.ID == first.ID || !r.d.options.Policy.Hedger.Take() {
 		return
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/event"
@@ -58,7 +60,7 @@
 func (r *serviceRun) loop(ctx context.Context) (*engine.ServiceAnswer, error) {
 	reason := reasonFirst
 	for {
-		chosen, err := r.d.pick(ctx, r.work)
+		chosen, err := r.d.choose(ctx, &r.request.Call, r.work)
 		if err != nil {
 			return nil, err
 		}
@@ -66,6 +68,13 @@
 		r.d.options.Metrics.Attempted(r.request.Class.Name, reason)
 		started := r.d.now()
 		result := r.race(ctx, chosen)
+		if errorx.IsOfType(result.err, ErrHeldBack) {
+			r.attempts--
+			if err := r.d.holdBack(ctx, r.work, result.err); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if result.err == nil {
 			r.d.options.Policy.Hedger.Observe(r.work, r.d.now().Sub(started))
 			return result.answer, nil
@@ -97,7 +106,7 @@
 // elsewhere once the first has taken long. The first whole answer counts.
 func (r *serviceRun) race(ctx context.Context, first *endpoint.Endpoint) serviceResult {
 	delay, hedge := r.d.options.Policy.Hedger.After(r.work)
-	if !hedge || !r.request.Idempotent {
+	if !hedge || !r.request.Idempotent || r.work.Alone {
 		return r.attempt(ctx, first)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -127,7 +136,7 @@
 func (r *serviceRun) second(ctx context.Context, first *endpoint.Endpoint) (*endpoint.Endpoint, bool) {
 	other := *r.work
 	other.Tried = append(slices.Clone(r.work.Tried), first.ID)
-	chosen, err := r.d.pickNow(&other)
+	chosen, err := r.d.pickNow(&other, nil)
 	if err != nil || chosen.ID == first.ID || !r.d.options.Policy.Hedger.Take() {
 		return nil, false
 	}
@@ -139,7 +148,7 @@
 
 // attempt makes one call at one endpoint.
 func (r *serviceRun) attempt(ctx context.Context, chosen *endpoint.Endpoint) serviceResult {
-	ended, err := r.d.options.Suspects.Begin(r.request.Fingerprint, chosen.ID)
+	ended, err := r.d.begin(ctx, &r.request.Call, r.work.Alone, chosen)
 	if err != nil {
 		return serviceResult{endpoint: chosen, err: err}
 	}
@@ -154,6 +163,6 @@
 		chosen.Live.ObserveCall(r.d.now().Sub(started))
 	}
 	r.d.observe(chosen, err)
-	ended(endingOf(verdictOf(err)))
+	ended(err)
 	return serviceResult{endpoint: chosen, answer: answer, err: err}
 }
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -1,8 +1,18 @@
 package dispatch
 
 import (
+	"context"
 	"crypto/sha256"
+	"errors"
+	"net"
 	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
 )
 
 // Fingerprint identifies the content of a request.
@@ -33,34 +43,81 @@
 	EndingOther
 )
 
+// Standing is what is known of a request before it is sent.
+type Standing struct {
+	// Alone: it is suspected, and must run with nothing beside it.
+	Alone bool
+	// Avoid lists endpoints on which it must not run.
+	Avoid []string
+}
+
 // Suspects finds requests that crash endpoints.
 type Suspects interface {
-	// Check fails with request.ErrSuspect when the request is convicted, and
-	// reports whether it must run alone.
-	Check(fingerprint Fingerprint) (alone bool, err error)
+	// Check fails with request.ErrSuspect when the request is convicted.
+	Check(fingerprint Fingerprint) (Standing, error)
 	// Begin is called before the request is sent to an endpoint; the returned
 	// function is called once, when it has ended there. It fails with
-	// request.ErrSuspect, or a retryable error while a suspect may not run.
-	Begin(fingerprint Fingerprint, endpointID string) (func(Ending), error)
+	// request.ErrSuspect, or with ErrHeldBack while a suspect may not run there.
+	Begin(ctx context.Context, fingerprint Fingerprint, endpointID string) (func(Ending), error)
+}
+
+// ErrHeldBack: a suspect may not run at this endpoint now; nothing was sent.
+var ErrHeldBack = Errors.NewType("held_back", errorx.Temporary())
+
+// begin asks for a request to run at an endpoint, and keeps others away from
+// there while one must run alone. The returned function tells how it ended.
+func (d *Dispatcher) begin(ctx context.Context, call *Call, alone bool, chosen *endpoint.Endpoint) (func(error), error) {
+	ended, err := d.options.Suspects.Begin(ctx, call.Fingerprint, chosen.ID)
+	if err != nil {
+		return nil, err
+	}
+	if alone {
+		chosen.Live.Reserved.Add(1)
+	}
+	return func(err error) {
+		if alone {
+			chosen.Live.Reserved.Add(-1)
+		}
+		ended(d.endingOf(ctx, chosen, err))
+	}, nil
 }
 
-// endingOf turns a verdict into an ending.
-func endingOf(v verdict) Ending {
-	switch v {
-	case verdictWhole, verdictRejected:
+// probeTimeout bounds the check whether an endpoint still listens.
+const probeTimeout = 500 * time.Millisecond
+
+// endingOf turns the end of a call into an ending. An endpoint counts as dead
+// when the connection broke and it refuses a new one.
+func (d *Dispatcher) endingOf(ctx context.Context, chosen *endpoint.Endpoint, err error) Ending {
+	switch v := verdictOf(err); {
+	case v == verdictWhole || v == verdictRejected:
 		return EndingSurvived
-	case verdictBroken:
+	case errorx.IsOfType(err, engine.ErrBroken) && refuses(ctx, chosen.Address):
 		return EndingDied
 	default:
 		return EndingOther
 	}
 }
 
+// refuses reports whether nobody listens at host:port.
+func refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = connection.Close()
+	return false
+}
+
 // NoSuspects suspects nothing.
 type NoSuspects struct{}
 
 // Check implements Suspects.
-func (NoSuspects) Check(Fingerprint) (bool, error) { return false, nil }
+func (NoSuspects) Check(Fingerprint) (Standing, error) { return Standing{}, nil }
 
 // Begin implements Suspects.
-func (NoSuspects) Begin(Fingerprint, string) (func(Ending), error) { return func(Ending) {}, nil }
+func (NoSuspects) Begin(context.Context, Fingerprint, string) (func(Ending), error) {
+	return func(Ending) {}, nil
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -52,6 +52,8 @@
 	InFlightTokens atomic.Int64
 	// Failures counts failures without a success in between.
 	Failures atomic.Int64
+	// Reserved is above zero while a request that must run alone is there.
+	Reserved atomic.Int64
 	// LastLeaveWord is the Unix time in nanoseconds of an answer by which the
 	// endpoint itself said that it leaves; zero is never.
 	LastLeaveWord atomic.Int64
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -30,6 +30,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/request"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/internal/step"
+	"github.com/comfreyfront/comfreyfront/internal/suspect"
 	"github.com/comfreyfront/comfreyfront/internal/traffic"
 )
 
@@ -57,6 +58,8 @@
 	dialer     *dialer
 	peerClient *http.Client
 	metrics    *metrics.Traffic
+	claimer    *claim.Router
+	suspects   *suspect.Registry
 	recorder   traffic.Recorder
 }
 
@@ -66,6 +69,11 @@
 	p := &parts{health: &health{snapshots: b.snapshots}}
 	p.owner = ownership.New(b.store, chosen.ID, ownership.Options{}, logger)
 	p.claims = claim.NewServer(b.store, p.owner, claim.Options{}, logger, b.registry)
+	b.claimer = claim.NewRouter(b.chosen.ID, p.claims, b.claimPeers,
+		func(peer claim.Peer) claim.Owner { return b.dialer.dial(peer.Address) }, claim.Options{}, b.logger)
+	b.suspects = suspect.NewRegistry(suspect.Options{
+		Exclusive: suspect.ClaimExclusive{Claimer: b.claimer, Self: b.chosen.ID},
+	}, b.logger, b.registry)
 	p.control = b.newControl(address)
 	dispatcher := b.newDispatcher(p)
 	p.steps = b.newSteps(p, dispatcher)
@@ -103,6 +111,7 @@
 		List:          listclient.New(listclient.Options{Address: b.chosen.ListAddress, ClientID: b.chosen.ID}),
 		Peers:         exchange.NewHTTPCaller(b.peerClient),
 		Loads:         control.NewHTTPLoads(&http.Client{Transport: engine.NewTransport()}),
+		Suspects:      b.suspects,
 		Snapshots:     b.snapshots,
 	}, b.logger, b.registry)
 }
@@ -122,7 +131,7 @@
 		Snapshots: b.snapshots,
 		Policy:    decisions,
 		Observer:  p.control.Observer(),
-		Suspects:  dispatch.NoSuspects{},
+		Suspects:  suspects{registry: b.suspects},
 		Metrics:   b.metrics,
 		Engines:   engine.NewClient(transport),
 		Services:  engine.NewServiceClient(transport, engine.NewSingleUseTransport()),
@@ -166,16 +175,14 @@
 		Dial:    func(peer control.Peer) peerpb.Peer { return b.dialer.dial(peer.Address) },
 		Logger:  b.logger,
 	})
-	claimer := claim.NewRouter(b.chosen.ID, p.claims, b.claimPeers,
-		func(peer claim.Peer) claim.Owner { return b.dialer.dial(peer.Address) }, claim.Options{}, b.logger)
 	return traffic.New(traffic.Options{
 		Snapshots:      b.snapshots,
 		Dispatcher:     dispatcher,
-		Claimer:        claimer,
+		Claimer:        b.claimer,
 		Metrics:        b.metrics,
 		Recorder:       b.recorder,
 		Steps:          router,
-		Rollouts:       http.NotFoundHandler(),
+		Rollouts:       b.newRollouts(p),
 		Ready:          p.health,
 		RequestTimeout: b.chosen.RequestTimeout,
 	}, b.logger)
--- /dev/null
+++ b/internal/entry/rollouts.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
+	"github.com/comfreyfront/comfreyfront/internal/rollout"
+)
+
+const (
+	// replicasTimeout bounds the question to the control goroutine.
+	replicasTimeout = time.Second
+	// loadRetry is the pause before accepted rollouts are read again.
+	loadRetry = 2 * time.Second
+)
+
+// newRollouts makes the desk that takes rollouts in and the carrier that
+// carries them out.
+func (b *builder) newRollouts(p *parts) *rollout.Desk {
+	desk := &rollout.Desk{Store: b.store, Control: p.control, Logger: b.logger, Spread: func(ctx context.Context, record rollout.Record) error {
+		return p.control.SpreadVersions(ctx, record.Model, record.Version, record.Floor)
+	}}
+	carrier := rollout.NewCarrier(rollout.Options{
+		Store:      b.store,
+		Owner:      p.owner,
+		Orders:     engine.NewOrderClient(engine.NewTransport()),
+		Control:    p.control,
+		Newest:     b.newestVersions,
+		Replicas:   func(model string) []rollout.Replica { return replicasOf(p.control, model) },
+		Best:       b.best,
+		Logger:     b.logger,
+		Registerer: b.registry,
+	})
+	p.runs = append(p.runs, carrier.Run, func(ctx context.Context) error { return b.loadRollouts(ctx, desk) })
+	return desk
+}
+
+func (b *builder) newestVersions() map[string]int64 {
+	newest := map[string]int64{}
+	for model, versions := range b.snapshots.Load().Versions {
+		newest[model] = versions.Newest
+	}
+	return newest
+}
+
+// best reports whether this entry has the first claim to a unit among the live
+// entries that are not leaving.
+func (b *builder) best(unit string) bool {
+	ranked := ownership.Rank(unit, b.stayingIDs())
+	return len(ranked) > 0 && ranked[0] == b.chosen.ID
+}
+
+func (b *builder) stayingIDs() []string {
+	var ids []string
+	for _, peer := range b.snapshots.Load().Peers {
+		if !peer.Leaving {
+			ids = append(ids, peer.ID)
+		}
+	}
+	return ids
+}
+
+func replicasOf(manager *control.Manager, model string) []rollout.Replica {
+	ctx, cancel := context.WithTimeout(context.Background(), replicasTimeout)
+	defer cancel()
+	var replicas []rollout.Replica
+	for _, e := range manager.Replicas(ctx, model) {
+		if e.Leaving {
+			continue
+		}
+		replicas = append(replicas, rollout.Replica{
+			ID:            e.ID,
+			Address:       e.Address,
+			Domain:        e.FailureDomain,
+			ChecksFence:   e.ChecksFence,
+			ActiveVersion: e.ActiveVersion,
+			ReportedAt:    e.ReportedAt,
+		})
+	}
+	return replicas
+}
+
+// loadRollouts reads accepted rollouts until that succeeds once; later ones are
+// told by peers.
+func (b *builder) loadRollouts(ctx context.Context, desk *rollout.Desk) error {
+	for {
+		err := desk.Load(ctx)
+		if err == nil || ctx.Err() != nil {
+			return nil
+		}
+		event.RolloutsUnread.Log(ctx, b.logger, slog.String("cause", err.Error()))
+		pause(ctx, loadRetry)
+	}
+}
--- a/internal/measure/entry.go
+++ b/internal/measure/entry.go
@@ -43,6 +43,7 @@
 	client    *http.Client
 	snapshots control.Snapshots
 	queue     *queue.Queue
+	mover     *policy.Mover // nil is none
 	classes   *class.Document
 	endpoints []endpoint.Endpoint
 	histories []policy.History
@@ -70,11 +71,14 @@
 	e.client = &http.Client{Transport: transport}
 	decisions, waiting := arm.New(e.domain)
 	e.queue = waiting
+	if waiting != nil {
+		e.mover = &policy.Mover{}
+	}
 	e.Dispatcher = dispatch.New(dispatch.Options{
 		Snapshots: &e.snapshots,
 		Policy:    decisions,
 		Observer:  deaf{},
-		Suspects:  trusting{},
+		Suspects:  dispatch.NoSuspects{},
 		Metrics:   metrics.NewTraffic(prometheus.NewRegistry()),
 		Engines:   engine.NewClient(transport),
 		Services:  engine.NewServiceClient(transport, transport),
@@ -175,12 +179,3 @@
 func (deaf) EndpointLeaving(string)  {}
 func (deaf) EndpointFailed(string)   {}
 func (deaf) EndpointAnswered(string) {}
-
-// trusting suspects nothing.
-type trusting struct{}
-
-func (trusting) Check(dispatch.Fingerprint) (bool, error) { return false, nil }
-
-func (trusting) Begin(dispatch.Fingerprint, string) (func(dispatch.Ending), error) {
-	return func(dispatch.Ending) {}, nil
-}
--- a/internal/policy/filter.go
+++ b/internal/policy/filter.go
@@ -18,6 +18,9 @@
 	if work.Alone && held(e) > 0 {
 		return false
 	}
+	if !work.Alone && e.Live.Reserved.Load() > 0 {
+		return false
+	}
 	return !slices.Contains(work.Tried, e.ID)
 }
 
