--- a/internal/step/aggregate.go
+++ b/internal/step/aggregate.go
@@ -21,7 +21,8 @@
 type slot struct {
 	id      wire.SampleID
 	state   sampleState
-	attempt int // rises with each start, so that late results are told apart
+	queued  bool // its position is in pending, perhaps left over
+	attempt int  // rises with each start, so that late results are told apart
 	cancel  context.CancelFunc
 	partial partial
 	sample  wire.Sample
@@ -50,7 +51,8 @@
 	order  Order
 	slots  []slot
 	groups []group
-	// pending holds the positions of waiting slots in starting order.
+	// pending holds the positions of waiting slots in starting order, and of
+	// some that wait no more.
 	pending []int
 	// reference is the version against which staleness is judged.
 	reference int64
@@ -88,7 +90,7 @@
 		s.groups = append(s.groups, group{first: len(s.slots), size: spec.Size})
 		for i := range spec.Size {
 			s.pending = append(s.pending, len(s.slots))
-			s.slots = append(s.slots, slot{id: wire.SampleID{Group: g, Index: i}})
+			s.slots = append(s.slots, slot{id: wire.SampleID{Group: g, Index: i}, queued: true})
 		}
 	}
 	s.counts[waiting] = len(s.slots)
@@ -114,9 +116,12 @@
 	s.count(g, slot.state, -1)
 	s.count(g, to, +1)
 	s.whole += btoi(g.whole()) - btoi(wasWhole)
-	s.leave(slot, at)
+	if slot.cancel != nil {
+		slot.cancel()
+		slot.cancel = nil
+	}
 	slot.state = to
-	if to == waiting {
+	if to == waiting && !slot.queued {
 		s.enqueue(at)
 	}
 }
@@ -131,24 +136,23 @@
 	}
 }
 
-// leave undoes what the present state of a slot needs.
-func (s *Step) leave(slot *slot, at int) {
-	switch slot.state {
-	case waiting:
-		if i := slices.Index(s.pending, at); i >= 0 {
-			s.pending = slices.Delete(s.pending, i, i+1)
-		}
-	case running:
-		if slot.cancel != nil {
-			slot.cancel()
-			slot.cancel = nil
-		}
-	}
-}
-
 func (s *Step) enqueue(at int) {
 	i, _ := slices.BinarySearchFunc(s.pending, at, s.compare)
 	s.pending = slices.Insert(s.pending, i, at)
+	s.slots[at].queued = true
+}
+
+// dequeue takes the first waiting slot out of pending; false when none waits.
+func (s *Step) dequeue() (int, bool) {
+	for len(s.pending) > 0 {
+		at := s.pending[0]
+		s.pending = s.pending[1:]
+		s.slots[at].queued = false
+		if s.slots[at].state == waiting {
+			return at, true
+		}
+	}
+	return 0, false
 }
 
 func btoi(b bool) int {
--- a/internal/step/exactly_once_test.go
+++ b/internal/step/exactly_once_test.go
@@ -30,7 +30,9 @@
 func TestEachSampleIsTakenExactlyOnce(t *testing.T) {
 	rapid.Check(t, func(check *rapid.T) {
 		inBubble(t, func() {
-			w := newWorld(func(s *Service) caller { return s }, trainer.NewAccount(testSpec, nil, 1))
+			restart := func(holds wire.Holdings) taker { return trainer.NewAccount(testSpec, holds, 1) }
+			w := newWorld(func(s *Service) caller { return s }, restart(nil))
+			w.restart = restart
 			defer w.stop()
 			check.Repeat(w.actions())
 			complete := w.finish()
--- a/internal/step/generation.go
+++ b/internal/step/generation.go
@@ -19,10 +19,10 @@
 // next starts the first waiting sample; false when none waits. Cancel ends its
 // generation when the step no longer wants it.
 func (s *Step) next(cancel context.CancelFunc) (start, bool) {
-	if len(s.pending) == 0 {
+	at, ok := s.dequeue()
+	if !ok {
 		return start{}, false
 	}
-	at := s.pending[0]
 	slot := &s.slots[at]
 	s.move(at, running)
 	slot.attempt++
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -64,6 +64,8 @@
 	jobs    []*job         // in order of entry and sample
 	nonces  map[string]int // generations by entry and sample
 	account taker
+	// restart makes the account of a trainer that goes on from what it holds.
+	restart func(wire.Holdings) taker
 	replies []wire.PullReply
 	// seen holds the first reply with samples to each pull, by process.
 	seen  map[string]string
@@ -326,6 +328,25 @@
 	}
 }
 
+// restartTrainer lets the trainer go on from a state in which it held only some
+// of its samples. Replies to its former process are lost with that.
+func (w *world) restartTrainer(keep int) {
+	var holds wire.Holdings
+	for g, group := range testSpec.Groups {
+		for i := range group.Size {
+			id := wire.SampleID{Group: g, Index: i}
+			if w.taken[id] > 0 && keep > 0 {
+				keep--
+				holds.Add(id)
+				continue
+			}
+			delete(w.taken, id)
+		}
+	}
+	w.replies = nil
+	w.account = w.restart(holds)
+}
+
 // lapse ends the lease; its holder may go on believing.
 func (w *world) lapse(knows bool) {
 	if w.outage {
@@ -420,6 +441,12 @@
 			}
 			w.trainer++
 		},
+		"trainer restarts": func(t *rapid.T) {
+			if w.restart == nil {
+				t.Skip("this trainer keeps nothing")
+			}
+			w.restartTrainer(rapid.IntRange(0, len(w.taken)).Draw(t, "held"))
+		},
 		"wait": func(*rapid.T) { <-time.After(time.Second); synctest.Wait() },
 	}
 }
