--- a/internal/rollout/carrier.go
+++ b/internal/rollout/carrier.go
@@ -65,10 +65,7 @@
 // look starts a pass for each unit that needs one and is this entry's.
 func (c *Carrier) look(ctx context.Context) {
 	for model, version := range c.options.Newest() {
-		for domain, replicas := range byDomain(c.options.Replicas(model)) {
-			if !c.options.Best(unitOf(model, domain)) {
-				continue
-			}
+		for domain, replicas := range c.mine(model) {
 			if u := c.claim(model, domain, version, replicas); u != nil {
 				c.work.Go(func() { c.pass(ctx, u, version, replicas) })
 			}
@@ -76,6 +73,23 @@
 	}
 }
 
+// mine returns the replicas of the failure domains that are this entry's.
+func (c *Carrier) mine(model string) map[string][]Replica {
+	best := map[string]bool{}
+	domains := map[string][]Replica{}
+	for _, r := range c.options.Replicas(model) {
+		mine, asked := best[r.Domain]
+		if !asked {
+			mine = c.options.Best(unitOf(model, r.Domain))
+			best[r.Domain] = mine
+		}
+		if mine {
+			domains[r.Domain] = append(domains[r.Domain], r)
+		}
+	}
+	return domains
+}
+
 func byDomain(replicas []Replica) map[string][]Replica {
 	domains := map[string][]Replica{}
 	for _, r := range replicas {
