Publish isolation when it sets in, and wait for peers after a freeze

Cause: two faults that the new fleet tests found. Change: reachability is compared with the published one each round; the clock is checked at each wake of the control goroutine, and after a gap peers count as reachable for the time they have to answer. Also here: fleets of up to seven entries on a fake clock under faults.

--- /dev/null
+++ b/internal/control/config_test.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/config"
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+)
+
+func TestChangeSpreadsWithTheServiceDownRightAfterTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		first := f.start("entry0", f.memory)
+		var others []*Manager
+		for _, id := range []string{"entry1", "entry2", "entry3", "entry4", "entry5"} {
+			view := f.memory.View()
+			others = append(others, f.start(id, view))
+			time.AfterFunc(3*time.Second, func() { view.SetDown(true) })
+		}
+		elapse(4 * time.Second)
+		_, err := first.Apply(t.Context(), change("a", 0, time.Second))
+		require.NoError(t, err)
+		f.memory.SetDown(true)
+		elapse(inForce)
+		requireRevision(t, 1, others...)
+		late := f.start("entry6", f.memory)
+		elapse(inForce)
+		requireRevision(t, 1, late)
+		snapshot, confirmed := late.Snapshots().Confirmed(t.Context(), time.Now)
+		require.True(t, confirmed, "peers confirm each other in the outage")
+		require.False(t, snapshot.StoreReachable)
+	})
+}
+
+func TestRevisionNeverFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		m := f.start("entry0", f.memory)
+		_, err := m.Apply(t.Context(), change("a", 0, time.Second))
+		require.NoError(t, err)
+		value, err := f.memory.Get(t.Context(), config.Key)
+		require.NoError(t, err)
+		require.NoError(t, f.memory.Delete(t.Context(), config.Key, value.Revision))
+		f.memory.Compact()
+		elapse(time.Minute)
+		requireRevision(t, 1, m)
+	})
+}
+
+func TestRacingOperatorsOnTwoEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		all := f.size(3)
+		elapse(time.Second)
+		errs := make(chan error, 2)
+		go func() { _, err := all[0].Apply(t.Context(), change("a", 0, time.Second)); errs <- err }()
+		go func() { _, err := all[1].Apply(t.Context(), change("b", 0, time.Minute)); errs <- err }()
+		one, two := <-errs, <-errs
+		if one == nil {
+			one, two = two, one
+		}
+		require.NoError(t, two)
+		require.True(t, errorx.IsOfType(one, config.ErrConflict), "%v", one)
+		elapse(inForce)
+		requireRevision(t, 1, all...)
+	})
+}
+
+// TestThawedEntryWaitsForConfirmation freezes an entry a minute: nothing
+// reaches it, its clock jumps, and a change is accepted meanwhile.
+func TestThawedEntryWaitsForConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		view := f.memory.View()
+		var frozen atomic.Bool
+		var thawedBy atomic.Int64
+		options := f.options("entry0", view)
+		options.Now = func() time.Time {
+			if frozen.Load() {
+				return time.Unix(0, thawedBy.Load())
+			}
+			return time.Now()
+		}
+		m := f.run(New(options, slog.New(slog.DiscardHandler), nil))
+		peer := f.start("entry1", f.memory)
+		f.start("entry2", f.memory)
+		elapse(3 * time.Second)
+		_, confirmed := m.Snapshots().Confirmed(t.Context(), options.Now)
+		require.True(t, confirmed)
+
+		thawedBy.Store(time.Now().UnixNano())
+		frozen.Store(true)
+		view.SetDown(true)
+		f.with(func() { f.cut["entry0"] = true })
+		_, err := peer.Apply(t.Context(), change("a", 0, time.Second))
+		require.NoError(t, err)
+		elapse(time.Minute)
+		requireRevision(t, 0, m)
+
+		f.with(func() { f.cut["entry0"] = false })
+		frozen.Store(false)
+		wait, cancel := context.WithTimeout(t.Context(), inForce)
+		defer cancel()
+		snapshot, confirmed := m.Snapshots().Confirmed(wait, options.Now)
+		require.True(t, confirmed)
+		require.EqualValues(t, 1, snapshot.Classes.Revision)
+	})
+}
+
+func TestIsolatedEntrySaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		view := f.memory.View()
+		m := f.start("entry0", view)
+		f.start("entry1", f.memory)
+		elapse(3 * time.Second)
+		_, err := m.Apply(t.Context(), change("a", 0, time.Second))
+		require.NoError(t, err)
+		view.SetDown(true)
+		f.with(func() { f.cut["entry0"] = true })
+		elapse(10 * time.Second)
+		snapshot, confirmed := m.Snapshots().Confirmed(t.Context(), time.Now)
+		require.False(t, confirmed)
+		require.True(t, snapshot.Isolated())
+		require.EqualValues(t, 1, snapshot.Classes.Revision, "it goes on with the classes that it has")
+		f.with(func() { f.cut["entry0"] = false })
+		elapse(6 * time.Second)
+		_, confirmed = m.Snapshots().Confirmed(t.Context(), time.Now)
+		require.True(t, confirmed)
+	})
+}
+
+func TestWatchesAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		view := f.memory.View()
+		f.start("entry0", view)
+		f.start("entry1", f.memory)
+		elapse(10 * time.Second)
+		before := view.Calls()
+		elapse(200 * time.Second)
+		after := view.Calls()
+		require.LessOrEqual(t, after.Watches-before.Watches, int64(11), "one long watch at a time")
+		require.Equal(t, before.Reads, after.Reads)
+	})
+}
--- /dev/null
+++ b/internal/control/endpoint_test.go
@@ -0,0 +1,260 @@
+package control
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+)
+
+// leaveTime is the time within which a leaving endpoint gets no new work.
+const leaveTime = 3 * time.Second
+
+func replica(i int) platform.Instance {
+	id := fmt.Sprint("replica", i)
+	return platform.Instance{ID: id, Kind: platform.KindEngine, Address: id, FailureDomain: "larissa", Region: "greece", Serves: "drafts"}
+}
+
+func (f *fleet) replicas(n int) {
+	f.with(func() {
+		for i := range n {
+			f.instances = append(f.instances, replica(i))
+		}
+	})
+}
+
+func (f *fleet) unlist(id string) {
+	f.with(func() {
+		var kept []platform.Instance
+		for _, instance := range f.instances {
+			if instance.ID != id {
+				kept = append(kept, instance)
+			}
+		}
+		f.instances = kept
+	})
+}
+
+func find(m *Manager, id string) *endpoint.Endpoint {
+	for _, e := range m.Snapshots().Load().Endpoints["drafts"] {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func TestLeavingEndpointIsKnownEverywhere(t *testing.T) {
+	words := map[string]func(*fleet, []*Manager){
+		"its own load report": func(f *fleet, _ []*Manager) {
+			f.with(func() { f.reports["replica3"] = engine.LoadReport{Leaving: true} })
+		},
+		"its answer to one entry": func(_ *fleet, all []*Manager) { all[2].Observer().EndpointLeaving("replica3") },
+		"the list": func(f *fleet, _ []*Manager) {
+			f.with(func() {
+				for i := range f.instances {
+					f.instances[i].Leaving = f.instances[i].Leaving || f.instances[i].ID == "replica3"
+				}
+			})
+		},
+	}
+	for name, say := range words {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.stop()
+				f.replicas(9)
+				all := f.size(6)
+				elapse(3 * time.Second)
+				require.False(t, find(all[0], "replica3").Leaving)
+				say(f, all)
+				elapse(leaveTime)
+				for _, m := range all {
+					require.True(t, find(m, "replica3").Leaving, m.options.ID)
+					require.False(t, find(m, "replica4").Leaving)
+				}
+			})
+		})
+	}
+}
+
+func TestEndpointThatCameBackGetsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(3)
+		all := f.size(2)
+		elapse(3 * time.Second)
+		all[0].Observer().EndpointLeaving("replica1")
+		elapse(leaveTime)
+		require.True(t, find(all[1], "replica1").Leaving)
+		elapse(2 * leaveHold)
+		require.False(t, find(all[1], "replica1").Leaving, "its own reports deny it")
+	})
+}
+
+func TestListOutageChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(3)
+		m := f.start("entry0", f.memory)
+		elapse(3 * time.Second)
+		live := find(m, "replica0").Live
+		f.with(func() { f.listErr = platform.ErrUnavailable.New("down") })
+		elapse(time.Minute)
+		require.Len(t, m.Snapshots().Load().Endpoints["drafts"], 3)
+		f.with(func() { f.listErr = nil })
+		elapse(time.Minute)
+		require.Same(t, live, find(m, "replica0").Live, "live numbers survive snapshots")
+	})
+}
+
+func TestUnlistedEndpointStaysWhileItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(3)
+		m := f.start("entry0", f.memory)
+		elapse(3 * time.Second)
+		f.unlist("replica1")
+		elapse(time.Minute)
+		require.NotNil(t, find(m, "replica1"))
+		f.with(func() { f.silent["replica1"] = true })
+		elapse(10 * time.Second)
+		require.Nil(t, find(m, "replica1"))
+	})
+}
+
+func TestSilentEndpointIsUnreadyUntilItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(2)
+		m := f.start("entry0", f.memory)
+		elapse(3 * time.Second)
+		f.with(func() { f.silent["replica1"] = true })
+		elapse(5 * time.Second)
+		require.True(t, find(m, "replica1").Unready)
+		f.with(func() { f.silent["replica1"] = false })
+		elapse(5 * time.Second)
+		require.False(t, find(m, "replica1").Unready)
+	})
+}
+
+// fixedJudge demotes one endpoint.
+type fixedJudge struct{}
+
+func (fixedJudge) Decide([]policy.Sample, time.Time) map[string]float64 {
+	return map[string]float64{"replica1": 0.5}
+}
+
+func TestDemotionReachesPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(3)
+		options := f.options("entry0", f.memory)
+		options.NewJudge = func() Judge { return fixedJudge{} }
+		f.run(New(options, slog.New(slog.DiscardHandler), nil))
+		peer := f.start("entry1", f.memory)
+		elapse(10 * time.Second)
+		require.Equal(t, 0.5, find(peer, "replica1").Demotion)
+		require.Zero(t, find(peer, "replica0").Demotion)
+	})
+}
+
+func TestVersionsAndReadinessArePublished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(2)
+		all := f.size(3)
+		elapse(3 * time.Second)
+		all[0].SetVersions(t.Context(), "drafts", 7, 5)
+		all[0].SetUnready(t.Context(), "replica0", true)
+		elapse(2 * time.Second)
+		require.Equal(t, Versions{Newest: 7, Floor: 5}, all[2].Snapshots().Load().Versions["drafts"])
+		require.True(t, find(all[0], "replica0").Unready)
+	})
+}
+
+func TestLeavingEntryIsNoPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		all := f.size(3)
+		elapse(3 * time.Second)
+		all[0].Leave(t.Context())
+		elapse(2 * time.Second)
+		require.Len(t, all[1].Snapshots().Load().Peers, 2)
+	})
+}
+
+func TestDeadEntryIsNoPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		all := f.size(6)
+		elapse(3 * time.Second)
+		f.with(func() { f.cut["entry0"] = true })
+		elapse(15 * time.Second)
+		for _, m := range all[1:] {
+			require.Len(t, m.Snapshots().Load().Peers, 5)
+		}
+		f.with(func() { f.cut["entry0"] = false })
+		elapse(10 * time.Second)
+		for _, m := range all {
+			require.Len(t, m.Snapshots().Load().Peers, 6, "healed")
+		}
+	})
+}
+
+func TestObserverNeverBlocks(t *testing.T) {
+	m := New(Options{ID: "entry0", Snapshots: &Snapshots{}}, slog.New(slog.DiscardHandler), nil)
+	for range observationBuffer + 5 {
+		m.Observer().EndpointFailed("replica0")
+	}
+	require.Equal(t, 5.0, testutil.ToFloat64(m.metrics.dropped))
+}
+
+func TestEveryEndpointHasFollowers(t *testing.T) {
+	const domains, entriesOfDomain, endpointsOfDomain, followers = 4, 6, 100, 4
+	var names []entryName
+	for i := range domains * entriesOfDomain {
+		id := fmt.Sprint("entry", i)
+		names = append(names, entryName{id: id, domain: fmt.Sprint("domain", i%domains), hash: hashOf(id)})
+	}
+	groups := newEntryGroups(names)
+	for i := range domains * endpointsOfDomain {
+		instance := platform.Instance{ID: fmt.Sprint("replica", i), FailureDomain: fmt.Sprint("domain", i%domains)}
+		followed := 0
+		for _, name := range names {
+			if groups.among(name.id, instance, followers) {
+				require.Equal(t, instance.FailureDomain, name.domain)
+				followed++
+			}
+		}
+		require.Equal(t, followers, followed)
+	}
+}
+
+func FuzzDecodeLoad(f *testing.F) {
+	for _, seed := range []string{"", "{}", `{"running":-1}`, `{"running":3,"slots":8,"leaving":true,"reported_at":"2026-01-01T00:00:00Z"}`, `[]`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		report, err := decodeLoad(data)
+		if err == nil {
+			require.GreaterOrEqual(t, report.Running, 0)
+		}
+	})
+}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -99,9 +99,14 @@
 	}
 }
 
-// start runs an entry; the list names it from then on.
+// start runs an entry with the usual options.
 func (f *fleet) start(id string, store platform.Store) *Manager {
-	m := New(f.options(id, store), slog.New(slog.DiscardHandler), nil)
+	return f.run(New(f.options(id, store), slog.New(slog.DiscardHandler), nil))
+}
+
+// run runs an entry; the list names it from then on.
+func (f *fleet) run(m *Manager) *Manager {
+	id := m.options.ID
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.mu.Lock()
 	f.managers[id], f.stops[id] = m, cancel
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -37,7 +37,7 @@
 	entries    map[string]platform.Instance // entries of the list, but this one
 	judges     map[string]Judge
 	random     *rand.Rand
-	lastTick   time.Time
+	lastWake   time.Time
 	epoch      int // rises with each gap of the clock
 	running    map[string]bool
 	heard      map[string]time.Time // peers that answered since the last confirmation
@@ -119,20 +119,20 @@
 	defer rounds.Stop()
 	flush := time.NewTicker(flushInterval)
 	defer flush.Stop()
-	m.lastTick = m.options.Now()
-	m.publish(m.lastTick)
+	m.lastWake = m.options.Now()
+	m.publish(m.lastWake)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case in := <-m.inputs:
-			in.apply(ctx, m, m.options.Now())
+			in.apply(ctx, m, m.wake(ctx))
 		case in := <-m.observations:
-			in.apply(ctx, m, m.options.Now())
+			in.apply(ctx, m, m.wake(ctx))
 		case <-rounds.C:
-			m.tick(ctx, m.options.Now())
+			m.tick(ctx, m.wake(ctx))
 		case <-flush.C:
-			m.flush(m.options.Now())
+			m.flush(m.wake(ctx))
 		}
 		if m.dirty.urgent {
 			m.publish(m.options.Now())
@@ -140,13 +140,20 @@
 	}
 }
 
-// tick is one round.
-func (m *Manager) tick(ctx context.Context, now time.Time) {
-	gap := now.Sub(m.lastTick)
-	m.lastTick = now
+// wake reads the clock. A gap since the last reading shows that the process was
+// frozen; that is dealt with before anything else.
+func (m *Manager) wake(ctx context.Context) time.Time {
+	now := m.options.Now()
+	gap := now.Sub(m.lastWake)
+	m.lastWake = now
 	if gap >= clockGap {
 		m.thawed(ctx, now, gap)
 	}
+	return now
+}
+
+// tick is one round.
+func (m *Manager) tick(ctx context.Context, now time.Time) {
 	m.state.Tick(now)
 	m.judge(now)
 	m.round(ctx, now, m.options.RoundPeers)
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -78,7 +78,7 @@
 const (
 	// flushInterval is how long changes that are not urgent are gathered.
 	flushInterval = 50 * time.Millisecond
-	// clockGap is the time between two ticks from which on the process is taken
+	// clockGap is the time between two wakings from which on the process is taken
 	// to have been frozen.
 	clockGap = 2 * time.Second
 	// exchangeTimeout bounds one exchange with a peer.
--- a/internal/control/rounds.go
+++ b/internal/control/rounds.go
@@ -143,16 +143,21 @@
 }
 
 // thawed follows a gap of the clock: what was known may be old, and peers that
-// seemed not to answer are not to blame.
+// seemed not to answer are not to blame. Until they had time to answer they
+// count as reachable, so that traffic waits for them to confirm the classes.
 func (m *Manager) thawed(ctx context.Context, now time.Time, gap time.Duration) {
 	event.ClockGap.Log(ctx, m.logger, slog.Duration("gap", gap))
 	m.epoch++
 	clear(m.heard)
+	m.peerAt = now
 	m.round(ctx, now, confirmQuorum+1)
 }
 
-// reviewMembers notices peers that came or went.
+// reviewMembers notices peers that came, went or fell silent.
 func (m *Manager) reviewMembers(now time.Time) {
+	if m.peersReachable(now) != m.options.Snapshots.Load().PeersReachable {
+		m.dirty.any, m.dirty.urgent = true, true
+	}
 	live := m.state.Live(now)
 	m.alone.Store(len(live) == 0)
 	signature := uint64(len(live))
