Report each class against its targets in a screenful of a phone

Cause: a travelling operator must see whether targets are met, what was done and what to do. Change: a recorder with a one-minute window, digests of all entries through the exchange, plain text under 25 lines of 45 columns and a small page. It says when entries were not heard, the store is unreachable or classes are unconfirmed. Found on the way: 99.9% was written as 99.900000% when the share came from 0.999; TestCompletenessTextIsShort failed before. Conclusion: golden files for five states, one with 64 classes.

--- a/internal/class/decode_test.go
+++ b/internal/class/decode_test.go
@@ -142,6 +142,12 @@
 	})
 }
 
+func TestCompletenessTextIsShort(t *testing.T) {
+	for share, want := range map[float64]string{0.999: "99.9%", 0.95: "95%", 1: "100%", 0.99995: "99.995%", 1e-8: "0.000001%"} {
+		require.Equal(t, want, Class{Completeness: share}.CompletenessText())
+	}
+}
+
 func TestDiff(t *testing.T) {
 	a, err := Decode([]byte(good))
 	require.NoError(t, err)
--- a/internal/class/encode.go
+++ b/internal/class/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -60,12 +61,16 @@
 // maxDecimals is the number of decimals that a completeness can have.
 const maxDecimals = 6
 
+// shareTolerance is the difference below which two shares are the same, far
+// below the last decimal.
+const shareTolerance = 1e-12
+
 // percentText renders a share as the shortest percentage that reads back as
 // the same share.
 func percentText(share float64) string {
 	for digits := 0; digits <= maxDecimals; digits++ {
 		text := strconv.FormatFloat(share*percent, 'f', digits, 64)
-		if parsed, err := strconv.ParseFloat(text, 64); err == nil && parsed/percent == share {
+		if parsed, err := strconv.ParseFloat(text, 64); err == nil && math.Abs(parsed/percent-share) < shareTolerance {
 			return text
 		}
 	}
--- /dev/null
+++ b/internal/report/build.go
@@ -0,0 +1,171 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/exchange"
+)
+
+// heardLately is how old an entry's figures may be to count as known.
+const heardLately = Window
+
+// Status says whether a class meets its targets.
+type Status string
+
+// The statuses, the most urgent first.
+const (
+	Missed Status = "MISSED"
+	Met    Status = "met"
+	Idle   Status = "no work"
+	// NotKnown: no entry's figures were heard.
+	NotKnown Status = "not known"
+)
+
+// ClassReport is one class over all entries that were heard.
+type ClassReport struct {
+	Class  class.Class
+	Status Status
+	// Share is what was answered whole in time of all, 0 to 1.
+	Share float64
+	// Requests, Late, NotRun, Unknown, Retries and Hedges are counts over Window.
+	Requests, Late, NotRun, Unknown, Retries, Hedges int64
+	// WorstP50 and WorstP99 are the largest of any entry.
+	WorstP50, WorstP99 time.Duration
+	// Advice is what the operator could do now; empty when nothing is needed.
+	Advice string
+}
+
+// ModelReport is the weight versions of one model's followed endpoints.
+type ModelReport struct {
+	Model string
+	// Newest is the version that the newest rollout brings; zero is not known.
+	Newest int64
+	// AtNewest, Serving and Total count endpoints.
+	AtNewest, Serving, Total int
+}
+
+// Report is the state of the fleet as one entry knows it.
+type Report struct {
+	At       time.Time
+	Revision int64
+	// Heard of Entries gave their figures lately.
+	Heard, Entries int
+	StoreDown      bool
+	// Unconfirmed: the classes may not be the newest.
+	Unconfirmed bool
+	Demoted     int64
+	Classes     []ClassReport
+	Models      []ModelReport
+}
+
+// Build makes a report from a snapshot and the digests of all entries.
+func Build(now time.Time, snapshot *control.Snapshot, digests []exchange.Digest) Report {
+	digests = slices.DeleteFunc(slices.Clone(digests), func(d exchange.Digest) bool {
+		return d.Age > heardLately || !isLive(snapshot, d.News.Entry)
+	})
+	r := Report{
+		At:          now,
+		Revision:    snapshot.Classes.Revision,
+		Heard:       heard(digests),
+		Entries:     len(snapshot.Peers),
+		StoreDown:   !snapshot.StoreReachable,
+		Unconfirmed: !snapshot.Fresh(now),
+		Demoted:     demoted(snapshot),
+		Models:      models(snapshot),
+	}
+	for _, c := range snapshot.Classes.Precedence() {
+		r.Classes = append(r.Classes, classReport(c, digests))
+	}
+	slices.SortStableFunc(r.Classes, func(a, b ClassReport) int { return cmp.Compare(urgency(a.Status), urgency(b.Status)) })
+	return r
+}
+
+func urgency(s Status) int {
+	return slices.Index([]Status{Missed, NotKnown, Met, Idle}, s)
+}
+
+func isLive(snapshot *control.Snapshot, entry string) bool {
+	return slices.ContainsFunc(snapshot.Peers, func(p control.Peer) bool { return p.ID == entry })
+}
+
+func heard(digests []exchange.Digest) int {
+	entries := map[string]bool{}
+	for _, d := range digests {
+		entries[d.News.Entry] = true
+	}
+	return len(entries)
+}
+
+func classReport(c class.Class, digests []exchange.Digest) ClassReport {
+	r := ClassReport{Class: c, Status: NotKnown}
+	var inTime, answered int64
+	for _, d := range digests {
+		if d.News.Class != c.Name {
+			continue
+		}
+		r.Status = Idle
+		answered += d.News.Answered
+		inTime += d.News.InTime
+		r.NotRun += d.News.NotRun
+		r.Unknown += d.News.Unknown
+		r.Retries += d.News.Retries
+		r.Hedges += d.News.Hedges
+		r.WorstP50 = max(r.WorstP50, time.Duration(d.News.P50Ms)*time.Millisecond)
+		r.WorstP99 = max(r.WorstP99, time.Duration(d.News.P99Ms)*time.Millisecond)
+	}
+	r.Requests, r.Late = answered+r.NotRun+r.Unknown, answered-inTime
+	if r.Requests > 0 {
+		r.Share = float64(inTime) / float64(r.Requests)
+		r.Status = statusOf(r.Share, c.Completeness)
+	}
+	r.Advice = advise(r)
+	return r
+}
+
+func statusOf(share, target float64) Status {
+	if share >= target {
+		return Met
+	}
+	return Missed
+}
+
+// advise names the largest cause of a missed target and what helps against it.
+func advise(r ClassReport) string {
+	if r.Status != Missed {
+		return ""
+	}
+	switch max(r.Late, r.NotRun, r.Unknown) {
+	case r.Unknown:
+		return "replace endpoints that die"
+	case r.NotRun:
+		return "add endpoints or lower completeness"
+	default:
+		return "add endpoints or allow more lateness"
+	}
+}
+
+func models(snapshot *control.Snapshot) []ModelReport {
+	var all []ModelReport
+	for model, endpoints := range snapshot.Endpoints {
+		m := ModelReport{Model: model, Newest: snapshot.Versions[model].Newest, Total: len(endpoints)}
+		versioned := m.Newest > 0
+		for _, e := range endpoints {
+			versioned = versioned || e.ActiveVersion > 0
+			if !e.Leaving && !e.Unready {
+				m.Serving++
+			}
+			if e.ActiveVersion >= m.Newest && m.Newest > 0 {
+				m.AtNewest++
+			}
+		}
+		if versioned || m.Serving < m.Total {
+			all = append(all, m)
+		}
+	}
+	slices.SortFunc(all, func(a, b ModelReport) int { return cmp.Compare(a.Model, b.Model) })
+	return all
+}
--- /dev/null
+++ b/internal/report/publisher.go
@@ -0,0 +1,55 @@
+package report
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+)
+
+// Times between two digests: a base, and more for each peer, so that the
+// exchange of a large fleet keeps up.
+const (
+	digestInterval        = 2 * time.Second
+	digestIntervalPerPeer = 100 * time.Millisecond
+)
+
+// DigestSetter takes this entry's figures; control.Manager is one.
+type DigestSetter interface {
+	SetDigests(ctx context.Context, digests []*peerpb.ClassDigest)
+}
+
+// Publish hands the recorder's digests to the control goroutine until the
+// context ends.
+func Publish(ctx context.Context, recorder *Recorder, snapshots *control.Snapshots, setter DigestSetter) error {
+	for {
+		snapshot := snapshots.Load()
+		digests := recorder.Digests(snapshot.Classes)
+		demotions := demoted(snapshot)
+		for _, digest := range digests {
+			digest.Demotions = demotions
+		}
+		setter.SetDigests(ctx, digests)
+		timer := time.NewTimer(digestInterval + time.Duration(len(snapshot.Peers))*digestIntervalPerPeer)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// demoted counts the endpoints that get less work for being slow.
+func demoted(snapshot *control.Snapshot) int64 {
+	var count int64
+	for _, endpoints := range snapshot.Endpoints {
+		for _, e := range endpoints {
+			if e.Demotion > 0 {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,167 @@
+package report
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/exchange"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func hydrometra() *control.Snapshot {
+	d := &class.Document{Revision: 12, Classes: []class.Class{
+		{Name: "lookups", Lateness: 800 * time.Millisecond, Completeness: 0.995},
+		{Name: "drafts", Lateness: 28 * time.Minute, Freshness: class.Freshness{Versions: 2}, Completeness: 0.95},
+		{Name: "updates", Lateness: 2 * time.Second, Completeness: 0.999},
+	}}
+	s := &control.Snapshot{Classes: d, ConfirmedAt: noon, StoreReachable: true, Versions: map[string]control.Versions{"drafting": {Newest: 8}}, Endpoints: map[string][]*endpoint.Endpoint{}}
+	for i := range 6 {
+		s.Peers = append(s.Peers, control.Peer{ID: fmt.Sprint("entry", i)})
+	}
+	for i := range 9 {
+		s.Endpoints["drafting"] = append(s.Endpoints["drafting"], &endpoint.Endpoint{ActiveVersion: int64(7 + i%2), Unready: i == 0})
+	}
+	return s
+}
+
+func digests(entries int, of func(entry int) *peerpb.ClassDigest) []exchange.Digest {
+	var all []exchange.Digest
+	for i := range entries {
+		news := of(i)
+		news.Entry = fmt.Sprint("entry", i)
+		all = append(all, exchange.Digest{News: news, Age: time.Second})
+	}
+	return all
+}
+
+func lookups(inTime int64) func(int) *peerpb.ClassDigest {
+	return func(entry int) *peerpb.ClassDigest {
+		return &peerpb.ClassDigest{Class: "lookups", Answered: 1000, InTime: inTime, Retries: 2, Hedges: 30, P50Ms: 60, P99Ms: 200 + int64(entry)}
+	}
+}
+
+func quiet(name string) func(int) *peerpb.ClassDigest {
+	return func(int) *peerpb.ClassDigest { return &peerpb.ClassDigest{Class: name} }
+}
+
+func scenarios() map[string]Report {
+	calm := append(append(digests(6, lookups(1000)), digests(6, quiet("updates"))...), digests(6, quiet("drafts"))...)
+	overload := append(digests(6, lookups(990)), digests(6, func(int) *peerpb.ClassDigest {
+		return &peerpb.ClassDigest{Class: "drafts", Answered: 80, InTime: 80, NotRun: 20, P99Ms: 100000}
+	})...)
+	overload = append(overload, digests(6, func(int) *peerpb.ClassDigest {
+		return &peerpb.ClassDigest{Class: "updates", Answered: 90, InTime: 90, Unknown: 2, P99Ms: 40}
+	})...)
+	cut := hydrometra()
+	cut.StoreReachable, cut.ConfirmedAt = false, noon.Add(-time.Hour)
+	cut.Endpoints["drafting"][3].Demotion = 0.5
+	many := hydrometra()
+	many.Classes.Classes = nil
+	var crowd []exchange.Digest
+	for i := range class.MaxClasses {
+		name := fmt.Sprintf("class-with-quite-a-long-name-%02d", i)
+		many.Classes.Classes = append(many.Classes.Classes, class.Class{Name: name, Lateness: 1500 * time.Millisecond, Completeness: 0.999})
+		crowd = append(crowd, digests(6, func(int) *peerpb.ClassDigest {
+			return &peerpb.ClassDigest{Class: name, Answered: 1234567, InTime: 1, NotRun: 1234, Unknown: 5, Retries: 99999, Hedges: 77777, P99Ms: 123456}
+		})...)
+	}
+	for i := range 9 {
+		many.Endpoints[fmt.Sprintf("a-model-with-quite-a-long-name-%d", i)] = many.Endpoints["drafting"]
+	}
+	empty := &control.Snapshot{Classes: &class.Document{}}
+	return map[string]Report{
+		"calm":     Build(noon, hydrometra(), calm),
+		"overload": Build(noon, hydrometra(), overload),
+		"cut":      Build(noon, cut, digests(2, lookups(1000))),
+		"many":     Build(noon, many, crowd),
+		"empty":    Build(noon, empty, nil),
+	}
+}
+
+func TestReportsAreGoldenAndFitAPhone(t *testing.T) {
+	for name, r := range scenarios() {
+		for ending, content := range map[string]string{"txt": r.Text(), "html": r.HTML()} {
+			path := filepath.Join("testdata", name+"."+ending)
+			if *update {
+				require.NoError(t, os.WriteFile(path, []byte(content), 0o644))
+			}
+			want, err := os.ReadFile(path)
+			require.NoError(t, err)
+			require.Equal(t, string(want), content, path)
+		}
+		lines := strings.Split(strings.TrimSuffix(r.Text(), "\n"), "\n")
+		require.Less(t, len(lines), 25, name)
+		for _, line := range lines {
+			require.LessOrEqual(t, utf8.RuneCountInString(line), 45, line)
+		}
+	}
+}
+
+func TestReportSaysWhatIsNotKnown(t *testing.T) {
+	cut := scenarios()["cut"]
+	require.Equal(t, 2, cut.Heard)
+	require.Contains(t, cut.Text(), "4 entries not heard")
+	require.Contains(t, cut.Text(), "store unreachable")
+	require.Contains(t, cut.Text(), "unconfirmed")
+	require.Contains(t, cut.Text(), "not known: drafts")
+	stale := digests(6, lookups(1000))
+	for i := range stale {
+		stale[i].Age = heardLately + time.Second
+	}
+	require.Equal(t, NotKnown, Build(noon, hydrometra(), stale).Classes[0].Status)
+}
+
+func TestPageEscapesNames(t *testing.T) {
+	s := hydrometra()
+	s.Endpoints["<script>"] = s.Endpoints["drafting"]
+	require.NotContains(t, Build(noon, s, nil).HTML(), "<script>")
+}
+
+func TestRecorderWindow(t *testing.T) {
+	now := noon
+	r := NewRecorder(func() time.Time { return now })
+	d := hydrometra().Classes
+	for i := range 100 {
+		r.Observe(Observation{Class: "lookups", Outcome: request.Answered, Took: time.Duration(i+1) * time.Millisecond, InTime: i < 90, Retries: i % 2})
+	}
+	r.Observe(Observation{Class: "lookups", Outcome: request.NotRun})
+	r.Observe(Observation{Class: "lookups", Outcome: request.Unknown, Hedges: 1})
+	now = now.Add(30 * time.Second)
+	r.Observe(Observation{Class: "lookups", Outcome: request.Answered, Took: 48 * time.Hour})
+	got := r.Digests(d)[0]
+	require.EqualValues(t, 101, got.Answered)
+	require.EqualValues(t, 90, got.InTime)
+	require.EqualValues(t, 1, got.NotRun)
+	require.EqualValues(t, 1, got.Unknown)
+	require.EqualValues(t, 50, got.Retries)
+	require.EqualValues(t, 1, got.Hedges)
+	require.InDelta(t, 51, got.P50Ms, 1)
+	now = now.Add(31 * time.Second)
+	require.EqualValues(t, 1, r.Digests(d)[0].Answered, "the first slot left the window")
+	now = now.Add(Window)
+	require.Zero(t, r.Digests(d)[0].Answered)
+	require.Len(t, r.Digests(d), 3, "classes without work are told too")
+}
+
+func TestRecorderIsBounded(t *testing.T) {
+	r := NewRecorder(nil)
+	for i := range 10 * class.MaxClasses {
+		r.Observe(Observation{Class: fmt.Sprint(i)})
+	}
+	require.Len(t, r.classes, class.MaxClasses)
+}
--- /dev/null
+++ b/internal/report/text.go
@@ -0,0 +1,168 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Size of the plain text: a screenful of a phone.
+const (
+	maxLines   = 24
+	maxColumns = 45
+	// maxModelLines bounds the lines about weights.
+	maxModelLines = 4
+)
+
+// Text renders the report in less than 25 lines of at most 45 columns.
+func (r Report) Text() string {
+	head, tail := r.headLines(), r.modelLines()
+	body := r.classLines(maxLines - len(head) - len(tail))
+	lines := append(append(head, body...), tail...)
+	for i := range lines {
+		lines[i] = clip(lines[i])
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func clip(line string) string {
+	if utf8.RuneCountInString(line) <= maxColumns {
+		return line
+	}
+	return string([]rune(line)[:maxColumns-1]) + "…"
+}
+
+func (r Report) headLines() []string {
+	lines := []string{
+		fmt.Sprintf("%s UTC, classes at revision %d", r.At.UTC().Format(time.TimeOnly), r.Revision),
+		fmt.Sprintf("last %s, %d of %d entries heard", Window, r.Heard, r.Entries),
+	}
+	return append(lines, r.Warnings()...)
+}
+
+// Warnings says what is not known and what stands out, one line each.
+func (r Report) Warnings() []string {
+	var lines []string
+	if r.Heard < r.Entries {
+		lines = append(lines, fmt.Sprintf("! %d entries not heard: figures partial", r.Entries-r.Heard))
+	}
+	if r.StoreDown {
+		lines = append(lines, "! store unreachable: changes are refused")
+	}
+	if r.Unconfirmed {
+		lines = append(lines, "! classes unconfirmed: maybe not the newest")
+	}
+	if r.Demoted > 0 {
+		lines = append(lines, fmt.Sprintf("! %d slow endpoints get less work", r.Demoted))
+	}
+	if len(r.Classes) == 0 {
+		lines = append(lines, "! no classes yet: class apply -f FILE")
+	}
+	return lines
+}
+
+// classLines gives the most urgent classes the room there is.
+func (r Report) classLines(room int) []string {
+	var lines []string
+	for i, c := range r.Classes {
+		block := c.Lines()
+		left := len(r.Classes) - i - 1
+		reserve := min(left, 1)
+		if len(lines)+len(block)+reserve > room {
+			return append(lines, r.restLine(i))
+		}
+		lines = append(lines, block...)
+	}
+	return lines
+}
+
+func (r Report) restLine(from int) string {
+	missed := 0
+	for _, c := range r.Classes[from:] {
+		if c.Status == Missed {
+			missed++
+		}
+	}
+	return fmt.Sprintf("and %d more classes, %d of them missed", len(r.Classes)-from, missed)
+}
+
+// Lines renders one class: its standing, what was done, what to do.
+func (c ClassReport) Lines() []string {
+	switch c.Status {
+	case NotKnown, Idle:
+		return []string{fmt.Sprintf("%s: %s", c.Status, c.Class.Name)}
+	}
+	lines := []string{
+		fmt.Sprintf("%s by %s: %s", c.Status, c.Margin(), c.Class.Name),
+		fmt.Sprintf("  %s in %s (target %s), p99 %s", shareText(c.Share), c.Class.LatenessText(), c.Class.CompletenessText(), c.WorstP99),
+	}
+	if done := c.Done(); done != "" {
+		lines = append(lines, "  "+done)
+	}
+	if c.Advice != "" {
+		lines = append(lines, "  > "+c.Advice)
+	}
+	return lines
+}
+
+// Margin is by how many points the completeness target is met or missed.
+func (c ClassReport) Margin() string {
+	points := 100 * (c.Share - c.Class.Completeness)
+	return fmt.Sprintf("%.1f points", max(points, -points))
+}
+
+// Done says what the system did for the class.
+func (c ClassReport) Done() string {
+	var parts []string
+	add := func(count int64, what string) {
+		if count > 0 {
+			parts = append(parts, fmt.Sprintf("%s %s", countText(count), what))
+		}
+	}
+	add(c.Late, "late")
+	add(c.NotRun, "refused")
+	add(c.Unknown, "unknown")
+	add(c.Retries, "retried")
+	add(c.Hedges, "hedged")
+	return strings.Join(parts, ", ")
+}
+
+func shareText(share float64) string {
+	return fmt.Sprintf("%.1f%%", 100*share)
+}
+
+// countText renders a count in at most four characters.
+func countText(count int64) string {
+	const thousand, million = 1000, 1000 * 1000
+	switch {
+	case count < thousand:
+		return fmt.Sprint(count)
+	case count < million:
+		return fmt.Sprintf("%dk", count/thousand)
+	default:
+		return fmt.Sprintf("%dM", count/million)
+	}
+}
+
+func (r Report) modelLines() []string {
+	var lines []string
+	for i, m := range r.Models {
+		if i == maxModelLines-1 && len(r.Models) > maxModelLines {
+			return append(lines, fmt.Sprintf("and %d more models", len(r.Models)-i))
+		}
+		lines = append(lines, m.Line())
+	}
+	return lines
+}
+
+// Line renders one model: how far its rollout is, and how many serve.
+func (m ModelReport) Line() string {
+	if m.Newest == 0 {
+		return fmt.Sprintf("%d of %d serve: %s", m.Serving, m.Total, m.Model)
+	}
+	if m.AtNewest < m.Total {
+		return fmt.Sprintf("%d of %d serve, %d at new v%d: %s", m.Serving, m.Total, m.AtNewest, m.Newest, m.Model)
+	}
+	return fmt.Sprintf("%d of %d serve, all at v%d: %s", m.Serving, m.Total, m.Newest, m.Model)
+}
--- /dev/null
+++ b/internal/report/traffic.go
@@ -0,0 +1,15 @@
+package report
+
+import "github.com/comfreyfront/comfreyfront/internal/traffic"
+
+// Record counts one request that the traffic side ended.
+func (r *Recorder) Record(record traffic.Record) {
+	r.Observe(Observation{
+		Class:   record.Class,
+		Outcome: record.Outcome,
+		Took:    record.Took,
+		InTime:  record.InTime,
+		Retries: max(record.Attempts-record.Hedges-1, 0),
+		Hedges:  record.Hedges,
+	})
+}
