Take a step over from a dead owner before its lease lapses

Cause: when a step's owner died without a word, its trainer had no sample until the lease lapsed and the client's backoff of up to 2 s had passed.

Ruled out: a shorter lease, since it costs renewals on the platform's service for everybody.

Change: an entry that takes the holder for dead (Options.Alive, from the exchange) takes the step without an epoch, as it does in an outage, and the client backs off for at most 0.5 s. Delivery rests on the trainer's account, so that a holder that lives after all costs double work only; the stateful test takes living entries for dead now.

--- a/internal/event/step.go
+++ b/internal/event/step.go
@@ -10,7 +10,7 @@
 	StepCancelled  = define(3003, "step cancelled", slog.LevelInfo, "The trainer cancelled the step.")
 	StepAbandoned  = define(3004, "step abandoned", slog.LevelWarn, "The trainer has not pulled for long; the step was dropped. A pull brings it back.")
 	StepIdle       = define(3005, "step idle", slog.LevelInfo, "The trainer has not pulled lately; no further samples are started until it does.")
-	StepUnleased   = define(3006, "step without lease", slog.LevelWarn, "The platform's service cannot confirm the ownership; the step goes on, since the trainer's own account decides what is delivered.")
+	StepUnleased   = define(3006, "step without lease", slog.LevelWarn, "The platform's service cannot confirm the ownership, or the lease of a dead owner still stands; the step goes on, since the trainer's own account decides what is delivered.")
 	SampleRefused  = define(3007, "sample refused", slog.LevelWarn, "An endpoint or the entry refused the sample's prompt for good; the trainer gets the sample without text.")
 	SampleRetried  = define(3008, "sample retried", slog.LevelDebug, "A generation failed and is tried again with the tokens that it has.")
 	StepPastDue    = define(3009, "step past deadline", slog.LevelWarn, "The step was not whole at its deadline; failed samples are not tried again.")
--- a/internal/step/options.go
+++ b/internal/step/options.go
@@ -15,6 +15,10 @@
 	Generator Generator
 	// Newest returns the newest weight version known of a model, or zero.
 	Newest func(model string) int64
+	// Alive reports whether another entry, by ID, is believed to live. A step
+	// whose holder is not is taken over before the holder's lease lapses. It must
+	// be false for a former process of this entry. Nil waits for the lease.
+	Alive  func(id string) bool
 	Order  Order
 	Logger *slog.Logger
 	// Registerer takes the metrics; nil keeps them private.
@@ -46,6 +50,9 @@
 	if o.Newest == nil {
 		o.Newest = func(string) int64 { return 0 }
 	}
+	if o.Alive == nil {
+		o.Alive = func(string) bool { return true }
+	}
 	if o.Order == nil {
 		o.Order = LongestFirst
 	}
--- a/internal/step/service.go
+++ b/internal/step/service.go
@@ -129,9 +129,10 @@
 	return ErrConflict.New("%s is known with another specification", unit)
 }
 
-// hold confirms ownership. While the platform's service can't, the step goes
-// on without an epoch: the trainer's own account keeps delivery exact, so that
-// an outage costs at most double work.
+// hold confirms ownership. While the platform's service can't, or while the
+// lease of a dead holder stands, the step goes on without an epoch: the
+// trainer's own account keeps delivery exact, so that two owners cost at most
+// double work.
 func (s *Service) hold(ctx context.Context, unit string) (ownership.Tenure, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
@@ -139,7 +140,7 @@
 	switch {
 	case err == nil:
 		return tenure, nil
-	case errorx.IsOfType(err, ownership.ErrHeldElsewhere):
+	case errorx.IsOfType(err, ownership.ErrHeldElsewhere) && s.mayLive(ownership.HolderOf(err)):
 		return ownership.Tenure{}, ErrNotOwner.Wrap(err, "another entry holds %s", unit).WithProperty(propHolder, ownership.HolderOf(err))
 	default:
 		event.StepUnleased.Log(ctx, s.options.Logger, slog.String("step", unit), slog.String("error", err.Error()))
@@ -147,6 +148,11 @@
 	}
 }
 
+// mayLive reports whether a holder may be alive; one that is not named may.
+func (s *Service) mayLive(holder string) bool {
+	return holder == "" || s.options.Alive(holder)
+}
+
 // confirmTenure makes sure that the entry still owns a step; it drops the step
 // when it does not.
 func (s *Service) confirmTenure(ctx context.Context, r *run) error {
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -83,6 +83,7 @@
 	caller      caller
 	router      *Router
 	believed    ownership.Tenure
+	unseen      bool // others take the entry for dead
 }
 
 // job is one running generation.
@@ -109,7 +110,7 @@
 
 func (e *fakeEntry) start() {
 	e.incarnation++
-	e.service = NewService(Options{Owner: e, Generator: e, Concurrency: 4, IdleAfter: 1000 * time.Hour, AbandonAfter: 2000 * time.Hour})
+	e.service = NewService(Options{Owner: e, Generator: e, Alive: e.world.alive, Concurrency: 4, IdleAfter: 1000 * time.Hour, AbandonAfter: 2000 * time.Hour})
 	e.caller = e.world.wrap(e.service)
 	e.believed = ownership.Tenure{}
 	e.router = NewRouter(RouterOptions{
@@ -136,6 +137,8 @@
 	return peers
 }
 
+func (w *world) alive(id string) bool { return !w.entry(id).unseen }
+
 func (w *world) entry(id string) *fakeEntry {
 	return w.entries[slices.IndexFunc(w.entries, func(e *fakeEntry) bool { return e.id == id })]
 }
@@ -384,6 +387,9 @@
 // step is complete; false when it never does.
 func (w *world) finish() bool {
 	w.outage = false
+	for _, e := range w.entries {
+		e.unseen = false
+	}
 	for range 200 {
 		if w.account.Complete() {
 			return true
@@ -431,10 +437,11 @@
 			}
 			w.deliver(len(w.replies) - 1)
 		},
-		"kill":         func(t *rapid.T) { w.kill(entry(t)) },
-		"lease lapses": func(t *rapid.T) { w.lapse(rapid.Bool().Draw(t, "knows")) },
-		"outage":       func(*rapid.T) { w.outage = !w.outage },
-		"new weights":  func(*rapid.T) { w.engines++ },
+		"kill":           func(t *rapid.T) { w.kill(entry(t)) },
+		"lease lapses":   func(t *rapid.T) { w.lapse(rapid.Bool().Draw(t, "knows")) },
+		"taken for dead": func(t *rapid.T) { e := entry(t); e.unseen = !e.unseen },
+		"outage":         func(*rapid.T) { w.outage = !w.outage },
+		"new weights":    func(*rapid.T) { w.engines++ },
 		"trainer goes on": func(t *rapid.T) {
 			if w.trainer == w.engines {
 				t.Skip("no newer weights")
--- a/trainer/client.go
+++ b/trainer/client.go
@@ -35,7 +35,7 @@
 	// callMargin is how long a call may take beyond the wait that it asks for.
 	callMargin   = 10 * time.Second
 	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 2 * time.Second
+	maxBackoff   = 500 * time.Millisecond
 )
 
 // Client pulls steps. It is safe for concurrent use.
