Wire the report; ask leaving entries for what they still hold

Cause: while an entry shut down, keyed requests of its partitions were refused ('no owner of partition 11 can be reached') for the 2 s of its drain: other entries had dropped it from their lists as soon as it said that it leaves. Ruled out: handing partitions over before the drain (their open requests settle there); a longer wait of the caller. The report and its recorder are wired into the entry. Conclusion: a killed owner's 6 s remain; see docs/design/ownership.md.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/integrii/flaggy"
+
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 )
 
@@ -45,9 +47,14 @@
 `
 
 func main() {
+	flaggy.SetName("demo")
+	flaggy.SetDescription("Runs the whole system as separate processes and checks its promises.")
+	var logFile string
+	flaggy.String(&logFile, "l", "log", "file that gets the logs of all processes; a temporary one if empty")
+	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
-	err := run(ctx)
+	err := run(ctx, logFile)
 	cancel()
 	stop()
 	if err != nil {
@@ -58,7 +65,7 @@
 }
 
 // run builds the programs, starts the cluster, and always ends it.
-func run(ctx context.Context) error {
+func run(ctx context.Context, logFile string) error {
 	folder, err := os.MkdirTemp("", "comfreyfront-demo-")
 	if err != nil {
 		return err
@@ -68,7 +75,10 @@
 	if err != nil {
 		return err
 	}
-	logs, err := os.Create(filepath.Join(folder, "log"))
+	if logFile == "" {
+		logFile = filepath.Join(folder, "log")
+	}
+	logs, err := os.Create(logFile)
 	if err != nil {
 		return err
 	}
@@ -80,7 +90,7 @@
 		return err
 	}
 	if err := demonstrate(ctx, cluster, binaries, folder); err != nil {
-		printTail(filepath.Join(folder, "log"))
+		printTail(logFile)
 		return err
 	}
 	return nil
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -63,7 +63,7 @@
 }
 
 func (m *Manager) peers(now time.Time) []Peer {
-	live := m.state.Live(now)
+	live := m.state.Reachable(now)
 	peers := make([]Peer, 0, len(live)+1)
 	peers = append(peers, peerOf(m.state.Self()))
 	for _, member := range live {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -34,7 +34,7 @@
 // Snapshot is an immutable picture of the control state.
 type Snapshot struct {
 	Self    Peer
-	Peers   []Peer // live entries with Self, in order of ID
+	Peers   []Peer // entries that are not dead, with Self, in order of ID
 	Classes *class.Document
 	// ConfirmedAt is when the class document was last known to be the newest.
 	ConfirmedAt time.Time
@@ -48,6 +48,17 @@
 	PeersReachable bool
 }
 
+// Staying returns the number of entries that are neither dead nor leaving.
+func (s *Snapshot) Staying() int {
+	count := 0
+	for _, peer := range s.Peers {
+		if !peer.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // FreshFor is how long a confirmation of the class document holds.
 const FreshFor = 4 * time.Second
 
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -27,6 +27,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/policy/adaptive"
 	"github.com/comfreyfront/comfreyfront/internal/policy/naive"
 	"github.com/comfreyfront/comfreyfront/internal/queue"
+	"github.com/comfreyfront/comfreyfront/internal/report"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/internal/step"
@@ -60,7 +61,7 @@
 	metrics    *metrics.Traffic
 	claimer    *claim.Router
 	suspects   *suspect.Registry
-	recorder   traffic.Recorder
+	recorder   *report.Recorder
 }
 
 // build makes the parts of an entry whose internal interface is at address.
@@ -80,7 +81,9 @@
 	p.traffic = b.newTraffic(p, dispatcher)
 	p.callers = p.traffic
 	p.internal = b.newInternal(p)
-	p.runs = append(p.runs, p.control.Run, p.owner.Run, p.claims.Run)
+	p.runs = append(p.runs, p.control.Run, p.owner.Run, p.claims.Run, func(ctx context.Context) error {
+		return report.Publish(ctx, b.recorder, b.snapshots, p.control)
+	})
 	return p
 }
 
@@ -97,7 +100,7 @@
 		dialer:     newDialer(peerClient),
 		peerClient: peerClient,
 		metrics:    metrics.NewTraffic(registry),
-		recorder:   noRecorder{},
+		recorder:   report.NewRecorder(nil),
 	}
 }
 
@@ -143,7 +146,7 @@
 	for {
 		changed := b.snapshots.Changed()
 		snapshot := b.snapshots.Load()
-		waiting.Refresh(snapshot.Classes, snapshot.Endpoints, len(snapshot.Peers))
+		waiting.Refresh(snapshot.Classes, snapshot.Endpoints, snapshot.Staying())
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -164,6 +167,20 @@
 
 func (b *builder) recordSample(class, tenant string, outcome request.Outcome, took time.Duration, effort dispatch.Effort) {
 	b.metrics.Ended(class, tenant, outcome, took)
+	b.recorder.Record(traffic.Record{
+		Class:    class,
+		Tenant:   tenant,
+		Outcome:  outcome,
+		Took:     took,
+		InTime:   outcome == request.Answered && b.inTime(class, took),
+		Attempts: effort.Attempts,
+		Hedges:   effort.Hedges,
+	})
+}
+
+func (b *builder) inTime(name string, took time.Duration) bool {
+	found, known := b.snapshots.Load().Classes.Find(name)
+	return known && (found.Lateness <= 0 || took <= found.Lateness)
 }
 
 func (b *builder) newTraffic(p *parts, dispatcher *dispatch.Dispatcher) *traffic.Server {
@@ -202,7 +219,7 @@
 	mux := http.NewServeMux()
 	peers := peerpb.NewPeerServer(&peerServer{control: p.control, claims: p.claims, steps: step.Server{Service: p.steps}})
 	mux.Handle(peers.PathPrefix(), peers)
-	operators := operator.New(operator.Options{Snapshots: b.snapshots, Configuration: p.control, Reporter: noReport{}})
+	operators := operator.New(operator.Options{Snapshots: b.snapshots, Configuration: p.control, Reporter: report.NewReporter(b.snapshots, p.control, nil)})
 	mux.Handle(operator.PathClasses, operators)
 	mux.Handle(operator.PathHistory, operators)
 	mux.Handle(operator.PathReport, operators)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -20,7 +20,12 @@
 
 // gone reports whether a member counts as left or dead.
 func (m *member) gone(now time.Time, suspicion time.Duration) bool {
-	return m.seen.Leaving || m.seen.Suspected && now.Sub(m.changedAt) >= suspicion
+	return m.seen.Leaving || m.dead(now, suspicion)
+}
+
+// dead reports whether a member has been suspected for long enough.
+func (m *member) dead(now time.Time, suspicion time.Duration) bool {
+	return m.seen.Suspected && now.Sub(m.changedAt) >= suspicion
 }
 
 // past reports whether a member went so long ago that it is no news any more.
@@ -33,6 +38,8 @@
 	ID, Address, FailureDomain  string
 	Incarnation, ConfigRevision int64
 	Leaving, Suspected          bool
+	// Behind: its last reply named an older class document than this entry's.
+	Behind bool
 }
 
 func memberOf(seen *peerpb.PeerSeen) Member {
@@ -59,6 +66,19 @@
 	return live
 }
 
+// Reachable returns the other entries that are not dead, by ID: those that are
+// leaving still hold what they have not handed over.
+func (s *State) Reachable(now time.Time) []Member {
+	var reachable []Member
+	s.members.each(func(_ string, m *member) {
+		if !m.dead(now, s.options.SuspicionTime) {
+			reachable = append(reachable, memberOf(m.seen))
+		}
+	})
+	slices.SortFunc(reachable, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return reachable
+}
+
 // join merges two records of one entry: the higher incarnation wins whole;
 // within one, the higher heartbeat decides on suspicion, at equal ones
 // suspicion wins, and leaving is final.
