Hand a step over with what was generated when its owner leaves

Ruled out: waiting for generations in the drain, since the longest take minutes.

The call is refused from outside.

--- /dev/null
+++ b/internal/step/actions_test.go
@@ -0,0 +1,58 @@
+package step
+
+import (
+	"fmt"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// actions are the steps of the stateful test.
+func (w *world) actions() map[string]func(*rapid.T) {
+	entry := func(t *rapid.T) *fakeEntry { return rapid.SampledFrom(w.entries).Draw(t, "entry") }
+	generate := func(t *rapid.T) {
+		if len(w.running()) == 0 {
+			t.Skip("nothing runs")
+		}
+		w.advanceJob(rapid.IntRange(0, len(w.running())-1).Draw(t, "job"), rapid.IntRange(0, 4).Draw(t, "what"))
+	}
+	return map[string]func(*rapid.T){
+		"generate": generate, "generate more": generate, "generate most": generate,
+		"pull": func(t *rapid.T) { w.pull(routed{entry(t).router}, "") },
+		"pull at any entry": func(t *rapid.T) {
+			e := entry(t)
+			w.pull(e.caller, fmt.Sprintf("%s.%d", e.id, e.incarnation))
+		},
+		"deliver": func(t *rapid.T) {
+			if len(w.replies) == 0 {
+				t.Skip("no replies")
+			}
+			w.deliver(rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))
+		},
+		"deliver newest": func(t *rapid.T) {
+			if len(w.replies) == 0 {
+				t.Skip("no replies")
+			}
+			w.deliver(len(w.replies) - 1)
+		},
+		"kill":           func(t *rapid.T) { w.kill(entry(t)) },
+		"lease lapses":   func(t *rapid.T) { w.lapse(rapid.Bool().Draw(t, "knows")) },
+		"taken for dead": func(t *rapid.T) { e := entry(t); e.unseen = !e.unseen },
+		"outage":         func(*rapid.T) { w.outage = !w.outage },
+		"new weights":    func(*rapid.T) { w.engines++ },
+		"trainer goes on": func(t *rapid.T) {
+			if w.trainer == w.engines {
+				t.Skip("no newer weights")
+			}
+			w.trainer++
+		},
+		"trainer restarts": func(t *rapid.T) {
+			if w.restart == nil {
+				t.Skip("this trainer keeps nothing")
+			}
+			w.restartTrainer(rapid.IntRange(0, len(w.taken)).Draw(t, "held"))
+		},
+		"wait": func(*rapid.T) { <-time.After(time.Second); synctest.Wait() },
+	}
+}
--- a/internal/step/call.go
+++ b/internal/step/call.go
@@ -33,10 +33,16 @@
 	actionCreate   = "create"
 	actionProgress = "progress"
 	actionCancel   = "cancel"
+	actionAdopt    = "adopt"
 )
 
 func (t target) unit() string { return UnitOf(t.trainer, t.step) }
 
+// pathOf is the path of a step.
+func pathOf(trainer string, step int64) string {
+	return wire.PathSteps + "/" + trainer + "/" + strconv.FormatInt(step, 10)
+}
+
 // parseTarget reads the target of a call; a create names its step in the body.
 func parseTarget(call *peerpb.StepCall) (target, error) {
 	rest, ok := strings.CutPrefix(call.Path, wire.PathSteps)
@@ -61,6 +67,8 @@
 
 func actionOf(method string, rest []string) (string, error) {
 	switch {
+	case len(rest) == 0 && method == methodHandOver:
+		return actionAdopt, nil
 	case len(rest) == 0 && method == http.MethodGet:
 		return actionProgress, nil
 	case len(rest) == 0 && method == http.MethodDelete:
@@ -132,6 +140,8 @@
 			return nil, err
 		}
 		return encode(s.Confirm(ctx, named.unit(), &req))
+	case actionAdopt:
+		return encode(s.adopt(ctx, call))
 	case actionCancel:
 		return encode(struct{}{}, s.Cancel(ctx, named.unit()))
 	default:
--- /dev/null
+++ b/internal/step/handover_test.go
@@ -0,0 +1,51 @@
+package step
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+	"github.com/comfreyfront/comfreyfront/trainer"
+)
+
+func TestGracefulReplacementKeepsWhatWasGenerated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(s *Service) caller { return s }, trainer.NewAccount(testSpec, nil, 1))
+		defer w.stop()
+		w.create(routed{w.entries[0].router})
+		owner := w.entry(w.holder)
+		w.advanceJob(0, 0)
+		w.advanceJob(0, 3) // (0, 0) is whole
+		w.advanceJob(0, 0) // (0, 1) has begun
+		begun := w.running()[0].text
+
+		w.replace(owner)
+		require.NotEqual(t, owner.id, w.holder)
+		require.True(t, w.entry(w.holder).service.Owns(testUnit))
+		resumed := false
+		for _, j := range w.running() {
+			resumed = resumed || strings.HasPrefix(j.text, begun)
+		}
+		require.True(t, resumed, "the successor goes on with %q", begun)
+		w.pull(routed{owner.router}, "")
+		require.Len(t, w.replies, 1)
+		require.Len(t, w.replies[0].Samples, 1)
+		require.True(t, w.finish())
+		require.Empty(t, w.broken)
+	})
+}
+
+func TestTrainersCannotHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(s *Service) caller { return s }, trainer.NewAccount(testSpec, nil, 1))
+		defer w.stop()
+		recorder := httptest.NewRecorder()
+		w.entries[0].router.ServeHTTP(recorder, httptest.NewRequest(methodHandOver, wire.PathSteps+"/t/1", strings.NewReader("{}")))
+		require.Equal(t, http.StatusBadRequest, recorder.Code)
+	})
+}
--- a/internal/step/router.go
+++ b/internal/step/router.go
@@ -51,7 +51,8 @@
 	holders *lru.Cache[string, string]
 }
 
-// NewRouter returns a Router.
+// NewRouter returns a Router. It is also the way by which the service hands its
+// steps over when it drains.
 func NewRouter(options RouterOptions) *Router {
 	holders, err := lru.New[string, string](hintEntries)
 	if err != nil {
@@ -60,7 +61,22 @@
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Router{options: options, holders: holders}
+	r := &Router{options: options, holders: holders}
+	options.Service.successor = r.handOver
+	return r
+}
+
+// handOver gives a step to the first entry by rank that takes it.
+func (r *Router) handOver(ctx context.Context, unit string, call *peerpb.StepCall) error {
+	for _, id := range r.options.Rank(unit, r.liveIDs()) {
+		if id == r.options.Self {
+			continue
+		}
+		if result := r.ask(ctx, id, call); result != nil && result.Status == http.StatusOK {
+			return nil
+		}
+	}
+	return ErrUnreachable.New("no entry takes %s over", unit)
 }
 
 // Server answers calls that other entries forward.
@@ -82,6 +98,9 @@
 }
 
 func readCall(w http.ResponseWriter, req *http.Request) (*peerpb.StepCall, error) {
+	if req.Method == methodHandOver {
+		return nil, ErrInvalid.New("no such call")
+	}
 	limit := int64(maxCallBytes)
 	if req.URL.Path == wire.PathSteps {
 		limit = maxSpecBytes
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -17,6 +17,7 @@
 // run drives the samples of one step that this entry owns.
 type run struct {
 	unit     string
+	made     time.Time // when the trainer made the step
 	deadline time.Time
 	options  *Options
 	metrics  *metrics
@@ -44,9 +45,9 @@
 	if req.DeadlineMillis > 0 {
 		within = time.Duration(req.DeadlineMillis) * time.Millisecond
 	}
-	within -= time.Duration(req.AgeMillis) * time.Millisecond
+	made := now.Add(-time.Duration(req.AgeMillis) * time.Millisecond)
 	return &run{
-		unit: unit, deadline: now.Add(within), options: options, metrics: m,
+		unit: unit, made: made, deadline: made.Add(within), options: options, metrics: m,
 		ctx: ctx, drop: cancel, step: step, tenure: tenure, epoch: max(req.Epoch, tenure.Epoch),
 		pulled: now, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
--- a/internal/step/service.go
+++ b/internal/step/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 	"github.com/comfreyfront/comfreyfront/internal/step/wire"
 )
 
@@ -30,6 +31,9 @@
 	calls    sync.WaitGroup
 	draining chan struct{}
 	stopped  chan struct{}
+	// successor hands a step over when the service drains; nil drops it. It is
+	// set before the first call.
+	successor func(ctx context.Context, unit string, call *peerpb.StepCall) error
 
 	mu       sync.Mutex
 	runs     map[string]*run
@@ -70,10 +74,11 @@
 		return wire.CreateReply{}, err
 	}
 	unit, content := UnitOf(req.Trainer, req.Step), digestOf(&req.Spec)
-	return s.create(ctx, unit, content, req)
+	return s.create(ctx, unit, content, req, &handOver{})
 }
 
-func (s *Service) create(ctx context.Context, unit string, content digest, req *wire.CreateRequest) (wire.CreateReply, error) {
+// create starts a step with what a former owner generated, if any.
+func (s *Service) create(ctx context.Context, unit string, content digest, req *wire.CreateRequest, generated *handOver) (wire.CreateReply, error) {
 	if known := s.find(unit); known != nil {
 		return known.recreate(content)
 	}
@@ -88,6 +93,7 @@
 	if err != nil {
 		return wire.CreateReply{}, err
 	}
+	step.adopt(generated)
 	return s.take(newRun(unit, step, tenure, req, &s.options, s.metrics))
 }
 
--- a/internal/step/upkeep.go
+++ b/internal/step/upkeep.go
@@ -121,8 +121,8 @@
 	return true
 }
 
-// Drain stops taking new steps, lets calls in flight finish, gives all steps
-// up and ends the service. It fails when ctx ends before the calls do; the
+// Drain stops taking new steps, lets calls in flight finish, hands all steps
+// over with what was generated, and ends the service. It fails when ctx ends before the calls do; the
 // steps are given up all the same.
 func (s *Service) Drain(ctx context.Context) error {
 	s.mu.Lock()
@@ -137,12 +137,13 @@
 	var stopped []*run
 	for _, r := range s.all() {
 		if s.remove(r) {
-			s.release(r.unit)
+			stopped = append(stopped, r)
 		}
-		stopped = append(stopped, r)
 	}
 	close(s.stopped)
-	return errors.Join(err, waitFor(ctx, func() { waitAll(stopped) }))
+	err = errors.Join(err, waitFor(ctx, func() { waitAll(stopped) }))
+	s.handOverAll(ctx, stopped)
+	return err
 }
 
 func waitAll(runs []*run) {
