--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of this project. Each works on a fresh machine with Go and make.
 GO ?= go
 
-.PHONY: build test lint generate check-generated race fuzz demo measure bench
+.PHONY: build test lint generate check-generated race fuzz demo measure bench overhead
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,3 +35,6 @@
 
 fuzz:
 	@sh .ci/fuzz
+
+overhead:
+	$(GO) run ./cmd/overhead
