Tell a settled caller sooner; spread suspects at once

Cause: the traffic side settles before it answers, and an ending waited for its group: up to half a second on every keyed request. And an entry that has not heard of a death runs the request again. Change: an ending other than not-run is answered from the owner's memory and becomes durable soon after; a not-run is committed as fast as a claim and is durable when it returns. Registry.Options.Spread is called at each death before the run's end is reported.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -16,8 +16,9 @@
 	// only if the error is nil and the verdict is Granted. An error is always
 	// an ErrUnavailable: the request did not run and may be sent again later.
 	Claim(ctx context.Context, request Request) (Grant, error)
-	// Settle tells how a granted request ended. An error means that the ending
-	// may not be known to later repeats; they are then told Running.
+	// Settle tells how a granted request ended. Without an error the owner knows
+	// it: a NotRun is durable then, other endings are so soon after. An error
+	// means that later repeats may be told Running.
 	Settle(ctx context.Context, grant Grant, ending Ending) error
 }
 
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -61,7 +61,7 @@
 		return 0, true
 	}
 	pace := lastWrite.Add(p.options.CommitInterval).Sub(now)
-	if p.formingClaims > 0 || len(p.forming) >= p.options.QueueLimit {
+	if p.formingUrgent > 0 || len(p.forming) >= p.options.QueueLimit {
 		return pace, true
 	}
 	return max(pace, p.firstForming.Add(p.options.SettleDelay).Sub(now)), true
@@ -103,8 +103,8 @@
 		if size > maxGroupBytes {
 			break
 		}
-		if pending.claim {
-			p.formingClaims--
+		if pending.urgent() {
+			p.formingUrgent--
 		}
 		taken++
 	}
@@ -181,9 +181,10 @@
 		}
 		pending.resolve(ErrUnavailable.New("partition %d cannot write", p.number))
 		delete(p.undecided, pending.key)
+		p.formingUrgent--
 	}
 	clear(p.forming[len(kept):])
-	p.forming, p.formingClaims = kept, 0
+	p.forming = kept
 }
 
 func (p *partition) resume(ctx context.Context) {
--- a/internal/claim/decide.go
+++ b/internal/claim/decide.go
@@ -112,7 +112,6 @@
 		},
 	}
 	p.undecided[request.Key] = pending
-	p.formingClaims++
 	p.enqueue(pending, now)
 	return pending
 }
@@ -121,6 +120,9 @@
 	if len(p.forming) == 0 {
 		p.firstForming = now
 	}
+	if pending.urgent() {
+		p.formingUrgent++
+	}
 	p.forming = append(p.forming, pending)
 	p.signal()
 }
@@ -152,21 +154,26 @@
 	}
 }
 
-// settle notes how a granted request ended and waits until that is durable.
-func (p *partition) settle(ctx context.Context, key Key, claimant string, ending Ending) error {
+// settle notes how a granted request ended. A NotRun is durable when it returns;
+// other endings are in memory and become durable soon after. It reports whether
+// the ending is durable.
+func (p *partition) settle(ctx context.Context, key Key, claimant string, ending Ending) (bool, error) {
 	pending, err := p.note(key, claimantHash(claimant), ending)
 	if err != nil || pending == nil {
-		return err
+		return err == nil, err
+	}
+	if ending.State != NotRun {
+		return false, nil
 	}
 	select {
 	case <-pending.done:
 	case <-ctx.Done():
-		return ErrNotSettled.Wrap(ctx.Err(), "waiting for the ending to be durable")
+		return false, ErrNotSettled.Wrap(ctx.Err(), "waiting for the ending to be durable")
 	}
 	if pending.err != nil && !pending.claim {
-		return ErrNotSettled.Wrap(pending.err, "ending")
+		return false, ErrNotSettled.Wrap(pending.err, "ending")
 	}
-	return nil
+	return true, nil
 }
 
 // note applies an ending in memory and enqueues it. It returns the row
--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -37,7 +37,7 @@
 	table *table
 	// forming are the rows of the groups to come, in order.
 	forming       []*pendingRow
-	formingClaims int
+	formingUrgent int
 	firstForming  time.Time
 	// newestEnding is the ending that was enqueued last.
 	newestEnding *pendingRow
@@ -63,6 +63,11 @@
 	resolved  bool
 }
 
+// urgent reports whether somebody waits for the row to be durable.
+func (r *pendingRow) urgent() bool {
+	return r.claim || State(r.logged.GetState()) == NotRun
+}
+
 // openPartition takes a partition's log over and reads the window back.
 func openPartition(ctx context.Context, store platform.Store, number uint32, epoch int64, options Options, logger *slog.Logger, m *metrics) (*partition, error) {
 	started := time.Now()
--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -121,7 +121,7 @@
 	})
 }
 
-// Settle tells the owner how a granted request ended.
+// Settle tells the owner how a granted request ended; see Claimer.
 func (r *Router) Settle(ctx context.Context, grant Grant, ending Ending) error {
 	partition := PartitionOf(grant.Key, r.options.Partitions)
 	wire := &peerpb.SettleRequest{
@@ -136,9 +136,8 @@
 		if !ok {
 			break
 		}
-		var durable bool
-		durable, err = r.tell(ctx, peer, wire)
-		if durable {
+		err = r.tell(ctx, peer, wire)
+		if err == nil {
 			return nil
 		}
 		if owner := ownerIn(err); owner != "" {
@@ -148,17 +147,11 @@
 	return ErrNotSettled.Wrap(err, "ending of a claim in partition %d", partition)
 }
 
-func (r *Router) tell(ctx context.Context, peer Peer, wire *peerpb.SettleRequest) (bool, error) {
+func (r *Router) tell(ctx context.Context, peer Peer, wire *peerpb.SettleRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
 	defer cancel()
-	reply, err := r.owner(peer).Settle(ctx, wire)
-	if err != nil {
-		return false, err
-	}
-	if !reply.GetDurable() {
-		return false, ErrNotSettled.New("the owner %q could not commit", peer.ID)
-	}
-	return true, nil
+	_, err := r.owner(peer).Settle(ctx, wire)
+	return err
 }
 
 func ownerIn(err error) string {
--- a/internal/claim/server.go
+++ b/internal/claim/server.go
@@ -146,7 +146,7 @@
 	return reply
 }
 
-// Settle notes how a granted request ended.
+// Settle notes how a granted request ended; a NotRun is durable then.
 func (s *Server) Settle(ctx context.Context, request *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
 	key, validKey := keyFrom(request.GetKey())
 	state := State(request.GetEnding())
@@ -154,13 +154,21 @@
 		return nil, twirp.InvalidArgumentError("key", "key, ending or partition is malformed")
 	}
 	p, err := s.partition(ctx, request.GetPartition())
-	if err == nil {
-		err = p.settle(ctx, key, request.GetClaimant(), Ending{State: state, Answer: answerFromWire(request.GetAnswer())})
+	if err != nil {
+		return nil, settleError(err)
+	}
+	durable, err := p.settle(ctx, key, request.GetClaimant(), Ending{State: state, Answer: answerFromWire(request.GetAnswer())})
+	if err != nil {
+		return nil, settleError(err)
 	}
+	return &peerpb.SettleReply{Durable: durable}, nil
+}
+
+func settleError(err error) error {
 	if holder := ownership.HolderOf(err); holder != "" {
-		return nil, twirp.NewError(twirp.FailedPrecondition, "not the owner").WithMeta(metaOwner, holder)
+		return twirp.NewError(twirp.FailedPrecondition, "not the owner").WithMeta(metaOwner, holder)
 	}
-	return &peerpb.SettleReply{Durable: err == nil}, nil
+	return twirp.NewError(twirp.Unavailable, err.Error())
 }
 
 // metaOwner names the owner in the error of a Settle that came to another entry.
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -180,6 +180,9 @@
 	after := record.standing()
 	r.mu.Unlock()
 	r.tell(fingerprint, endpoint, before, after)
+	if r.options.Spread != nil {
+		r.options.Spread(r.NewsOf(fingerprint))
+	}
 }
 
 func (r *Registry) tell(fingerprint Fingerprint, endpoint string, before, after Standing) {
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -10,6 +10,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 )
 
 // FingerprintSize is the size of a Fingerprint in bytes.
@@ -147,6 +149,11 @@
 	// ConvictionAge is how long after the last death a conviction ends.
 	ConvictionAge time.Duration
 	Rule          Rule
+	// Spread sends rows to all entries at once and returns when they have been
+	// taken over or that took too long; nil leaves it to News. It is called at
+	// each death, before done returns, so that a caller who is told only then
+	// does not reach an entry that knows nothing.
+	Spread func([]*peerpb.Suspect)
 	// Exclusive may be nil; then a suspect runs once at a time per entry.
 	Exclusive Exclusive
 	// Now reads a clock; nil means time.Now.
