--- a/internal/control/classes.go
+++ b/internal/control/classes.go
@@ -57,7 +57,7 @@
 		return
 	}
 	m.classes = record.Document
-	m.state.SetConfig(now, record.Document.Revision, config.Encode(record.Latest()))
+	m.state.SetConfig(record.Document.Revision, config.Encode(record.Latest()))
 	m.metrics.configRevision.Set(float64(record.Document.Revision))
 	event.ConfigInForce.Log(ctx, m.logger, slog.Int64("revision", record.Document.Revision), slog.String("by", word))
 	m.dirty.any, m.dirty.urgent = true, true
--- a/internal/control/rounds.go
+++ b/internal/control/rounds.go
@@ -79,6 +79,16 @@
 	m.peerAt = now
 	m.state.Answered(e.to.ID)
 	m.confirmByPeer(now, e)
+	m.offerClasses(ctx, e)
+}
+
+// offerClasses sends the class document to a peer that is behind, at once and
+// once.
+func (m *Manager) offerClasses(ctx context.Context, e exchanged) {
+	if e.reply.ConfigRevision < m.classes.Revision && !e.to.Behind {
+		e.to.Behind = true
+		m.call(ctx, e.to)
+	}
 }
 
 // takeNews merges news; false when it was invalid.
--- a/internal/exchange/compose.go
+++ b/internal/exchange/compose.go
@@ -17,15 +17,14 @@
 	// spreadFactor times the logarithm of the number of entries is how often
 	// each piece of news is sent on before it counts as old.
 	spreadFactor = 3
-	// configRumorTime is how long a new class document is pushed to peers that
-	// were not heard to have it.
-	configRumorTime = 10 * time.Second
 )
 
-// Request returns the news for a peer that this entry turns to.
+// Request returns the news for a peer that this entry turns to. The class
+// document is in it only when the peer is known to be behind: a document sent on
+// trust would be there already most of the time.
 func (s *State) Request(now time.Time, to Member) *peerpb.News {
 	news := s.compose(now, true)
-	if now.Sub(s.config.adoptedAt) < configRumorTime && to.ConfigRevision < s.config.revision {
+	if to.Behind {
 		news.Config = s.config.data
 	}
 	return news
--- a/internal/exchange/model_test.go
+++ b/internal/exchange/model_test.go
@@ -80,14 +80,18 @@
 		panic(err)
 	}
 	if config != nil {
-		to.SetConfig(w.now, config.Revision, config.Data)
+		to.SetConfig(config.Revision, config.Data)
 	}
 }
 
 func (w *world) swap(from, to *State) {
 	request := from.Request(w.now, to.Self())
 	w.deliver(to, request)
-	w.deliver(from, to.Reply(w.now, request))
+	reply := to.Reply(w.now, request)
+	w.deliver(from, reply)
+	if reply.ConfigRevision < from.config.revision {
+		w.deliver(to, from.Request(w.now, Member{ID: to.self.Id, Behind: true}))
+	}
 }
 
 func (w *world) reaches(i, j int) bool {
@@ -125,7 +129,7 @@
 		},
 		"config": func(t *rapid.T) {
 			w.revision++
-			w.states[entry(t)].SetConfig(w.now, w.revision, fmt.Append(nil, "revision ", w.revision))
+			w.states[entry(t)].SetConfig(w.revision, fmt.Append(nil, "revision ", w.revision))
 		},
 		"suspect": func(t *rapid.T) {
 			s, id := w.states[entry(t)], fmt.Sprint("entry", entry(t))
@@ -232,6 +236,18 @@
 	}
 }
 
+func TestDocumentGoesOnlyToPeersBehind(t *testing.T) {
+	w := newWorld(3)
+	a, b := w.states[0], w.states[1]
+	a.SetConfig(1, []byte("document"))
+	request := a.Request(w.now, b.Self())
+	require.Empty(t, request.Config, "not on trust")
+	require.NotEmpty(t, a.Reply(w.now, b.Request(w.now, a.Self())).Config)
+	w.swap(a, b)
+	require.EqualValues(t, 1, b.config.revision)
+	require.Empty(t, a.Reply(w.now, b.Request(w.now, a.Self())).Config)
+}
+
 func TestSilentMemberIsSuspectedThenGone(t *testing.T) {
 	w := newWorld(3)
 	a, b := w.states[0], w.states[1]
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -97,7 +97,6 @@
 type configNews struct {
 	revision    int64
 	data        []byte
-	adoptedAt   time.Time
 	confirmedAt time.Time
 }
 
@@ -131,11 +130,11 @@
 }
 
 // SetConfig passes on a class document at a revision that is not lower.
-func (s *State) SetConfig(now time.Time, revision int64, data []byte) {
+func (s *State) SetConfig(revision int64, data []byte) {
 	if revision <= s.config.revision {
 		return
 	}
-	s.config.revision, s.config.data, s.config.adoptedAt = revision, data, now
+	s.config.revision, s.config.data = revision, data
 	s.self.ConfigRevision = revision
 }
 
