--- a/internal/step/aggregate.go
+++ b/internal/step/aggregate.go
@@ -169,6 +169,9 @@
 			return ErrInvalid.New("holds names samples that the step does not have: group %d, %d to %d", r.Group, r.From, r.To)
 		}
 	}
+	if !holds.Ordered() {
+		return ErrInvalid.New("the ranges of holds must be in order and not overlap")
+	}
 	for _, r := range holds {
 		for i := r.From; i < r.To; i++ {
 			s.hold(s.groups[r.Group].first + i)
--- a/internal/step/wire/holdings.go
+++ b/internal/step/wire/holdings.go
@@ -41,6 +41,18 @@
 	return at > 0 && h[at-1].contains(id)
 }
 
+// Ordered reports whether the ranges are in order and do not overlap, as in a
+// set that Add made.
+func (h Holdings) Ordered() bool {
+	for i := 1; i < len(h); i++ {
+		before, r := h[i-1], h[i]
+		if r.Group < before.Group || r.Group == before.Group && r.From < before.To {
+			return false
+		}
+	}
+	return true
+}
+
 // Len returns the number of samples in a set that is in order.
 func (h Holdings) Len() int {
 	total := 0
--- a/internal/step/wire/holdings_test.go
+++ b/internal/step/wire/holdings_test.go
@@ -18,9 +18,16 @@
 			oracle[id] = true
 			require.Equal(t, len(oracle), holds.Len())
 		}
+		require.True(t, holds.Ordered())
 		for i := 1; i < len(holds); i++ {
 			apart := holds[i-1].Group < holds[i].Group || holds[i-1].To < holds[i].From
 			require.True(t, apart, "ranges touch: %v", holds)
 		}
 	})
 }
+
+func TestHoldingsOutOfOrderAreSeen(t *testing.T) {
+	require.False(t, Holdings{{Group: 1, To: 2}, {Group: 0, To: 2}}.Ordered())
+	require.False(t, Holdings{{Group: 0, To: 2}, {Group: 0, From: 1, To: 3}}.Ordered())
+	require.True(t, Holdings{{Group: 0, To: 2}, {Group: 0, From: 2, To: 3}}.Ordered())
+}
