--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -58,6 +58,8 @@
 	Errors = errorx.NewNamespace("request")
 	// ErrInvalid: the request is malformed; nothing ran.
 	ErrInvalid = Errors.NewType("invalid")
+	// ErrTooLarge: the body is above its bound; nothing ran.
+	ErrTooLarge = Errors.NewType("too_large")
 	// ErrRefused: admission or an outage refused it; nothing ran.
 	ErrRefused = Errors.NewType("refused")
 	// ErrNoEndpoint: no endpoint can take it; nothing ran.
@@ -85,6 +87,8 @@
 	switch {
 	case errorx.IsOfType(err, ErrInvalid):
 		p.Status, p.Outcome, p.Title = http.StatusBadRequest, NotRun, "invalid request"
+	case errorx.IsOfType(err, ErrTooLarge):
+		p.Status, p.Outcome, p.Title = http.StatusRequestEntityTooLarge, NotRun, "body too large"
 	case errorx.IsOfType(err, ErrRefused):
 		p.Status, p.Outcome, p.Title = http.StatusServiceUnavailable, NotRun, "refused"
 	case errorx.IsOfType(err, ErrNoEndpoint):
--- a/internal/traffic/problem.go
+++ b/internal/traffic/problem.go
@@ -10,8 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
@@ -42,9 +40,6 @@
 func (c *caller) problem(err error) request.Problem {
 	problem := request.ProblemOf(err)
 	problem.RequestID = c.requestID
-	if errorx.IsOfType(err, errTooLarge) {
-		problem.Status = http.StatusRequestEntityTooLarge
-	}
 	return problem
 }
 
--- /dev/null
+++ b/internal/traffic/server_test.go
@@ -0,0 +1,286 @@
+package traffic
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/claim"
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/metrics"
+	"github.com/comfreyfront/comfreyfront/internal/policy/naive"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+)
+
+// memoryClaims is a claim.Claimer of one process.
+type memoryClaims struct {
+	mu      sync.Mutex
+	endings map[claim.Key]claim.Ending
+	prints  map[claim.Key]claim.Fingerprint
+	down    bool
+}
+
+func (c *memoryClaims) Claim(_ context.Context, r claim.Request) (claim.Grant, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return claim.Grant{}, claim.ErrUnavailable.New("down")
+	}
+	grant := claim.Grant{Key: r.Key, Verdict: claim.Granted}
+	prior, known := c.endings[r.Key]
+	switch {
+	case known && c.prints[r.Key] != r.Fingerprint:
+		grant.Verdict = claim.Mismatch
+	case known && prior.State != claim.NotRun:
+		grant.Verdict, grant.Prior = claim.Taken, prior
+	default:
+		c.endings[r.Key], c.prints[r.Key] = claim.Ending{State: claim.Running}, r.Fingerprint
+	}
+	return grant, nil
+}
+
+func (c *memoryClaims) Settle(_ context.Context, grant claim.Grant, ending claim.Ending) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endings[grant.Key] = ending
+	return nil
+}
+
+type noObserver struct{}
+
+func (noObserver) EndpointLeaving(string)  {}
+func (noObserver) EndpointFailed(string)   {}
+func (noObserver) EndpointAnswered(string) {}
+
+// records keeps what the server counted.
+type records struct {
+	mu  sync.Mutex
+	all []Record
+}
+
+func (r *records) Record(record Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, record)
+}
+
+// newServer returns a callers' side before one plain service.
+func newServer(t *testing.T, service http.Handler, claims *memoryClaims) (*httptest.Server, *records) {
+	t.Helper()
+	backend := httptest.NewUnstartedServer(service)
+	backend.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	backend.Start()
+	t.Cleanup(backend.Close)
+	snapshots := &control.Snapshots{}
+	snapshots.Publish(&control.Snapshot{
+		Classes:     &class.Document{Revision: 1, Classes: []class.Class{{Name: "update", Lateness: time.Second}}},
+		ConfirmedAt: time.Now().Add(time.Hour),
+		Endpoints: map[string][]*endpoint.Endpoint{"register": {{
+			ID: "register-1", Kind: endpoint.Service, Serves: "register",
+			Address: strings.TrimPrefix(backend.URL, "http://"), Live: &endpoint.Live{},
+		}}},
+	})
+	figures := metrics.NewTraffic(prometheus.NewRegistry())
+	quiet := slog.New(slog.DiscardHandler)
+	transport := engine.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	dispatcher := dispatch.New(dispatch.Options{
+		Snapshots: snapshots, Policy: naive.New(), Observer: noObserver{}, Suspects: dispatch.NoSuspects{}, Metrics: figures,
+		Engines:  engine.NewClient(transport),
+		Services: engine.NewServiceClient(transport, engine.NewSingleUseTransport()),
+	}, quiet)
+	kept := &records{}
+	front := httptest.NewUnstartedServer(New(Options{
+		Snapshots: snapshots, Dispatcher: dispatcher, Claimer: claims, Metrics: figures, Recorder: kept,
+		Steps: http.NotFoundHandler(), Rollouts: http.NotFoundHandler(), Ready: http.NotFoundHandler(),
+		RequestTimeout: 10 * time.Second,
+	}, quiet))
+	front.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	front.Start()
+	t.Cleanup(front.Close)
+	return front, kept
+}
+
+func newClaims() *memoryClaims {
+	return &memoryClaims{endings: map[claim.Key]claim.Ending{}, prints: map[claim.Key]claim.Fingerprint{}}
+}
+
+// send makes one call and returns the answer with its body.
+func send(t *testing.T, method, url, body string, headers map[string]string) (*http.Response, string) {
+	t.Helper()
+	call, err := http.NewRequest(method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	for name, value := range headers {
+		call.Header.Set(name, value)
+	}
+	answer, err := http.DefaultClient.Do(call)
+	require.NoError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	return answer, string(text)
+}
+
+// counting counts the calls that run and answers each with its number.
+type counting struct {
+	mu    sync.Mutex
+	calls int
+	// refuse and cut say what becomes of the next calls.
+	refuse, cut bool
+}
+
+func (c *counting) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refuse {
+		w.Header().Set(engine.HeaderOutcome, engine.OutcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	c.calls++
+	if c.cut {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// count returns how many calls ran.
+func (c *counting) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+func withKey(key string) map[string]string {
+	return map[string]string{request.HeaderClass: "update", request.HeaderIdempotencyKey: key}
+}
+
+func TestKeyedUpdateRunsOnceAndIsReplayed(t *testing.T) {
+	service := &counting{}
+	front, _ := newServer(t, service, newClaims())
+	first, body := send(t, http.MethodPost, front.URL+"/services/register/wells", "x", withKey("k"))
+	require.Equal(t, http.StatusOK, first.StatusCode)
+	require.Equal(t, "done", body)
+	again, body := send(t, http.MethodPost, front.URL+"/services/register/wells", "x", withKey("k"))
+	require.Equal(t, "done", body)
+	require.Equal(t, "true", again.Header.Get(HeaderReplayed))
+	require.Equal(t, string(request.Answered), again.Header.Get(request.HeaderOutcome))
+	other, _ := send(t, http.MethodPost, front.URL+"/services/register/wells", "y", withKey("k"))
+	require.Equal(t, http.StatusBadRequest, other.StatusCode, "another body under the same key")
+	require.Equal(t, 1, service.count())
+}
+
+func TestKeyedUpdateThatBrokeIsUnknownAndNotRepeated(t *testing.T) {
+	service := &counting{cut: true}
+	front, _ := newServer(t, service, newClaims())
+	for _, status := range []int{http.StatusBadGateway, http.StatusConflict} {
+		answer, _ := send(t, http.MethodPost, front.URL+"/services/register/wells", "x", withKey("k"))
+		require.Equal(t, status, answer.StatusCode)
+		require.Equal(t, string(request.Unknown), answer.Header.Get(request.HeaderOutcome))
+	}
+	require.Equal(t, 1, service.count())
+}
+
+func TestRefusedUpdateMayRunLater(t *testing.T) {
+	service := &counting{refuse: true}
+	front, _ := newServer(t, service, newClaims())
+	answer, _ := send(t, http.MethodPost, front.URL+"/services/register/wells", "x", withKey("k"))
+	require.Equal(t, string(request.NotRun), answer.Header.Get(request.HeaderOutcome))
+	service.mu.Lock()
+	service.refuse = false
+	service.mu.Unlock()
+	answer, _ = send(t, http.MethodPost, front.URL+"/services/register/wells", "x", withKey("k"))
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, 1, service.count())
+}
+
+func TestKeyThatCannotBeClaimedIsNotRun(t *testing.T) {
+	service := &counting{}
+	claims := newClaims()
+	claims.down = true
+	front, kept := newServer(t, service, claims)
+	answer, body := send(t, http.MethodPost, front.URL+"/services/register/wells", "x", withKey("k"))
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	var problem request.Problem
+	require.NoError(t, json.Unmarshal([]byte(body), &problem))
+	require.Equal(t, request.NotRun, problem.Outcome)
+	require.Positive(t, problem.RetryAfterMillis)
+	require.Zero(t, service.count())
+	require.Equal(t, request.NotRun, kept.all[0].Outcome)
+}
+
+func TestUnkeyedPostIsNeverSentTwice(t *testing.T) {
+	service := &counting{cut: true}
+	front, _ := newServer(t, service, newClaims())
+	answer, _ := send(t, http.MethodPost, front.URL+"/services/register/wells", "x", map[string]string{request.HeaderClass: "update"})
+	require.Equal(t, string(request.Unknown), answer.Header.Get(request.HeaderOutcome))
+	require.Equal(t, 1, service.count())
+}
+
+func TestBadInputIsRefusedClearly(t *testing.T) {
+	front, _ := newServer(t, &counting{}, newClaims())
+	ok := map[string]string{request.HeaderClass: "update"}
+	cases := []struct {
+		name, path, body, want string
+		headers                map[string]string
+		status                 int
+	}{
+		{name: "no class", path: "/v1/completions", body: "{}", want: "there is no class", status: 400},
+		{name: "unknown class", path: "/v1/completions", headers: map[string]string{request.HeaderClass: "x"}, want: `no class \"x\"`, status: 400},
+		{name: "bad tenant", path: "/v1/completions", headers: map[string]string{request.HeaderClass: "update", request.HeaderTenant: "a b"}, want: "X-Tenant", status: 400},
+		{name: "bad version", path: "/v1/completions", headers: map[string]string{request.HeaderClass: "update", request.HeaderMinVersion: "new"}, want: "weight version", status: 400},
+		{name: "bad idempotent", path: "/v1/completions", headers: map[string]string{request.HeaderClass: "update", HeaderIdempotent: "maybe"}, want: "true or false", status: 400},
+		{name: "key with idempotent", path: "/services/register/x", headers: map[string]string{request.HeaderClass: "update", HeaderIdempotent: "true", request.HeaderIdempotencyKey: "k"}, want: "contradicts", status: 400},
+		{name: "long key", path: "/services/register/x", headers: withKey(strings.Repeat("k", maxKeyLength+1)), want: "255", status: 400},
+		{name: "malformed body", path: "/v1/completions", headers: ok, body: "{", want: "no completion request", status: 400},
+		{name: "no model", path: "/v1/completions", headers: ok, body: `{"prompt":"p"}`, want: "model", status: 400},
+		{name: "several choices", path: "/v1/completions", headers: ok, body: `{"model":"m","prompt":"p","n":2}`, want: "only one choice", status: 400},
+		{name: "resume by a caller", path: "/v1/completions", headers: ok, body: `{"model":"m","prompt":"p","resume":"x"}`, want: "resume", status: 400},
+		{name: "streamed with a key", path: "/v1/completions", headers: withKey("k"), body: `{"model":"m","prompt":"p","stream":true}`, want: "cannot be kept", status: 400},
+		{name: "oversized", path: "/v1/completions", headers: ok, body: strings.Repeat("x", maxBodySize+1), want: "at most", status: 413},
+		{name: "unknown path", path: "/v2/x", want: "not served", status: 404},
+		{name: "unknown application", path: "/services/other/x", headers: ok, want: `no endpoint serves \"other\"`, status: 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			answer, body := send(t, http.MethodPost, front.URL+c.path, c.body, c.headers)
+			require.Equal(t, c.status, answer.StatusCode, body)
+			require.Equal(t, request.ProblemContentType, answer.Header.Get("Content-Type"))
+			require.Equal(t, string(request.NotRun), answer.Header.Get(request.HeaderOutcome))
+			require.Contains(t, body, c.want)
+		})
+	}
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"p","max_tokens":3,"stream":true,"temperature":0.1}`))
+	f.Add([]byte(`{"model":"m","prompt":"p","n":1}`))
+	f.Add([]byte(`{"max_tokens":-1}`))
+	f.Add([]byte(`null`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		parsed, err := parseCompletion(body)
+		if err != nil {
+			require.True(t, errorx.IsOfType(err, request.ErrInvalid))
+			return
+		}
+		require.NotEmpty(t, parsed.Model)
+		require.GreaterOrEqual(t, parsed.MaxTokens, 1)
+		_, err = json.Marshal(parsed)
+		require.NoError(t, err, "what was taken can be sent on")
+	})
+}
