Move stragglers at the end of a step, with the tokens they have

Cause: a sample on a slowed engine stalls its step until it ends there.

Change: once no sample waits, one that is generated at less than a third of the step's usual pace is ended and resumed elsewhere, at most three times.

Ruled out: moving while samples still wait, since the slow engine would get the next one; judging from the start of the attempt, since a wait in a queue would count.

--- a/internal/event/step.go
+++ b/internal/event/step.go
@@ -16,4 +16,5 @@
 	StepPastDue       = define(3009, "step past deadline", slog.LevelWarn, "The step was not whole at its deadline; failed samples are not tried again.")
 	StepForwardBad    = define(3010, "step call not forwarded", slog.LevelWarn, "No entry that could own the step was reached; the trainer is asked to come back.")
 	StepNotHandedOver = define(3011, "step not handed over", slog.LevelWarn, "No entry took the step of this leaving one; its trainer brings it back, and what was not pulled is generated again.")
+	StragglersMoved   = define(3012, "stragglers moved", slog.LevelInfo, "At the end of a step, samples that were generated far slower than usual go on elsewhere with the tokens they have.")
 )
--- a/internal/step/aggregate.go
+++ b/internal/step/aggregate.go
@@ -24,6 +24,8 @@
 	queued  bool // its position is in pending, perhaps left over
 	attempt int  // rises with each start, so that late results are told apart
 	cancel  context.CancelFunc
+	pace    pace // of the running attempt
+	moves   int
 	partial partial
 	sample  wire.Sample
 }
@@ -59,6 +61,7 @@
 	counts    [held + 1]int
 	whole     int // groups for which whole() holds
 	discarded int64
+	usualPace float64 // of finished samples, in tokens a second; zero is not known
 	observe   Observer
 	delivery  delivery
 }
--- a/internal/step/bench_test.go
+++ b/internal/step/bench_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -44,7 +45,7 @@
 	for i := range n {
 		started, _ := s.next(func() {})
 		text := fmt.Sprint(i) + strings.Repeat("t", benchTokens*bytesInToken)
-		s.finish(started.at, started.attempt, Generation{Text: text, FinishReason: "stop", Spans: []wire.Span{{WeightVersion: 1, Tokens: benchTokens}}})
+		s.finish(started.at, started.attempt, Generation{Text: text, FinishReason: "stop", Spans: []wire.Span{{WeightVersion: 1, Tokens: benchTokens}}}, time.Time{})
 	}
 }
 
@@ -89,9 +90,9 @@
 				}
 				started, _ := s.next(func() {})
 				for range pieces {
-					s.progress(started.at, started.attempt, piece)
+					s.progress(started.at, started.attempt, piece, time.Now())
 				}
-				s.finish(started.at, started.attempt, Generation{FinishReason: "stop"})
+				s.finish(started.at, started.attempt, Generation{FinishReason: "stop"}, time.Time{})
 			}
 		})
 	}
--- a/internal/step/generation.go
+++ b/internal/step/generation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,6 +28,7 @@
 	s.move(at, running)
 	slot.attempt++
 	slot.cancel = cancel
+	slot.pace = pace{}
 	return start{at: at, attempt: slot.attempt, request: s.request(slot)}, true
 }
 
@@ -57,10 +59,11 @@
 }
 
 // progress records a piece of a running sample.
-func (s *Step) progress(at, attempt int, piece Piece) {
+func (s *Step) progress(at, attempt int, piece Piece, now time.Time) {
 	if !s.current(at, attempt) {
 		return
 	}
+	s.slots[at].pace.note(piece.Tokens, now)
 	p := &s.slots[at].partial
 	p.text = append(p.text, piece.Text...)
 	p.tokens += piece.Tokens
@@ -69,11 +72,12 @@
 
 // finish records a whole sample. One that is over the bound already is
 // discarded and waits again.
-func (s *Step) finish(at, attempt int, generation Generation) {
+func (s *Step) finish(at, attempt int, generation Generation, now time.Time) {
 	if !s.current(at, attempt) {
 		return
 	}
 	slot := &s.slots[at]
+	s.notePace(slot.pace, now)
 	slot.partial = partial{}
 	if wire.OverBound(generation.Spans, s.reference, s.spec.Staleness) {
 		s.discard(at, generation.Spans, true)
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -85,7 +85,7 @@
 	started.request.Progress = func(piece Piece) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.step.progress(started.at, started.attempt, piece)
+		r.step.progress(started.at, started.attempt, piece, time.Now())
 	}
 	generation, err := r.options.Generator.Generate(ctx, started.request)
 	retry := err != nil && !final(err) && ctx.Err() == nil
@@ -104,7 +104,7 @@
 	r.running--
 	switch {
 	case err == nil:
-		r.step.finish(started.at, started.attempt, generation)
+		r.step.finish(started.at, started.attempt, generation, time.Now())
 	case final(err):
 		event.SampleRefused.Log(r.ctx, r.options.Logger, slog.String("step", r.unit), slog.String("error", err.Error()))
 		r.step.refuse(started.at, started.attempt, err.Error())
--- /dev/null
+++ b/internal/step/straggler_test.go
@@ -0,0 +1,104 @@
+package step
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+	"github.com/comfreyfront/comfreyfront/trainer"
+)
+
+const (
+	tokenTime  = 20 * time.Millisecond
+	slowFactor = 10
+	pieceSize  = 16 // tokens
+)
+
+// unevenEngines are nine engines of which two are slow; the choice is blind.
+type unevenEngines struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (u *unevenEngines) draw() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.random.Float64()
+}
+
+// lengthOf is the sample's own: heavy-tailed, and the same on each engine.
+func lengthOf(seed int64, most int) int {
+	x := rand.New(rand.NewPCG(uint64(seed), 1)).Float64()
+	return min(most, int(64/math.Pow(1-x, 0.7)))
+}
+
+func (u *unevenEngines) Generate(ctx context.Context, req GenerateRequest) (Generation, error) {
+	perToken := tokenTime
+	if u.draw() < 2.0/9 {
+		perToken *= slowFactor
+	}
+	tokens, spans := req.Resume.Tokens, append([]wire.Span(nil), req.Resume.Spans...)
+	for length := lengthOf(req.Seed, req.MaxTokens); tokens < length; {
+		n := min(pieceSize, length-tokens)
+		select {
+		case <-time.After(time.Duration(n) * perToken):
+		case <-ctx.Done():
+			return Generation{}, ctx.Err()
+		}
+		tokens += n
+		spans = AppendSpan(spans, 1, n)
+		req.Progress(Piece{Tokens: n, WeightVersion: 1})
+	}
+	return Generation{FinishReason: "stop", Spans: spans}, nil
+}
+
+// stepTime is how long a step of 256 samples takes, in fake time.
+func stepTime(t *testing.T, seed uint64, move bool) time.Duration {
+	var took time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		spec := wire.Spec{Trainer: "t", Step: int64(seed), Model: "m", Class: "c", WeightVersion: 1}
+		for range 32 {
+			spec.Groups = append(spec.Groups, wire.Group{Size: 8, MaxTokens: 4096})
+		}
+		service := NewService(Options{Owner: idleOwner{}, Generator: &unevenEngines{random: rand.New(rand.NewPCG(seed, 2))}, Concurrency: 64})
+		began := time.Now()
+		_, err := service.Create(t.Context(), &wire.CreateRequest{Spec: spec})
+		require.NoError(t, err)
+		r := service.find(UnitOf("t", int64(seed)))
+		if !move {
+			r.mu.Lock()
+			for at := range r.step.slots {
+				r.step.slots[at].moves = maxMoves
+			}
+			r.mu.Unlock()
+		}
+		account := trainer.NewAccount(spec, nil, 1)
+		for !account.Complete() {
+			req := account.Pull(1)
+			req.WaitMillis = 1000
+			body, err := service.Pull(t.Context(), r.unit, &req)
+			require.NoError(t, err)
+			var reply wire.PullReply
+			require.NoError(t, decode(body, &reply))
+			require.NoError(t, account.Accept(&reply, 1, func(wire.Sample) error { return nil }))
+		}
+		took = time.Since(began)
+		require.NoError(t, service.Drain(t.Context()))
+	})
+	return took
+}
+
+func TestStepEndsSoonerWhenStragglersMove(t *testing.T) {
+	for seed := range uint64(5) {
+		stay, move := stepTime(t, seed, false), stepTime(t, seed, true)
+		t.Logf("seed %d: stay %v, move %v, ratio %.2f", seed, stay, move, move.Seconds()/stay.Seconds())
+		require.Less(t, move, stay)
+	}
+}
--- a/internal/step/upkeep.go
+++ b/internal/step/upkeep.go
@@ -93,7 +93,8 @@
 	return all
 }
 
-// tend notices new weights, a deadline that passed and a trainer that is gone.
+// tend notices new weights, stragglers, a deadline that passed and a trainer
+// that is gone.
 func (s *Service) tend(r *run) {
 	r.mu.Lock()
 	quiet := time.Since(r.pulled)
@@ -101,6 +102,9 @@
 		r.idle = true
 		event.StepIdle.Log(r.ctx, s.options.Logger, slog.String("step", r.unit))
 	}
+	if moved := r.step.relocate(time.Now()); moved > 0 {
+		event.StragglersMoved.Log(r.ctx, s.options.Logger, slog.String("step", r.unit), slog.Int("samples", moved))
+	}
 	r.advance()
 	r.wake()
 	r.mu.Unlock()
