Let a unit be taken from a holder that is taken for dead

Ruled out: a shorter lease (renewals cost the platform's service for everybody); deposing owners of weight rollouts (an engine that ignores fencing numbers could still obey the old one). Change: ownership.Depose deletes the key of a named holder at its revision and takes the unit under a new epoch; the entry tells steps which peers live. Tests: 3 new ones pass with the race detector. Conclusion: safe only where the platform's service refuses a stale owner's writes, as it does for claims.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -159,12 +160,19 @@
 	return step.NewService(step.Options{
 		Owner:      p.owner,
 		Generator:  &generator{dispatcher: dispatcher, snapshots: b.snapshots, record: b.recordSample},
+		Alive:      b.alive,
 		Newest:     func(model string) int64 { return b.snapshots.Load().Versions[model].Newest },
 		Logger:     b.logger,
 		Registerer: b.registry,
 	})
 }
 
+// alive reports whether another entry is believed to live.
+func (b *builder) alive(id string) bool {
+	snapshot := b.snapshots.Load()
+	return id != b.chosen.ID && slices.ContainsFunc(snapshot.Peers, func(peer control.Peer) bool { return peer.ID == id })
+}
+
 func (b *builder) recordSample(class, tenant string, outcome request.Outcome, took time.Duration, effort dispatch.Effort) {
 	b.metrics.Ended(class, tenant, outcome, took)
 	b.recorder.Record(traffic.Record{
--- /dev/null
+++ b/internal/ownership/depose_test.go
@@ -0,0 +1,46 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+)
+
+func TestDeposedHolderNeitherKeepsNorHarmsItsSuccessor(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	a, b := newManager(store.View(), "a", c), newManager(store.View(), "b", c)
+	old, err := a.Hold(ctx, "claims/1")
+	require.NoError(t, err)
+	next, err := b.Depose(ctx, "claims/1", "a")
+	require.NoError(t, err)
+	require.Greater(t, next.Epoch, old.Epoch, "writes of the old epoch can be told apart")
+	require.NoError(t, a.Release(ctx, "claims/1"))
+	_, err = newManager(store.View(), "c", c).Hold(ctx, "claims/1")
+	require.Equal(t, "b", HolderOf(err), "the old holder's release leaves the successor's key alone")
+	again, err := b.Hold(ctx, "claims/1")
+	require.NoError(t, err)
+	require.Equal(t, next, again)
+}
+
+func TestOnlyTheNamedHolderIsDeposed(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	a, b := newManager(store.View(), "a", c), newManager(store.View(), "b", c)
+	_, err := a.Hold(ctx, "claims/1")
+	require.NoError(t, err)
+	_, err = b.Depose(ctx, "claims/1", "x")
+	require.True(t, errorx.IsOfType(err, ErrHeldElsewhere))
+	require.Equal(t, "a", HolderOf(err))
+}
+
+func TestFreeUnitNeedsNoDeposition(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	m := newManager(memstore.New(c.Now), "a", c)
+	_, err := m.Depose(ctx, "claims/1", "x")
+	require.NoError(t, err)
+}
