--- a/internal/event/step.go
+++ b/internal/event/step.go
@@ -13,7 +13,7 @@
 	StepUnleased      = define(3006, "step without lease", slog.LevelWarn, "The platform's service cannot confirm the ownership, or the lease of a dead owner still stands; the step goes on, since the trainer's own account decides what is delivered.")
 	SampleRefused     = define(3007, "sample refused", slog.LevelWarn, "An endpoint or the entry refused the sample's prompt for good; the trainer gets the sample without text.")
 	SampleRetried     = define(3008, "sample retried", slog.LevelDebug, "A generation failed and is tried again with the tokens that it has.")
-	StepPastDue       = define(3009, "step past deadline", slog.LevelWarn, "The step was not whole at its deadline; failed samples are not tried again.")
+	StepPastDue       = define(3009, "step past deadline", slog.LevelWarn, "The step's deadline has passed and none of its samples was finished for minutes; its trainer is told that it failed.")
 	StepForwardBad    = define(3010, "step call not forwarded", slog.LevelWarn, "No entry that could own the step was reached; the trainer is asked to come back.")
 	StepNotHandedOver = define(3011, "step not handed over", slog.LevelWarn, "No entry took the step of this leaving one; its trainer brings it back, and what was not pulled is generated again.")
 	StragglersMoved   = define(3012, "stragglers moved", slog.LevelInfo, "At the end of a step, samples that were generated far slower than usual go on elsewhere with the tokens they have.")
--- /dev/null
+++ b/internal/step/deadline_test.go
@@ -0,0 +1,78 @@
+package step
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+)
+
+// lateGenerator takes a while and then ends with err.
+type lateGenerator struct {
+	takes time.Duration
+	err   error
+}
+
+func (g lateGenerator) Generate(ctx context.Context, _ GenerateRequest) (Generation, error) {
+	select {
+	case <-time.After(g.takes):
+		return Generation{FinishReason: "stop", Spans: []wire.Span{{WeightVersion: 1, Tokens: 1}}}, g.err
+	case <-ctx.Done():
+		return Generation{}, ctx.Err()
+	}
+}
+
+// pullUntilEnd pulls a step of six samples, due within a minute, with one
+// sample generated at a time, until it is whole or fails.
+func pullUntilEnd(t *testing.T, generator Generator) (samples []wire.Sample, failed error) {
+	synctest.Test(t, func(t *testing.T) {
+		service := NewService(Options{Owner: idleOwner{}, Generator: generator, Concurrency: 1})
+		defer func() { require.NoError(t, service.Drain(t.Context())) }()
+		spec := testSpec
+		spec.DeadlineMillis = time.Minute.Milliseconds()
+		_, err := service.Create(t.Context(), &wire.CreateRequest{Spec: spec})
+		require.NoError(t, err)
+		var holds wire.Holdings
+		for pull := int64(1); failed == nil && len(samples) < 6; pull++ {
+			body, err := service.Pull(t.Context(), testUnit, &wire.PullRequest{Pull: pull, Holds: holds, WeightVersion: 1, WaitMillis: 10_000})
+			if failed = err; err != nil {
+				break
+			}
+			var reply wire.PullReply
+			require.NoError(t, decode(body, &reply))
+			samples = append(samples, reply.Samples...)
+			for _, s := range reply.Samples {
+				holds.Add(wire.SampleID{Group: s.Group, Index: s.Index})
+			}
+		}
+	})
+	return samples, failed
+}
+
+func TestStepThatGetsOnIsLateRatherThanLost(t *testing.T) {
+	samples, err := pullUntilEnd(t, lateGenerator{takes: 4 * time.Minute})
+	require.NoError(t, err)
+	require.Len(t, samples, 6)
+}
+
+func TestStepThatGetsNowhereFailsAfterItsDeadline(t *testing.T) {
+	_, err := pullUntilEnd(t, lateGenerator{err: request.ErrNoEndpoint.New("none")})
+	require.True(t, errorx.IsOfType(err, ErrDeadline))
+}
+
+func TestSampleThatCannotRunIsDeliveredAsRefused(t *testing.T) {
+	samples, err := pullUntilEnd(t, lateGenerator{err: request.ErrSuspect.New("it crashes endpoints")})
+	require.NoError(t, err)
+	require.Len(t, samples, 6)
+	for _, s := range samples {
+		require.Equal(t, wire.FinishRefused, s.FinishReason)
+		require.Empty(t, s.Text)
+		require.Empty(t, s.Spans)
+	}
+}
--- a/internal/step/errors.go
+++ b/internal/step/errors.go
@@ -17,7 +17,7 @@
 	ErrSuperseded = Errors.NewType("superseded")
 	// ErrExpired: the stored reply holds a sample that is over the bound.
 	ErrExpired = Errors.NewType("expired")
-	// ErrDeadline: the step's deadline passed before it was whole.
+	// ErrDeadline: the step's deadline passed and it gets on no more.
 	ErrDeadline = Errors.NewType("deadline")
 	// ErrDraining: the entry takes no new steps.
 	ErrDraining = Errors.NewType("draining", errorx.Temporary())
--- a/internal/step/options.go
+++ b/internal/step/options.go
@@ -27,6 +27,9 @@
 	Concurrency int
 	// DefaultDeadline is the time within which a step is due that states none.
 	DefaultDeadline time.Duration
+	// GiveUpAfter is how long after the last finished sample a step that is past
+	// its deadline is given up.
+	GiveUpAfter time.Duration
 	// MaxReplySamples and MaxReplyBytes bound one reply to a pull.
 	MaxReplySamples int
 	MaxReplyBytes   int
@@ -40,6 +43,7 @@
 const (
 	defaultConcurrency  = 512
 	defaultDeadline     = 28 * time.Minute
+	defaultGiveUpAfter  = 5 * time.Minute
 	defaultReplySamples = 512
 	defaultReplyBytes   = 8 << 20
 	defaultIdleAfter    = 2 * time.Minute
@@ -61,6 +65,7 @@
 	}
 	setDefault(&o.Concurrency, defaultConcurrency)
 	setDefault(&o.DefaultDeadline, defaultDeadline)
+	setDefault(&o.GiveUpAfter, defaultGiveUpAfter)
 	setDefault(&o.MaxReplySamples, defaultReplySamples)
 	setDefault(&o.MaxReplyBytes, defaultReplyBytes)
 	setDefault(&o.IdleAfter, defaultIdleAfter)
--- a/internal/step/pull.go
+++ b/internal/step/pull.go
@@ -129,10 +129,9 @@
 	return r.changed, r.step.worthReplying(limits) || r.stuck()
 }
 
-// stuck reports whether the step can't go on: its deadline passed and nothing
-// runs or is ready. The caller holds mu.
+// stuck reports whether the trainer should wait no more. The caller holds mu.
 func (r *run) stuck() bool {
-	return r.running == 0 && r.step.counts[ready] == 0 && !r.step.Complete() && r.pastDue()
+	return r.step.counts[ready] == 0 && !r.step.Complete() && r.hopeless()
 }
 
 // reply composes the reply while the entry surely owns the step.
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -31,7 +31,9 @@
 	epoch   int64 // of replies; the tenure's, or what the trainer saw while there is none
 	running int   // goroutines that generate
 	pulled  time.Time
-	idle    bool
+	// finished is when a sample was finished last, at first when the run began.
+	finished time.Time
+	idle     bool
 	// changed is closed and replaced when a waiting pull should look again.
 	changed chan struct{}
 	// ended is closed when the pull in flight was replaced by another.
@@ -49,7 +51,7 @@
 	return &run{
 		unit: unit, made: made, deadline: made.Add(within), options: options, metrics: m,
 		ctx: ctx, drop: cancel, step: step, tenure: tenure, epoch: max(req.Epoch, tenure.Epoch),
-		pulled: now, changed: make(chan struct{}), ended: make(chan struct{}),
+		pulled: now, finished: now, changed: make(chan struct{}), ended: make(chan struct{}),
 	}
 }
 
@@ -61,7 +63,7 @@
 
 // launch starts waiting samples while there is room. The caller holds mu.
 func (r *run) launch() {
-	if r.idle || r.ctx.Err() != nil || r.pastDue() {
+	if r.idle || r.ctx.Err() != nil {
 		return
 	}
 	for r.running < r.options.Concurrency {
@@ -104,7 +106,8 @@
 	r.running--
 	switch {
 	case err == nil:
-		r.step.finish(started.at, started.attempt, generation, time.Now())
+		r.finished = time.Now()
+		r.step.finish(started.at, started.attempt, generation, r.finished)
 	case final(err):
 		event.SampleRefused.Log(r.ctx, r.options.Logger, slog.String("step", r.unit), slog.String("error", err.Error()))
 		r.step.refuse(started.at, started.attempt, err.Error())
@@ -115,8 +118,13 @@
 	r.launch()
 }
 
-// pastDue reports whether the step's deadline has passed.
-func (r *run) pastDue() bool { return !time.Now().Before(r.deadline) }
+// hopeless reports whether the step's deadline has passed and no sample was
+// finished for long: a step that still gets on is late rather than lost. The
+// caller holds mu.
+func (r *run) hopeless() bool {
+	now := time.Now()
+	return now.After(r.deadline) && now.Sub(r.finished) >= r.options.GiveUpAfter
+}
 
 // pause waits, or returns when ctx ends.
 func (r *run) pause(ctx context.Context, wait time.Duration) {
--- a/internal/step/wire/wire.go
+++ b/internal/step/wire/wire.go
@@ -26,7 +26,8 @@
 	ProblemExpired = "urn:comfreyfront:step:reply-expired"
 	// ProblemConflict: the step exists with another specification.
 	ProblemConflict = "urn:comfreyfront:step:conflict"
-	// ProblemDeadline: the step's deadline passed before it was whole.
+	// ProblemDeadline: the step's deadline passed and no sample was finished
+	// for minutes.
 	ProblemDeadline = "urn:comfreyfront:step:deadline"
 )
 
--- a/trainer/call.go
+++ b/trainer/call.go
@@ -77,6 +77,9 @@
 	case wire.ProblemNotOwner:
 		return retryAfter(problem)
 	}
+	if status == http.StatusConflict {
+		return ErrSuperseded.New("%s", problem.Detail)
+	}
 	if status >= 400 && status < 500 && status != http.StatusTooManyRequests {
 		return ErrRejected.New("status %d: %s", status, problem.Detail)
 	}
--- a/trainer/client.go
+++ b/trainer/client.go
@@ -62,11 +62,11 @@
 func (c *Client) Resume(ctx context.Context, spec Spec, holds Holdings, take func(Sample) error) error {
 	// Pull numbers start from the clock, so that they rise over a restart too.
 	s := &session{client: c, spec: spec, made: time.Now(), account: NewAccount(spec, holds, time.Now().UnixMilli())}
-	if err := s.repeat(ctx, s.create); err != nil {
+	if err := repeat(ctx, s.create); err != nil {
 		return err
 	}
 	for !s.account.Complete() {
-		if err := s.repeat(ctx, func(ctx context.Context) error { return s.pull(ctx, take) }); err != nil {
+		if err := repeat(ctx, func(ctx context.Context) error { return s.pull(ctx, take) }); err != nil {
 			return err
 		}
 	}
@@ -147,7 +147,7 @@
 }
 
 // repeat calls until the call succeeds, fails for good, or ctx ends.
-func (s *session) repeat(ctx context.Context, call func(context.Context) error) error {
+func repeat(ctx context.Context, call func(context.Context) error) error {
 	wait := firstBackoff
 	for {
 		err := call(ctx)
--- a/trainer/errors.go
+++ b/trainer/errors.go
@@ -9,8 +9,10 @@
 	ErrRejected = Errors.NewType("rejected")
 	// ErrConflict: the step exists with another specification.
 	ErrConflict = Errors.NewType("conflict")
-	// ErrDeadline: the step's deadline passed before it was whole.
+	// ErrDeadline: the step's deadline passed and it gets on no more.
 	ErrDeadline = Errors.NewType("deadline")
+	// ErrSuperseded: a newer weight version was accepted before.
+	ErrSuperseded = Errors.NewType("superseded")
 
 	// errRetry: the call may be repeated as it is.
 	errRetry = Errors.NewType("retry", errorx.Temporary())
