--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -64,8 +64,9 @@
 
 // Build makes a report from a snapshot and the digests of all entries.
 func Build(now time.Time, snapshot *control.Snapshot, digests []exchange.Digest) Report {
+	live := liveEntries(snapshot)
 	digests = slices.DeleteFunc(slices.Clone(digests), func(d exchange.Digest) bool {
-		return d.Age > heardLately || !isLive(snapshot, d.News.Entry)
+		return d.Age > heardLately || !live[d.News.Entry]
 	})
 	r := Report{
 		At:          now,
@@ -88,8 +89,12 @@
 	return slices.Index([]Status{Missed, NotKnown, Met, Idle}, s)
 }
 
-func isLive(snapshot *control.Snapshot, entry string) bool {
-	return slices.ContainsFunc(snapshot.Peers, func(p control.Peer) bool { return p.ID == entry })
+func liveEntries(snapshot *control.Snapshot) map[string]bool {
+	live := make(map[string]bool, len(snapshot.Peers))
+	for _, peer := range snapshot.Peers {
+		live[peer.ID] = true
+	}
+	return live
 }
 
 func heard(digests []exchange.Digest) int {
