--- a/trainer/rollout_test.go
+++ b/trainer/rollout_test.go
@@ -22,7 +22,7 @@
 
 func TestAnnounceIsAcceptedOnceAndSuperseded(t *testing.T) {
 	store := memstore.New(nil)
-	store.DropWrites(1) // the first call ends as unknown and is sent again
+	store.DropWrites(1) // the first write is lost and made again
 	server := httptest.NewServer(&rollout.Desk{Store: store, Control: silentControl{}, Logger: slog.New(slog.DiscardHandler)})
 	defer server.Close()
 	client := newClient(t, server.URL, 0)
