--- a/internal/control/config_test.go
+++ b/internal/control/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -156,3 +157,33 @@
 		require.Equal(t, before.Reads, after.Reads)
 	})
 }
+
+// TestChangeSpreadsThroughManyEntriesByPeersAlone cuts all entries but one from
+// the service for good before the change.
+func TestChangeSpreadsThroughManyEntriesByPeersAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries = 40
+		f := newFleet(t)
+		defer f.stop()
+		first := f.start("entry0", f.memory)
+		var others []*Manager
+		for i := 1; i < entries; i++ {
+			view := f.memory.View()
+			view.SetDown(true)
+			others = append(others, f.start(fmt.Sprint("entry", i), view))
+		}
+		elapse(20 * time.Second)
+		require.Len(t, first.Snapshots().Load().Peers, entries, "all know each other")
+		_, err := first.Apply(t.Context(), change("a", 0, time.Second))
+		require.NoError(t, err)
+		start, slowest := time.Now(), time.Duration(0)
+		for _, m := range others {
+			for m.Snapshots().Load().Classes.Revision != 1 {
+				<-m.Snapshots().Changed()
+			}
+			slowest = max(slowest, time.Since(start))
+		}
+		t.Logf("in force on %d entries after %v", entries, slowest)
+		require.LessOrEqual(t, slowest, inForce)
+	})
+}
