Bound the text of a step that waits for its trainer

Cause: a trainer that pulls slowly could make its step's owner hold all samples of a step, whatever their length.

Change: above 64 MB of ready text no further samples are started until some are pulled.

--- a/internal/step/aggregate.go
+++ b/internal/step/aggregate.go
@@ -59,6 +59,7 @@
 	// reference is the version against which staleness is judged.
 	reference int64
 	counts    [held + 1]int
+	readyText int // bytes of text of ready samples
 	whole     int // groups for which whole() holds
 	discarded int64
 	usualPace float64 // of finished samples, in tokens a second; zero is not known
@@ -116,8 +117,8 @@
 	}
 	g := &s.groups[slot.id.Group]
 	wasWhole := g.whole()
-	s.count(g, slot.state, -1)
-	s.count(g, to, +1)
+	s.count(g, slot, slot.state, -1)
+	s.count(g, slot, to, +1)
 	s.whole += btoi(g.whole()) - btoi(wasWhole)
 	if slot.cancel != nil {
 		slot.cancel()
@@ -129,11 +130,14 @@
 	}
 }
 
-func (s *Step) count(g *group, state sampleState, by int) {
+// count adds a slot to the counts of a state, or takes it out. The text of a
+// ready slot must be set before it is added and until it is taken out.
+func (s *Step) count(g *group, slot *slot, state sampleState, by int) {
 	s.counts[state] += by
 	switch state {
 	case ready:
 		g.ready += by
+		s.readyText += by * len(slot.sample.Text)
 	case held:
 		g.held += by
 	}
--- a/internal/step/generation.go
+++ b/internal/step/generation.go
@@ -140,7 +140,7 @@
 	oldest, _ := wire.Oldest(spans)
 	s.discarded++
 	s.observe.Discarded(s.reference-oldest, whole)
+	s.move(at, waiting)
 	slot.partial = partial{}
 	slot.sample = wire.Sample{}
-	s.move(at, waiting)
 }
--- a/internal/step/deadline_test.go
+++ b/internal/step/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,33 @@
 		require.Empty(t, s.Spans)
 	}
 }
+
+func TestTextThatWaitsForTheTrainerIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := NewService(Options{Owner: idleOwner{}, Generator: wordy{}, Concurrency: 1, MaxReadyBytes: 250})
+		defer func() { require.NoError(t, service.Drain(t.Context())) }()
+		_, err := service.Create(t.Context(), &wire.CreateRequest{Spec: testSpec})
+		require.NoError(t, err)
+		synctest.Wait()
+		progress, err := service.Progress(t.Context(), testUnit)
+		require.NoError(t, err)
+		require.Equal(t, 3, progress.Ready, "samples of 100 bytes")
+		require.Equal(t, 3, progress.Waiting)
+
+		holds := wire.Holdings{{Group: 0, From: 0, To: 2}}
+		_, err = service.Pull(t.Context(), testUnit, &wire.PullRequest{Pull: 1, Holds: holds, WeightVersion: 1})
+		require.NoError(t, err)
+		synctest.Wait()
+		progress, err = service.Progress(t.Context(), testUnit)
+		require.NoError(t, err)
+		require.Equal(t, 3, progress.Ready)
+		require.Equal(t, 1, progress.Waiting)
+	})
+}
+
+// wordy generates 100 bytes at once.
+type wordy struct{}
+
+func (wordy) Generate(context.Context, GenerateRequest) (Generation, error) {
+	return Generation{Text: strings.Repeat("w", 100), FinishReason: "stop", Spans: []wire.Span{{WeightVersion: 1, Tokens: 25}}}, nil
+}
--- a/internal/step/options.go
+++ b/internal/step/options.go
@@ -33,6 +33,9 @@
 	// MaxReplySamples and MaxReplyBytes bound one reply to a pull.
 	MaxReplySamples int
 	MaxReplyBytes   int
+	// MaxReadyBytes bounds the text of one step that waits for its trainer: above
+	// it no further samples are started.
+	MaxReadyBytes int
 	// IdleAfter without a pull, no further samples are started; AbandonAfter,
 	// the step is dropped.
 	IdleAfter    time.Duration
@@ -46,6 +49,7 @@
 	defaultGiveUpAfter  = 5 * time.Minute
 	defaultReplySamples = 512
 	defaultReplyBytes   = 8 << 20
+	defaultReadyBytes   = 64 << 20
 	defaultIdleAfter    = 2 * time.Minute
 	defaultAbandonAfter = 15 * time.Minute
 )
@@ -68,6 +72,7 @@
 	setDefault(&o.GiveUpAfter, defaultGiveUpAfter)
 	setDefault(&o.MaxReplySamples, defaultReplySamples)
 	setDefault(&o.MaxReplyBytes, defaultReplyBytes)
+	setDefault(&o.MaxReadyBytes, defaultReadyBytes)
 	setDefault(&o.IdleAfter, defaultIdleAfter)
 	setDefault(&o.AbandonAfter, defaultAbandonAfter)
 	return o
--- a/internal/step/run.go
+++ b/internal/step/run.go
@@ -61,12 +61,13 @@
 	r.changed = make(chan struct{})
 }
 
-// launch starts waiting samples while there is room. The caller holds mu.
+// launch starts waiting samples while there is room for them and for what is
+// ready. The caller holds mu.
 func (r *run) launch() {
 	if r.idle || r.ctx.Err() != nil {
 		return
 	}
-	for r.running < r.options.Concurrency {
+	for r.running < r.options.Concurrency && r.step.readyText <= r.options.MaxReadyBytes {
 		ctx, cancel := context.WithCancel(r.ctx)
 		started, ok := r.step.next(cancel)
 		if !ok {
