Let a quiet partition write a few groups without pacing

Cause: a claim that came within the interval after another one's write waited for the rest of it, also when the partition was nearly idle. Change: the pace is a token bucket of four writes.

--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreyfront/comfreyfront/internal/claim/claimpb"
@@ -13,6 +14,10 @@
 	"github.com/comfreyfront/comfreyfront/internal/platform"
 )
 
+// commitBurst is the number of writes that may follow each other at once after
+// a pause, so that a quiet partition answers without waiting.
+const commitBurst = 4
+
 // rowOverhead is the size in bytes of a row's tag and length in a group.
 const rowOverhead = 8
 
@@ -20,16 +25,17 @@
 // takes it over. While one write is in flight the next group forms.
 func (p *partition) run(ctx context.Context) {
 	defer p.close(ctx)
-	var lastWrite time.Time
+	pace := rate.NewLimiter(rate.Every(p.options.CommitInterval), commitBurst)
 	timer := time.NewTimer(p.options.Window)
 	defer timer.Stop()
 	for {
-		delay, work := p.dueIn(time.Now(), lastWrite)
+		now := time.Now()
+		delay, work := p.dueIn(now, untilToken(pace, now))
 		if !work && p.isDraining() {
 			return
 		}
 		if work && delay <= 0 {
-			lastWrite = time.Now()
+			pace.AllowN(now, 1)
 			if err := p.commit(ctx); err != nil {
 				return
 			}
@@ -49,9 +55,15 @@
 	}
 }
 
+// untilToken returns how long the limiter holds the next write back.
+func untilToken(limiter *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - limiter.TokensAt(now)
+	return time.Duration(missing / float64(limiter.Limit()) * float64(time.Second))
+}
+
 // dueIn returns how long to wait before the next write, and whether there is
-// anything to write.
-func (p *partition) dueIn(now, lastWrite time.Time) (time.Duration, bool) {
+// anything to write. pace is how long the limit on writes asks to wait.
+func (p *partition) dueIn(now time.Time, pace time.Duration) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.forming) == 0 {
@@ -60,7 +72,6 @@
 	if p.draining {
 		return 0, true
 	}
-	pace := lastWrite.Add(p.options.CommitInterval).Sub(now)
 	if p.formingUrgent > 0 || len(p.forming) >= p.options.QueueLimit {
 		return pace, true
 	}
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -26,7 +26,8 @@
 	Partitions uint32
 	// Window is how long a key is remembered after it was claimed.
 	Window time.Duration
-	// CommitInterval is the least time between two writes of a partition.
+	// CommitInterval is the least time between two writes of a partition, but
+	// for a few after a pause.
 	CommitInterval time.Duration
 	// SettleDelay is how long an ending may wait for a claim to share its write.
 	SettleDelay time.Duration
