Know an endpoint that leaves a second time

Cause: word of leaving was kept by its earliest instant, and the endpoint's own denial outlived it, so that one that came back and left again within 5 minutes went on getting work. TestEndpointThatLeavesASecondTime failed at the second leaving. Ruled out: taking the later instant when the two differ by much; that rule isn't associative and three entries could turn in a circle. Change: a term, raised by an entry that heard the denial; the higher term wins, within one the earlier word. The oracle of the exchange checks terms too. Conclusion: passes, also under -race.

--- a/internal/control/endpoint_test.go
+++ b/internal/control/endpoint_test.go
@@ -101,6 +101,31 @@
 	})
 }
 
+func TestEndpointThatLeavesASecondTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		f.replicas(9)
+		all := f.size(4)
+		elapse(3 * time.Second)
+		leave := func(leaving bool) {
+			f.with(func() { f.reports["replica1"] = engine.LoadReport{Leaving: leaving} })
+		}
+		for range 3 {
+			leave(true)
+			elapse(leaveTime)
+			for _, m := range all {
+				require.True(t, find(m, "replica1").Leaving)
+			}
+			leave(false)
+			elapse(2 * leaveHold)
+			for _, m := range all {
+				require.False(t, find(m, "replica1").Leaving)
+			}
+		}
+	})
+}
+
 func TestListOutageChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -112,7 +112,7 @@
 		return
 	}
 	if instance.Leaving {
-		m.state.EndpointLeaves(instance.ID, now)
+		m.hearLeaving(instance.ID, now)
 	}
 	known, exists := m.endpoints[instance.ID]
 	if !exists || known.instance.Address != instance.Address {
@@ -146,6 +146,24 @@
 	}
 }
 
+// hearLeaving takes first-hand word that an endpoint leaves. If it had come back
+// since the last word, it leaves again.
+func (m *Manager) hearLeaving(id string, now time.Time) {
+	t, known := m.endpoints[id]
+	since, said := m.state.LeavingSince(id)
+	if known && said && t.deniedSince(since) {
+		m.state.EndpointLeavesAgain(id, now)
+		return
+	}
+	m.state.EndpointLeaves(id, now)
+}
+
+// deniedSince reports whether the endpoint's own report denied word of its
+// leaving, with time for reports to lag.
+func (t *tracked) deniedSince(word time.Time) bool {
+	return !t.returnedAt.Before(word.Add(leaveHold))
+}
+
 // leaves reports whether an endpoint leaves: somebody said so, and its own
 // report has not denied it since, with time for reports to lag.
 func (m *Manager) leaves(t *tracked) bool {
@@ -153,7 +171,7 @@
 		return true
 	}
 	since, said := m.state.LeavingSince(t.instance.ID)
-	return said && t.returnedAt.Before(since.Add(leaveHold))
+	return said && !t.deniedSince(since)
 }
 
 // reviewAllLeaving reviews every endpoint; that costs in proportion to the list
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -125,7 +125,7 @@
 	m.forgetLeaveWord(t, now)
 	m.touch(false)
 	if l.report.Leaving {
-		m.state.EndpointLeaves(l.id, now)
+		m.hearLeaving(l.id, now)
 	} else {
 		t.returnedAt = l.startedAt
 	}
--- a/internal/control/observer.go
+++ b/internal/control/observer.go
@@ -61,7 +61,7 @@
 	}
 	switch s.kind {
 	case sawLeaving:
-		m.state.EndpointLeaves(s.id, now)
+		m.hearLeaving(s.id, now)
 		m.reviewLeaving(t)
 		m.round(ctx, now, adoptPeers)
 	case sawFailure:
--- a/internal/exchange/compose.go
+++ b/internal/exchange/compose.go
@@ -120,8 +120,8 @@
 }
 
 func (c *composer) leaving(maxSent int) {
-	c.state.leaving.take(maxSent, func(key string, at time.Time) bool {
-		item := &peerpb.Leaving{Endpoint: key, AgeMs: c.now.Sub(at).Milliseconds()}
+	c.state.leaving.take(maxSent, func(key string, word leave) bool {
+		item := &peerpb.Leaving{Endpoint: key, AgeMs: c.now.Sub(word.at).Milliseconds(), Term: word.term}
 		add, goOn := c.fits("l", key, item)
 		if add {
 			c.news.Leaving = append(c.news.Leaving, item)
--- a/internal/exchange/model_test.go
+++ b/internal/exchange/model_test.go
@@ -53,7 +53,7 @@
 	states   []*State
 	parted   bool // entries of odd and even number do not reach each other
 	late     []*peerpb.News
-	leaving  map[string]bool
+	leaving  map[string]int64
 	versions map[string]*peerpb.ModelVersion
 	outliers map[string]*peerpb.Outlier
 	digests  map[string]int64
@@ -62,7 +62,7 @@
 }
 
 func newWorld(entries int) *world {
-	w := &world{now: epoch, leaving: map[string]bool{}, versions: map[string]*peerpb.ModelVersion{}, outliers: map[string]*peerpb.Outlier{}, digests: map[string]int64{}}
+	w := &world{now: epoch, leaving: map[string]int64{}, versions: map[string]*peerpb.ModelVersion{}, outliers: map[string]*peerpb.Outlier{}, digests: map[string]int64{}}
 	for i := range entries {
 		id := fmt.Sprint("entry", i)
 		w.states = append(w.states, NewState(Options{ID: id, Address: id, Incarnation: 1, BodyBudget: 300, IdleBudget: 200}))
@@ -103,8 +103,14 @@
 	return map[string]func(*rapid.T){
 		"leaving": func(t *rapid.T) {
 			id := rapid.SampledFrom([]string{"p", "q", "r", "s"}).Draw(t, "endpoint")
-			w.states[entry(t)].EndpointLeaves(id, w.now)
-			w.leaving[id] = true
+			s := w.states[entry(t)]
+			if rapid.Bool().Draw(t, "again") {
+				s.EndpointLeavesAgain(id, w.now)
+			} else {
+				s.EndpointLeaves(id, w.now)
+			}
+			word, _ := s.leaving.get(id)
+			w.leaving[id] = max(w.leaving[id], word.term)
 		},
 		"version": func(t *rapid.T) {
 			model, newest := rapid.SampledFrom([]string{"m", "n"}).Draw(t, "model"), rapid.Int64Range(1, 9).Draw(t, "newest")
@@ -191,9 +197,10 @@
 			require.False(t, m.Suspected)
 		}
 		require.Equal(t, len(w.leaving), s.leaving.len())
-		for id := range w.leaving {
-			_, known := s.LeavingSince(id)
+		for id, term := range w.leaving {
+			word, known := s.leaving.get(id)
 			require.True(t, known)
+			require.Equal(t, term, word.term)
 		}
 		for model, want := range w.versions {
 			got, _ := s.versions.get(model)
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -63,7 +63,7 @@
 func (s *State) mergeLeaving(now time.Time, news *peerpb.Leaving) {
 	since := age(news.AgeMs)
 	if since <= leavingMemory && s.leaving.len() < maxLeaving {
-		s.EndpointLeaves(news.Endpoint, now.Add(-since))
+		s.mergeLeave(news.Endpoint, leave{at: now.Add(-since), term: news.Term})
 	}
 }
 
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -71,7 +71,7 @@
 	options  Options
 	self     *peerpb.PeerSeen
 	members  *rotation[*member]
-	leaving  *rotation[time.Time]
+	leaving  *rotation[leave]
 	outliers *rotation[outlier]
 	versions *rotation[*peerpb.ModelVersion]
 	digests  *rotation[digest]
@@ -81,6 +81,13 @@
 	round int
 }
 
+// leave is the first word of an endpoint's leaving, by this entry's clock.
+type leave struct {
+	at time.Time
+	// term rises when the endpoint leaves again after it came back.
+	term int64
+}
+
 // outlier is a judgement and when it was made, by this entry's clock.
 type outlier struct {
 	news *peerpb.Outlier
@@ -114,7 +121,7 @@
 	return &State{
 		options:  options,
 		members:  newRotation[*member](),
-		leaving:  newRotation[time.Time](),
+		leaving:  newRotation[leave](),
 		outliers: newRotation[outlier](),
 		versions: newRotation[*peerpb.ModelVersion](),
 		digests:  newRotation[digest](),
@@ -150,23 +157,35 @@
 	return s.config.confirmedAt
 }
 
-// EndpointLeaves records the first word that an endpoint leaves; it reports
-// whether that was news.
-func (s *State) EndpointLeaves(id string, at time.Time) bool {
+// EndpointLeaves records word that an endpoint leaves. Later word of the same
+// leaving changes nothing.
+func (s *State) EndpointLeaves(id string, at time.Time) {
+	known, _ := s.leaving.get(id)
+	s.mergeLeave(id, leave{at: at, term: known.term})
+}
+
+// EndpointLeavesAgain records word that an endpoint leaves that had come back
+// since the last word.
+func (s *State) EndpointLeavesAgain(id string, at time.Time) {
+	known, _ := s.leaving.get(id)
+	s.mergeLeave(id, leave{at: at, term: known.term + 1})
+}
+
+// mergeLeave takes the higher term, and within one the earlier word.
+func (s *State) mergeLeave(id string, word leave) {
 	known, exists := s.leaving.get(id)
-	if !exists {
-		s.leaving.put(id, at)
-		return true
-	}
-	if at.Before(known) {
-		s.leaving.set(id, at)
+	switch {
+	case !exists || word.term > known.term:
+		s.leaving.put(id, word)
+	case word.term == known.term && word.at.Before(known.at):
+		s.leaving.set(id, word)
 	}
-	return false
 }
 
 // LeavingSince returns when an endpoint was first said to leave.
 func (s *State) LeavingSince(id string) (time.Time, bool) {
-	return s.leaving.get(id)
+	word, said := s.leaving.get(id)
+	return word.at, said
 }
 
 // Judge records this entry's judgement of an endpoint. Sequence must rise;
@@ -228,8 +247,8 @@
 }
 
 func (s *State) forget(now time.Time) {
-	s.leaving.each(func(key string, at time.Time) {
-		if now.Sub(at) > leavingMemory {
+	s.leaving.each(func(key string, word leave) {
+		if now.Sub(word.at) > leavingMemory {
 			s.leaving.remove(key)
 		}
 	})
