Tell all entries of a suspect before its caller is told

Cause: without it an entry that the periodic exchange has not reached yet runs the request that kills again, and costs a third endpoint.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -75,6 +75,7 @@
 		func(peer claim.Peer) claim.Owner { return b.dialer.dial(peer.Address) }, claim.Options{}, b.logger)
 	b.suspects = suspect.NewRegistry(suspect.Options{
 		Exclusive: suspect.ClaimExclusive{Claimer: b.claimer, Self: b.chosen.ID},
+		Spread:    func(rows []*peerpb.Suspect) { p.control.SpreadSuspects(rows) },
 	}, b.logger, b.registry)
 	p.control = b.newControl(address)
 	dispatcher := b.newDispatcher(p)
