--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 generate:
 	$(GO) run ./internal/tools/protogen internal/peer/peer.proto internal/peer/peerpb
+	$(GO) run ./internal/tools/protogen internal/claim/claim.proto internal/claim/claimpb
 	$(GO) run ./internal/tools/eventsdoc > docs/EVENTS.md
 
 check-generated:
