Move stragglers, and learn an endpoint's pace faster

Cause: a step waits for its longest samples, and for those on an engine that has become slow; short work hit a slowed engine several times before its average showed it.

The moving average of an endpoint's time per token gives the newest value a third, not an eighth. The measure drives the mover itself; the generator of steps does not yet.

Ruled out, no difference in trainer_idle: no prefix affinity, smaller lanes, half or all of the slots for each entry's long work.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -65,7 +65,7 @@
 }
 
 // movingAverageWeight is the divisor of the newest value in moving averages.
-const movingAverageWeight = 8
+const movingAverageWeight = 3
 
 // ObserveTokens records that tokens took the given time.
 func (l *Live) ObserveTokens(tokens int, took time.Duration) {
--- a/internal/measure/classes.go
+++ b/internal/measure/classes.go
@@ -13,6 +13,8 @@
 	classHint     = "hint"
 	classTraining = "training"
 	classUpdate   = "update"
+	// classStraggler is for samples that hold up a step.
+	classStraggler = "straggler"
 )
 
 // classes of both deployments.
@@ -21,5 +23,6 @@
 	{Name: classUpdate, Lateness: time.Second, Completeness: 0.99},
 	{Name: classDraft, Lateness: 3 * time.Second, Completeness: 0.8},
 	{Name: classHint, Lateness: time.Second, Completeness: 0.3},
+	{Name: classStraggler, Lateness: 10 * time.Second, Completeness: 0.95},
 	{Name: classTraining, Lateness: time.Minute, Completeness: 0.95},
 }
--- a/internal/measure/training.go
+++ b/internal/measure/training.go
@@ -45,7 +45,8 @@
 	running.Wait()
 	quiet()
 	neighbours.Wait()
-	return trainingValues(all[:]), nil
+	values := trainingValues(all[:])
+	return append(values, Value{"sample_moves", "moves", float64(w.Moves.Load())}), nil
 }
 
 // neighbours slows one engine after the other.
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -18,6 +18,8 @@
 	Traffic Traffic
 	// Version is the newest weight version.
 	Version atomic.Int64
+	// Moves counts the samples that were moved.
+	Moves atomic.Int64
 
 	classes map[string]class.Class
 	turn    atomic.Uint64
@@ -87,7 +89,7 @@
 		defer cancel()
 	}
 	pause(ctx, clientDelay)
-	answer, effort, err := e.Dispatcher.Complete(ctx, &dispatch.Completion{
+	completion := &dispatch.Completion{
 		Call: dispatch.Call{
 			Class:      w.classes[a.Class],
 			Arrived:    time.Now(),
@@ -96,7 +98,15 @@
 		},
 		Request: engine.CompletionRequest{Model: model, Prompt: a.Prompt, MaxTokens: a.MaxTokens},
 		Fresh:   a.Fresh,
-	})
+	}
+	var answer dispatch.Progress
+	var effort dispatch.Effort
+	var err error
+	if a.Patient && e.mover != nil {
+		answer, effort, err = w.askMoving(ctx, e, completion)
+	} else {
+		answer, effort, err = e.Dispatcher.Complete(ctx, completion)
+	}
 	pause(ctx, clientDelay)
 	return Reply{Took: time.Since(started), Err: err, Effort: effort, Answer: answer}
 }
--- a/internal/policy/bench_test.go
+++ b/internal/policy/bench_test.go
@@ -15,6 +15,7 @@
 				}
 				work := &Work{ExpectedTokens: 100}
 				b.ReportAllocs()
+				b.ResetTimer()
 				for i := range b.N {
 					if prefix != 0 {
 						work.Prefix = uint64(i) * 0x9e3779b97f4a7c15
