Refute a suspicion in the reply to it

Cause: with only the link between two of six entries cut, each counted the other as dead now and then: the others knew a higher heartbeat, but told it only in their turn. Change: a record that refutes a received suspicion is news again, so that the reply to the suspicion carries it.

--- a/internal/control/endpoint_test.go
+++ b/internal/control/endpoint_test.go
@@ -246,6 +246,22 @@
 	})
 }
 
+func TestCutBetweenTwoEntriesKeepsBoth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stop()
+		all := f.size(6)
+		elapse(3 * time.Second)
+		f.with(func() { f.cut["entry0-entry1"] = true })
+		for range 60 {
+			elapse(time.Second)
+			for _, m := range all {
+				require.Len(t, m.Snapshots().Load().Peers, 6, m.options.ID)
+			}
+		}
+	})
+}
+
 func TestObserverNeverBlocks(t *testing.T) {
 	m := New(Options{ID: "entry0", Snapshots: &Snapshots{}}, slog.New(slog.DiscardHandler), nil)
 	for range observationBuffer + 5 {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -33,7 +33,7 @@
 	mu        sync.Mutex
 	managers  map[string]*Manager // by address
 	stops     map[string]context.CancelFunc
-	cut       map[string]bool // addresses nobody reaches
+	cut       map[string]bool // addresses nobody reaches, and links "a-b"
 	instances []platform.Instance
 	listErr   error
 	reports   map[string]engine.LoadReport // by address
@@ -79,7 +79,7 @@
 func (c caller) Exchange(ctx context.Context, address string, news *peerpb.News) (*peerpb.News, error) {
 	c.fleet.mu.Lock()
 	to, known := c.fleet.managers[address]
-	cut := !known || c.fleet.cut[address] || c.fleet.cut[c.from]
+	cut := !known || c.fleet.cut[address] || c.fleet.cut[c.from] || c.fleet.cut[c.from+"-"+address] || c.fleet.cut[address+"-"+c.from]
 	c.fleet.mu.Unlock()
 	if cut {
 		return nil, exchange.ErrUnreachable.New("%s", address)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -115,10 +115,12 @@
 		return
 	}
 	joined := join(known.seen, seen)
-	if sameStanding(known.seen, joined) {
+	refuted := seen.Suspected && !joined.Suspected
+	if sameStanding(known.seen, joined) && !refuted {
 		s.members.set(seen.Id, &member{seen: joined, changedAt: known.changedAt})
 		return
 	}
+	// What refutes a suspicion is news again, so that the reply carries it.
 	s.members.put(seen.Id, &member{seen: joined, changedAt: now})
 }
 
