--- a/internal/rollout/fencing_test.go
+++ b/internal/rollout/fencing_test.go
@@ -21,9 +21,9 @@
 func replaceOwner(t *testing.T, engine string, spoil func(*fakeEngine)) *fleet {
 	f := newFleet(1, 2, time.Second)
 	entries := []*entry{newEntry(f, "a"), newEntry(f, "b")}
-	defer runCarriers(entries)()
-	spoil(f.engines[engine])
 	f.accept()
+	spoil(f.engines[engine])
+	defer runCarriers(entries)()
 	for f.awaits(engine) {
 		passTime(100 * time.Millisecond)
 	}
