Ask peers that were not heard when a report is made

Cause: in a trial with 330 states an entry heard at most 156 entries' figures within a minute by the exchange, within its budget.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -46,6 +46,7 @@
 	storeOK    bool
 	storeStale bool
 	judgedAt   time.Time
+	gatheredAt time.Time
 	dirty      dirtiness
 	listDown   bool
 	started    bool // was connected once
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -90,8 +90,9 @@
 }
 
 // Digests returns the class figures of all entries that were heard lately, this
-// one included.
+// one included. Live peers that were not heard are asked.
 func (m *Manager) Digests(ctx context.Context) []exchange.Digest {
+	m.gather(ctx)
 	var digests []exchange.Digest
 	if !m.do(ctx, func(now time.Time) { digests = m.state.Digests(now) }) {
 		return nil
--- a/internal/exchange/compose.go
+++ b/internal/exchange/compose.go
@@ -27,6 +27,7 @@
 	if to.Behind {
 		news.Config = s.config.data
 	}
+	news.WantDigests = to.WantDigests
 	return news
 }
 
@@ -37,9 +38,25 @@
 	if received.ConfigRevision < s.config.revision {
 		news.Config = s.config.data
 	}
+	if received.WantDigests {
+		news.Digests = s.ownDigests(now)
+	}
 	return news
 }
 
+// ownDigests returns this entry's digests of all classes.
+func (s *State) ownDigests(now time.Time) []*peerpb.ClassDigest {
+	var own []*peerpb.ClassDigest
+	s.digests.each(func(_ string, d digest) {
+		if d.news.Entry == s.self.Id {
+			item := proto.Clone(d.news).(*peerpb.ClassDigest)
+			item.AgeMs = now.Sub(d.at).Milliseconds()
+			own = append(own, item)
+		}
+	})
+	return own
+}
+
 // compose fills a message with what is news, up to the body budget, and then
 // with old news up to the idle budget.
 func (s *State) compose(now time.Time, peers bool) *peerpb.News {
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -40,6 +40,8 @@
 	Leaving, Suspected          bool
 	// Behind: its last reply named an older class document than this entry's.
 	Behind bool
+	// WantDigests: the request asks for all of its own class digests.
+	WantDigests bool
 }
 
 func memberOf(seen *peerpb.PeerSeen) Member {
