Let a young entry retry a few times

Cause: 3 % of requests stayed unanswered while entries learnt that a third of the engines fail: their budgets began with one call.

Change: retries start with 3 calls and add 6 % of requests, not 1 and 8 %.

--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -14,10 +14,10 @@
 }
 
 // NewBudget allows share (0 to 1) further calls per request; at most burst of
-// them may be saved up. It starts with one.
-func NewBudget(share float64, burst int) *Budget {
+// them may be saved up, and it starts with start of them.
+func NewBudget(share float64, burst, start int) *Budget {
 	b := &Budget{perArrival: int64(share * budgetUnit), most: int64(burst) * budgetUnit}
-	b.parts.Store(min(b.most, budgetUnit))
+	b.parts.Store(min(b.most, int64(start)*budgetUnit))
 	return b
 }
 
--- a/internal/policy/hedge.go
+++ b/internal/policy/hedge.go
@@ -6,6 +6,7 @@
 const (
 	hedgeShare    = 0.04
 	hedgeBurst    = 5
+	hedgeStart    = 1
 	hedgeQuantile = 0.98
 	// minHedgeSamples is how many calls the quantile needs.
 	minHedgeSamples = 20
@@ -21,7 +22,7 @@
 
 // NewQuantileHedger returns a hedger with its budget.
 func NewQuantileHedger() *QuantileHedger {
-	return &QuantileHedger{budget: NewBudget(hedgeShare, hedgeBurst)}
+	return &QuantileHedger{budget: NewBudget(hedgeShare, hedgeBurst, hedgeStart)}
 }
 
 // After implements Hedger. Each call counts as one request for the budget.
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -3,8 +3,9 @@
 // Limits of retries.
 const (
 	// retryShare keeps the calls per request under 1.1.
-	retryShare = 0.08
+	retryShare = 0.06
 	retryBurst = 10
+	retryStart = 3
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
 )
@@ -14,9 +15,9 @@
 	budget *Budget
 }
 
-// NewBudgetRetrier returns a retrier with a full share.
+// NewBudgetRetrier returns a retrier with its budget.
 func NewBudgetRetrier() *BudgetRetrier {
-	return &BudgetRetrier{budget: NewBudget(retryShare, retryBurst)}
+	return &BudgetRetrier{budget: NewBudget(retryShare, retryBurst, retryStart)}
 }
 
 // Arrive implements Retrier.
--- a/internal/policy/rules_test.go
+++ b/internal/policy/rules_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestBudgetIsAShareWithABurst(t *testing.T) {
-	b := NewBudget(0.1, 10)
+	b := NewBudget(0.1, 10, 1)
 	taken := 0
 	for range 10000 {
 		b.Arrive()
