Probe endpoints that looked slow when they were last used

Cause: an endpoint that the choice avoids because it was slow got no work any more, so its time per token was never learnt again: it was never probed back.

A test failed before: a recovered endpoint stayed out.

--- a/internal/policy/chooser.go
+++ b/internal/policy/chooser.go
@@ -49,6 +49,8 @@
 // those that only may.
 type choices struct {
 	should, may choice
+	// slowest took longest per token of those that did not just fail.
+	slowest *endpoint.Endpoint
 }
 
 func (c *choices) best() choice {
@@ -63,17 +65,21 @@
 	if len(endpoints) == 0 {
 		return nil, false
 	}
-	best := c.sample(endpoints, work, random)
+	seen := c.sample(endpoints, work, random)
+	best := seen.best()
 	if best.endpoint == nil {
 		return c.scan(endpoints, work, random)
 	}
+	if e := probe(best.endpoint, seen.slowest, work, random); e != nil {
+		return e, true
+	}
 	if e := c.home(endpoints, work, best, random); e != nil {
 		return e, true
 	}
 	return best.endpoint, true
 }
 
-func (c *Chooser) sample(endpoints []*endpoint.Endpoint, work *Work, random *rand.Rand) choice {
+func (c *Chooser) sample(endpoints []*endpoint.Endpoint, work *Work, random *rand.Rand) choices {
 	var seen choices
 	n := len(endpoints)
 	if n <= scanAll {
@@ -81,18 +87,21 @@
 		for i := range n {
 			c.consider(&seen, endpoints[(start+i)%n], work, random)
 		}
-		return seen.best()
+		return seen
 	}
 	for range sampled {
 		c.consider(&seen, endpoints[random.IntN(n)], work, random)
 	}
-	return seen.best()
+	return seen
 }
 
 func (c *Chooser) consider(seen *choices, e *endpoint.Endpoint, work *Work, random *rand.Rand) {
 	if !mayTake(e, work) {
 		return
 	}
+	if e.Live.Failures.Load() == 0 {
+		seen.slowest = slower(seen.slowest, e, work)
+	}
 	cost := c.cost(e, work)
 	if c.shouldTake(e, work, random) {
 		seen.should.offer(e, cost)
--- /dev/null
+++ b/internal/policy/probe_test.go
@@ -0,0 +1,41 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// picksOf counts how often the first endpoint is picked, and lets each pick take
+// the given time per token there; it returns the time per token learnt in the end.
+func picksOf(t *testing.T, work *Work, slow time.Duration, picks int) (first int, last time.Duration) {
+	t.Helper()
+	endpoints := fleet(9)
+	for _, e := range endpoints {
+		e.Live.TokenNanos.Store(int64(5 * time.Millisecond))
+	}
+	endpoints[0].Live.TokenNanos.Store(int64(50 * time.Millisecond))
+	random := seeded(1)
+	for range picks {
+		e, ok := chooser().Pick(endpoints, work, testNow, random)
+		require.True(t, ok)
+		if e == endpoints[0] {
+			first++
+			e.Live.ObserveTokens(1, slow)
+		}
+	}
+	return first, time.Duration(endpoints[0].Live.TokenNanos.Load())
+}
+
+func TestSlowEndpointIsProbedRarely(t *testing.T) {
+	probes, _ := picksOf(t, &Work{ExpectedTokens: 10, Idempotent: true, Interactive: true}, 50*time.Millisecond, 10000)
+	require.InDelta(t, 10000*probeInteractive, probes, 20)
+	probes, _ = picksOf(t, &Work{ExpectedTokens: 10}, 50*time.Millisecond, 1000)
+	require.Zero(t, probes, "it may not run twice")
+}
+
+func TestRecoveredEndpointIsFound(t *testing.T) {
+	_, learnt := picksOf(t, &Work{ExpectedTokens: 10, Idempotent: true}, 5*time.Millisecond, 2000)
+	require.LessOrEqual(t, learnt, time.Duration(probeRatio*float64(5*time.Millisecond)))
+}
