Confirm the classes before a request uses them

Cause: an entry that was paused served its first requests by classes that could have been replaced for long; its control side confirms within a second. Ruled out: refusing while unconfirmed (an entry cut off from everything must serve what is safe). Figures: the new test fails without the wait (revision 1 in place of 2).

--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
@@ -59,7 +61,7 @@
 func (s *Server) classReader(c *caller) func(*http.Request) error {
 	return func(r *http.Request) error {
 		name := r.Header.Get(request.HeaderClass)
-		found, ok := s.options.Snapshots.Load().Classes.Find(name)
+		found, ok := s.confirmed(r.Context()).Classes.Find(name)
 		if !ok {
 			return request.ErrInvalid.New("header %s: there is no class %q; an operator creates classes with `comfreyfront class apply`", request.HeaderClass, name)
 		}
@@ -68,6 +70,22 @@
 	}
 }
 
+// confirmTimeout bounds the wait for the class document to be confirmed, as
+// after a pause of the process.
+const confirmTimeout = time.Second
+
+// confirmed returns a snapshot whose classes were known to be the newest
+// lately. When that cannot be found out, it returns the newest that there is.
+func (s *Server) confirmed(ctx context.Context) *control.Snapshot {
+	if snapshot := s.options.Snapshots.Load(); snapshot.Fresh(s.now()) {
+		return snapshot
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	snapshot, _ := s.options.Snapshots.Confirmed(ctx, s.options.Clock)
+	return snapshot
+}
+
 func (c *caller) readTenant(r *http.Request) error {
 	tenant := r.Header.Get(request.HeaderTenant)
 	if tenant == "" {
--- a/internal/traffic/server_test.go
+++ b/internal/traffic/server_test.go
@@ -284,3 +284,18 @@
 		require.NoError(t, err, "what was taken can be sent on")
 	})
 }
+
+func TestClassesAreConfirmedBeforeUse(t *testing.T) {
+	snapshots := &control.Snapshots{}
+	now := time.Unix(1000, 0)
+	old := &class.Document{Revision: 1, Classes: []class.Class{{Name: "old"}}}
+	snapshots.Publish(&control.Snapshot{Classes: old, ConfirmedAt: now.Add(-time.Minute), StoreReachable: true})
+	s := &Server{options: Options{Snapshots: snapshots, Clock: func() time.Time { return now }}}
+	done := make(chan *control.Snapshot)
+	go func() { done <- s.confirmed(context.Background()) }()
+	renewed := &class.Document{Revision: 2, Classes: []class.Class{{Name: "new"}}}
+	snapshots.Publish(&control.Snapshot{Classes: renewed, ConfirmedAt: now, StoreReachable: true})
+	require.Equal(t, int64(2), (<-done).Classes.Revision)
+	snapshots.Publish(&control.Snapshot{Classes: renewed, ConfirmedAt: now.Add(-time.Minute)})
+	require.Equal(t, int64(2), s.confirmed(context.Background()).Classes.Revision, "cut off from everything, it serves with what it has")
+}
