Keep the share of capacity when a rollout is superseded; steadier tests

Cause: a pass that was superseded left its orders running on engines, and the next one's came on top: 6 of 9 replicas were under an order where 4 may be. Found by the race detector's slower runs of the test of the share, 1 of 3.

Change: a pass waits for its orders before it ends, except at shutdown. The new test supersedes 20 times; with the fault back in, on a scratch copy, it fails.

The test of the naive delivery did not see changed replies with -short, which makes rapid run a fifth of the checks, and at times without it. Both stateful tests run 150 checks with -short too, and a repeated pull that gets an empty reply in place of samples counts as changed now, which is stricter for both versions.

--- a/internal/rollout/carrier_test.go
+++ b/internal/rollout/carrier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,8 +13,17 @@
 	"pgregory.net/rapid"
 )
 
+// checks is the number of checks of the stateful tests, with -short too, which
+// makes rapid run a fifth of what it is told.
+const checks, shortFactor = 150, 5
+
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.steps": "80"} {
+	flag.Parse()
+	count := checks
+	if testing.Short() {
+		count *= shortFactor
+	}
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": strconv.Itoa(count), "rapid.steps": "80"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -143,6 +153,20 @@
 	})
 }
 
+func TestShareIsKeptWhenARolloutIsSuperseded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 9, 4*time.Second)
+		defer runCarriers([]*entry{newEntry(f, "a")})()
+		for range 20 {
+			f.accept()
+			passTime(2500 * time.Millisecond)
+		}
+		passTime(5 * time.Minute)
+		require.True(t, f.settled())
+		require.LessOrEqual(t, f.most["d0"], 4, "half of 9 replicas are kept")
+	})
+}
+
 func TestDomainsActivateTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(2, 2, time.Second)
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -70,9 +70,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.options.StageTimeout)
+	sendCtx, cancel := context.WithTimeout(p.sending, p.options.StageTimeout)
 	defer cancel()
-	state, err = p.options.Orders.Stage(ctx, r.Address, order)
+	state, err = p.options.Orders.Stage(sendCtx, r.Address, order)
 	if err == nil && state.Staged != p.version && !p.at(state) {
 		err = engine.ErrOrderFailed.New("staged %d", state.Staged)
 	}
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	state, err := p.sendActivate(ctx, r, order)
+	state, err := p.sendActivate(r, order)
 	if lost := p.judge(err, "activate"); errorx.IsOfType(lost, errLost) {
 		return lost
 	}
@@ -98,8 +98,8 @@
 	return p.settle(ctx, r, state)
 }
 
-func (p *pass) sendActivate(ctx context.Context, r Replica, order engine.WeightOrder) (engine.WeightState, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.options.ActivateTimeout)
+func (p *pass) sendActivate(r Replica, order engine.WeightOrder) (engine.WeightState, error) {
+	ctx, cancel := context.WithTimeout(p.sending, p.options.ActivateTimeout)
 	defer cancel()
 	return p.options.Orders.Activate(ctx, r.Address, order)
 }
--- a/internal/rollout/pass.go
+++ b/internal/rollout/pass.go
@@ -21,6 +21,9 @@
 	version  int64
 	replicas []Replica
 	tenure   ownership.Tenure
+	// sending ends with the entry only: a pass that is superseded waits for its
+	// orders, so that those of the next do not add to them.
+	sending context.Context
 	// unfenced is when the first order may go to an engine that ignores fencing.
 	unfenced time.Time
 }
@@ -38,7 +41,7 @@
 	if version, err = c.accepted(ctx, u.model, version); err != nil {
 		return
 	}
-	p := &pass{Carrier: c, unit: u, version: version, replicas: replicas, tenure: tenure, unfenced: time.Now().Add(c.options.longestOrder())}
+	p := &pass{Carrier: c, unit: u, version: version, replicas: replicas, tenure: tenure, sending: ctx, unfenced: time.Now().Add(c.options.longestOrder())}
 	p.log(ctx, event.RolloutBegun, slog.Int("replicas", len(replicas)), slog.Int64("epoch", tenure.Epoch))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/step/exactly_once_test.go
+++ b/internal/step/exactly_once_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -18,8 +19,17 @@
 	"github.com/comfreyfront/comfreyfront/trainer"
 )
 
+// checks is the number of checks of the stateful tests, with -short too, which
+// makes rapid run a fifth of what it is told.
+const checks, shortFactor = 150, 5
+
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.steps": "80"} {
+	flag.Parse()
+	count := checks
+	if testing.Short() {
+		count *= shortFactor
+	}
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": strconv.Itoa(count), "rapid.steps": "80"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
--- a/internal/step/world_test.go
+++ b/internal/step/world_test.go
@@ -228,14 +228,13 @@
 			w.breach("staleness", "reply to pull %d at %d has %v", reply.Pull, version, s.Spans)
 		}
 	}
-	if len(reply.Samples) == 0 || process == "" {
-		return
-	}
 	key := fmt.Sprintf("%s/%d", process, reply.Pull)
 	if first, known := w.seen[key]; known && first != string(body) {
 		w.breach("changed", "pull %s", key)
 	}
-	w.seen[key] = string(body)
+	if len(reply.Samples) > 0 && process != "" {
+		w.seen[key] = string(body)
+	}
 }
 
 // deliver hands a reply over to the trainer, possibly late or again.
