Wait less for an owner that is frozen

Cause: a pull at a frozen owner was given up after its wait of 10 s and 5 s more, and by the client after 10 s more.

Change: the client's wait is 5 s, an entry gives a forwarded pull up 2 s after it, the client 5 s after it. Not measured with frozen processes here.

--- a/internal/step/router.go
+++ b/internal/step/router.go
@@ -24,7 +24,7 @@
 	maxHops = 3
 	// forwardMargin is the time that a forwarded call may take beyond the
 	// wait that it asks for.
-	forwardMargin = 5 * time.Second
+	forwardMargin = 2 * time.Second
 	hintEntries   = 1024
 )
 
--- a/trainer/client.go
+++ b/trainer/client.go
@@ -23,7 +23,7 @@
 	Version func() int64
 	// MaxSamples bounds one reply; zero is the service's default.
 	MaxSamples int
-	// Wait is how long a pull waits for samples; zero is ten seconds.
+	// Wait is how long a pull waits for samples; zero is five seconds.
 	Wait time.Duration
 	// Class and Tenant are sent as headers when set.
 	Class, Tenant string
@@ -31,9 +31,9 @@
 
 // Times of a client.
 const (
-	defaultWait = 10 * time.Second
+	defaultWait = 5 * time.Second
 	// callMargin is how long a call may take beyond the wait that it asks for.
-	callMargin   = 10 * time.Second
+	callMargin   = 5 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond
 )
