--- a/internal/ownership/depose.go
+++ b/internal/ownership/depose.go
@@ -11,9 +11,10 @@
 )
 
 // Depose takes a unit from a holder that is believed to be dead, before the
-// holder's lease lapses. If the holder lives after all, it believes in its
-// tenure until its own bound, so Depose is only for units whose every write the
-// platform's service refuses to a stale owner. Errors are those of Hold.
+// holder's lease lapses. If the holder lives after all, its lease goes on and it
+// believes in its tenure until it releases the unit, so Depose is only for units
+// whose every write the platform's service refuses to a stale owner. Errors are
+// those of Hold.
 func (m *Manager) Depose(ctx context.Context, unit, holder string) (Tenure, error) {
 	if err := m.remove(ctx, unit, holder); err != nil {
 		return Tenure{}, err
--- a/internal/ownership/depose_test.go
+++ b/internal/ownership/depose_test.go
@@ -44,3 +44,24 @@
 	_, err := m.Depose(ctx, "claims/1", "x")
 	require.NoError(t, err)
 }
+
+// A deposed holder that lives is not told; it finds out by the fence and then
+// comes back with a new epoch.
+func TestDeposedHolderBelievesUntilItReleases(t *testing.T) {
+	ctx, c := context.Background(), newClock()
+	store := memstore.New(c.Now)
+	a, b := newManager(store.View(), "a", c), newManager(store.View(), "b", c)
+	old, err := a.Hold(ctx, "claims/1")
+	require.NoError(t, err)
+	next, err := b.Depose(ctx, "claims/1", "a")
+	require.NoError(t, err)
+	c.advance(DefaultTTL / 2)
+	a.tick(ctx)
+	c.advance(DefaultTTL * 2 / 3)
+	require.True(t, a.Valid(old))
+	require.NoError(t, a.Release(ctx, "claims/1"))
+	require.NoError(t, b.Release(ctx, "claims/1"))
+	again, err := a.Hold(ctx, "claims/1")
+	require.NoError(t, err)
+	require.Greater(t, again.Epoch, next.Epoch)
+}
