Keep control within its bytes at the size to design for

Cause: at 330 entries and 12,000 endpoints the exchange and 50 load readings a second came to 6.5 and 16.5 KB/s on a node, the budget is 7 KB/s. Ruled out: longer rounds (a dead entry would be found later; a round to one peer halves the bytes and keeps the probe); sharing load reports over the exchange (more to carry; noted for later). Change: beyond 64 other entries a round goes to one peer; where not all endpoints are followed, load readings are held to ten a second. Steps take an entry that knows no peers not as word that holders are dead.

--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -83,7 +83,7 @@
 		if targets != nil && len(*targets) > 0 {
 			to := (*targets)[next%len(*targets)]
 			group.TryGo(func() error { m.readLoad(ctx, to); return nil })
-			spacing = max(m.options.LoadInterval/time.Duration(len(*targets)), minPollSpacing)
+			spacing = m.pollSpacing(len(*targets))
 		}
 		if !pause(ctx, jittered(spacing)) {
 			return group.Wait()
@@ -91,6 +91,15 @@
 	}
 }
 
+// pollSpacing is the time between two load readings.
+func (m *Manager) pollSpacing(followed int) time.Duration {
+	least := minPollSpacing
+	if followed > m.options.FollowAll {
+		least = largePollSpacing
+	}
+	return max(m.options.LoadInterval/time.Duration(followed), least)
+}
+
 func (m *Manager) readLoad(ctx context.Context, to target) {
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -158,10 +158,19 @@
 func (m *Manager) tick(ctx context.Context, now time.Time) {
 	m.state.Tick(now)
 	m.judge(now)
-	m.round(ctx, now, m.options.RoundPeers)
+	m.round(ctx, now, m.roundPeers(now))
 	m.reviewMembers(now)
 }
 
+// roundPeers is the number of peers in a round. In a large fleet it is half,
+// so that the exchange leaves room in the budget of control for load readings.
+func (m *Manager) roundPeers(now time.Time) int {
+	if len(m.state.Live(now)) <= largeFleet {
+		return m.options.RoundPeers
+	}
+	return max(m.options.RoundPeers/2, 1)
+}
+
 func (m *Manager) flush(now time.Time) {
 	if m.dirty.any {
 		m.publish(now)
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -111,8 +111,13 @@
 	adoptPeers         = 3
 	failuresToUnready  = 3
 	minFollowedOfModel = 8
-	// minPollSpacing bounds load readings to 50 a second.
-	minPollSpacing = 20 * time.Millisecond
+	// minPollSpacing bounds load readings to 50 a second, and largePollSpacing
+	// to 10 a second where not all endpoints are followed.
+	minPollSpacing   = 20 * time.Millisecond
+	largePollSpacing = 100 * time.Millisecond
+	// largeFleet is the number of other entries from which on a round goes to
+	// half as many peers.
+	largeFleet = 64
 	// confirmQuorum is how many peers that can't confirm themselves confirm
 	// together, or all live ones if they are fewer.
 	confirmQuorum = 3
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -161,7 +161,7 @@
 	return step.NewService(step.Options{
 		Owner:      p.owner,
 		Generator:  &generator{dispatcher: dispatcher, snapshots: b.snapshots, record: b.recordSample},
-		Alive:      b.alive,
+		Alive:      b.holderAlive,
 		Newest:     func(model string) int64 { return b.snapshots.Load().Versions[model].Newest },
 		Logger:     b.logger,
 		Registerer: b.registry,
@@ -174,7 +174,7 @@
 	return id != b.chosen.ID && slices.ContainsFunc(snapshot.Peers, func(peer control.Peer) bool { return peer.ID == id })
 }
 
-// holderAlive reports whether the holder of a partition is believed to live. An
+// holderAlive reports whether the holder of a unit is believed to live. An
 // entry that knows of no other one, as at its start, takes nobody for dead.
 func (b *builder) holderAlive(id string) bool {
 	return len(b.snapshots.Load().Peers) < 2 || b.alive(id)
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -27,7 +27,7 @@
 	case snapshot.ConfirmedAt.IsZero():
 		http.Error(w, "not ready: no configuration was read yet, neither from the platform's service nor from a peer", http.StatusServiceUnavailable)
 	case !snapshot.StoreReachable:
-		fmt.Fprintln(w, "ready, degraded: the platform's key-value service does not answer; refused as not run: requests with an Idempotency-Key and new steps once their owner's lease has run out, changes of classes, new weight rollouts")
+		fmt.Fprintln(w, "ready, degraded: the platform's key-value service does not answer; refused as not run: requests with an Idempotency-Key once the lease of their partition's owner has run out, changes of classes, new weight rollouts")
 	default:
 		fmt.Fprintln(w, "ready")
 	}
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -51,8 +51,7 @@
 // best reports whether this entry has the first claim to a unit among the live
 // entries that are not leaving.
 func (b *builder) best(unit string) bool {
-	ranked := ownership.Rank(unit, b.stayingIDs())
-	return len(ranked) > 0 && ranked[0] == b.chosen.ID
+	return ownership.Best(unit, b.stayingIDs()) == b.chosen.ID
 }
 
 func (b *builder) stayingIDs() []string {
--- a/internal/exchange/bench_test.go
+++ b/internal/exchange/bench_test.go
@@ -22,6 +22,7 @@
 const (
 	benchRound       = 500 * time.Millisecond
 	benchRoundPeers  = 2
+	benchLargeFleet  = 64
 	benchOld         = 1000
 	benchClasses     = 6
 	benchDigestEvery = 2 * time.Second
@@ -82,7 +83,7 @@
 				s.SetDigest(b.now, &peerpb.ClassDigest{Class: fmt.Sprint("class-", class), Sequence: b.now.UnixMilli(), Answered: 12345, InTime: 12300, P50Ms: 40, P99Ms: 700, WindowMs: 60000})
 			}
 		}
-		for _, target := range s.Targets(b.now, benchRoundPeers, b.random) {
+		for _, target := range s.Targets(b.now, b.roundPeers(), b.random) {
 			to := b.byID[target.ID]
 			received := b.send(to, s.Request(b.now, target))
 			reply := b.send(s, to.Reply(b.now, received))
@@ -95,6 +96,14 @@
 	}
 }
 
+// roundPeers is how many peers a round goes to, as in the control goroutine.
+func (b *bench) roundPeers() int {
+	if len(b.states) > benchLargeFleet {
+		return benchRoundPeers / 2
+	}
+	return benchRoundPeers
+}
+
 // digestRounds is the number of rounds between two digests of an entry.
 func (b *bench) digestRounds() int {
 	every := benchDigestEvery + time.Duration(len(b.states))*100*time.Millisecond
