Run three clusters at once in the failure tests

Cause: 26 tests in a row took 415 s, near go test's own bound of 600 s, and most of that is waiting. No check changes.

go test -count=1 ./e2e: 145 s; 23 pass, 3 fail for faults in other parts: TestEngineThatTheListSaysLeaves, TestNoAnswerBelowTheFloor (a slow first answer makes an entry refuse all later work as late, for good), TestOthersTakeOverFromAnEntryCutOff.

--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -9,6 +9,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 )
 
+// worlds is how many clusters run at once: most of their time is waiting.
+const worlds = "3"
+
 var binaries proctest.Binaries
 
 func TestMain(m *testing.M) {
@@ -31,5 +34,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	if err := flag.Set("test.parallel", worlds); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	return m.Run()
 }
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -56,8 +56,10 @@
 	births int // entries started
 }
 
+// newWorld lets the test run beside others, and returns when all entries serve.
 func newWorld(t *testing.T, s shape) *world {
 	t.Helper()
+	t.Parallel()
 	w := &world{t: t, log: &proctest.Log{}, folder: t.TempDir()}
 	layout := proctest.Layout{Binaries: binaries, Folder: w.folder, Log: w.log, ListLag: s.listLag, ListTTL: 3 * time.Second}
 	cluster, err := proctest.NewCluster(layout)
