Keep more calls in their failure domain

Cause: a third of the calls left the failure domain of their entry.

Change: leaving it costs as much as 60 ms of waiting, not 15; the region 240 ms.

--- a/internal/policy/adaptive/adaptive.go
+++ b/internal/policy/adaptive/adaptive.go
@@ -23,8 +23,8 @@
 
 // Default costs of links.
 const (
-	DefaultDomainCost = 15 * time.Millisecond
-	DefaultRegionCost = 80 * time.Millisecond
+	DefaultDomainCost = 60 * time.Millisecond
+	DefaultRegionCost = 240 * time.Millisecond
 )
 
 // New returns the policy and its queue, which is to be refreshed with each new
