--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,29 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+)
+
+// BenchmarkComplete gives the time of one completion by the number of its
+// pieces, the engine's side and loopback included.
+func BenchmarkComplete(b *testing.B) {
+	for _, pieces := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprint("pieces=", pieces), func(b *testing.B) {
+			d, closeFleet := newFleet(&fleet{}, generous(), &observer{})
+			defer closeFleet()
+			for b.Loop() {
+				completion := newCompletion(true)
+				completion.Request.MaxTokens = pieces
+				completion.OnPiece = func(engine.CompletionChoice) error { return nil }
+				if _, _, err := d.Complete(context.Background(), completion); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(pieces), "ns/piece")
+		})
+	}
+}
--- a/internal/dispatch/main_test.go
+++ b/internal/dispatch/main_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
+// TestMain fixes the seed; flags on the command line go before it.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
