--- a/internal/measure/figure_test.go
+++ b/internal/measure/figure_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,10 +34,11 @@
 
 func TestPageHoldsAPlotPerFigure(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "out", "page.html")
-	require.NoError(t, WritePage(path, Spreads(figures)))
+	unknown := Figure{Name: "none", Unit: "ms", Naive: math.NaN()}
+	require.NoError(t, WritePage(path, Spreads(append(slices.Clone(figures), unknown))))
 	page, err := os.ReadFile(path)
 	require.NoError(t, err)
-	require.Equal(t, 2, bytes.Count(page, []byte("<svg")))
+	require.Equal(t, 3, bytes.Count(page, []byte("<svg")))
 	require.Contains(t, string(page), "width=device-width")
 }
 
--- a/internal/measure/page.go
+++ b/internal/measure/page.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"html/template"
 	"image/color"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -19,6 +21,7 @@
 	plotWidth  = 340
 	plotHeight = 110
 	dotRadius  = 4
+	axisMargin = 1.05
 )
 
 // Colours of the two versions.
@@ -81,11 +84,15 @@
 func draws(s Spread) (template.HTML, error) {
 	p := plot.New()
 	p.X.Label.Text = s.Unit
-	p.X.Min = 0
+	p.X.Min, p.X.Max = 0, rangeOf(s)
 	p.Y.Min, p.Y.Max = -0.5, 1.5
 	p.NominalY("ours", "naive")
 	for row, values := range [][]float64{s.Ours, s.Naive} {
-		dots, err := scatter(values, float64(row))
+		known := slices.DeleteFunc(slices.Clone(values), math.IsNaN)
+		if len(known) == 0 {
+			continue
+		}
+		dots, err := scatter(known, float64(row))
 		if err != nil {
 			return "", err
 		}
@@ -104,6 +111,20 @@
 	return template.HTML(element), nil
 }
 
+// rangeOf returns the end of the axis: a little beyond the greatest value.
+func rangeOf(s Spread) float64 {
+	greatest := 0.0
+	for _, v := range slices.Concat(s.Naive, s.Ours) {
+		if v > greatest {
+			greatest = v
+		}
+	}
+	if greatest == 0 {
+		return 1
+	}
+	return axisMargin * greatest
+}
+
 func scatter(values []float64, row float64) (*plotter.Scatter, error) {
 	points := make(plotter.XYs, len(values))
 	for i, v := range values {
