Judge freshness, steps and rollouts in the report, and advise by cause

Cause: the report counted lateness and completeness only, steps were not shown, and its advice was the same whatever had caused a miss. Change: dispatch tells with each whole answer of a model how many versions its oldest tokens were behind the newest known one; records carry that and, for a refusal, its cause (queue, key, no endpoint, caller); digests carry the counts and at most eight steps a class, so that no further call between entries is needed. A class misses its target when an answer was over its freshness. Ruled out: a further call to the owners of steps, since class digests reach a report already; judging ages of weights, since no entry knows when a version was replaced: the report says that the age is not known, but for answers that were all of the newest weights. Golden files: every model line is "v8: 4 of 9 replicas, 8 serve" (calm, cut, overload, many). Advice in overload: drafts now say that they were refused by full queues, which the scenario states; lookups say that loads are not known, as the scenario's endpoints report none. many has five steps more, all overdue, and so two classes less. training is new. Sizes are checked as before. Found by the new test of advice: one sentence was cut at 45 columns; shortened.

--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -43,9 +43,10 @@
 	Fresh func() int64
 }
 
-// Effort is what it took to run a request.
+// Effort is what it took to run a request, and the weights of its answer.
 type Effort struct {
 	Attempts, Hedges int
+	Weights          Weights
 }
 
 // completionRun is the state of one completion while it runs.
@@ -77,6 +78,7 @@
 		return run.progress, effort, final(err, run.ran)
 	}
 	d.lengths.Observe(run.work, run.progress.Tokens)
+	effort.Weights = d.weightsOf(completion.Request.Model, &run.progress)
 	return run.progress, effort, nil
 }
 
--- /dev/null
+++ b/internal/dispatch/weights_test.go
@@ -0,0 +1,28 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/engine"
+)
+
+func TestWeightsAreThoseOfTheOldestTokens(t *testing.T) {
+	snapshots := &control.Snapshots{}
+	d := &Dispatcher{options: Options{Snapshots: snapshots}}
+	answer := &Progress{Spans: []engine.Span{{WeightVersion: 7, Tokens: 1}, {WeightVersion: 5, Tokens: 1}, {WeightVersion: 8, Tokens: 1}}}
+	require.Equal(t, Weights{Used: true}, d.weightsOf("m", answer), "no newest version is known")
+	snapshots.Publish(&control.Snapshot{Versions: map[string]control.Versions{"m": {Newest: 8}}})
+	require.Equal(t, Weights{Used: true}, d.weightsOf("m", &Progress{}), "the engine told no version")
+	found := d.weightsOf("m", answer)
+	require.Equal(t, Weights{Used: true, Known: true, Behind: 3}, found)
+	require.True(t, found.Over(class.Freshness{Versions: 2}))
+	require.True(t, found.Over(class.Freshness{Newest: true}))
+	require.False(t, found.Over(class.Freshness{Versions: 3}))
+	require.False(t, found.Over(class.Freshness{Age: time.Second}))
+	require.False(t, found.Over(class.Freshness{}))
+}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -84,7 +84,7 @@
 	p.callers = p.traffic
 	p.internal = b.newInternal(p)
 	p.runs = append(p.runs, p.control.Run, p.owner.Run, p.claims.Run, func(ctx context.Context) error {
-		return report.Publish(ctx, b.recorder, b.snapshots, p.control)
+		return report.Publish(ctx, b.recorder, b.snapshots, p.steps, p.control)
 	})
 	return p
 }
@@ -180,24 +180,24 @@
 	return len(b.snapshots.Load().Peers) < 2 || b.alive(id)
 }
 
-func (b *builder) recordSample(class, tenant string, outcome request.Outcome, took time.Duration, effort dispatch.Effort) {
+func (b *builder) recordSample(class, tenant string, err error, took time.Duration, effort dispatch.Effort) {
+	outcome := outcomeOf(err)
+	found, known := b.snapshots.Load().Classes.Find(class)
 	b.metrics.Ended(class, tenant, outcome, took)
 	b.recorder.Record(traffic.Record{
 		Class:    class,
 		Tenant:   tenant,
 		Outcome:  outcome,
 		Took:     took,
-		InTime:   outcome == request.Answered && b.inTime(class, took),
+		InTime:   outcome == request.Answered && known && (found.Lateness <= 0 || took <= found.Lateness),
 		Attempts: effort.Attempts,
 		Hedges:   effort.Hedges,
+		Refusal:  traffic.RefusalOf(err),
+		Weights:  effort.Weights,
+		Stale:    effort.Weights.Over(found.Freshness),
 	})
 }
 
-func (b *builder) inTime(name string, took time.Duration) bool {
-	found, known := b.snapshots.Load().Classes.Find(name)
-	return known && (found.Lateness <= 0 || took <= found.Lateness)
-}
-
 func (b *builder) newTraffic(p *parts, dispatcher *dispatch.Dispatcher) *traffic.Server {
 	router := step.NewRouter(step.RouterOptions{
 		Service: p.steps,
--- /dev/null
+++ b/internal/report/advice.go
@@ -0,0 +1,136 @@
+package report
+
+import (
+	"fmt"
+
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
+)
+
+// load is how full the endpoints are that told their load.
+type load int
+
+const (
+	loadNotKnown load = iota
+	loadFull          // most have no room
+	loadSpare
+)
+
+// state is what advice depends on besides a class's own figures.
+type state struct {
+	storeDown bool
+	// slow endpoints get less work.
+	slow int64
+	load load
+	// lagging of replicas are not at the newest weights, over all models.
+	lagging, replicas int
+}
+
+func stateOf(snapshot *control.Snapshot, r Report) state {
+	s := state{storeDown: r.StoreDown, slow: r.Demoted, load: loadOf(snapshot)}
+	for _, m := range r.Models {
+		if m.Newest > 0 && m.AtNewest < m.Total {
+			s.lagging += m.Total - m.AtNewest
+			s.replicas += m.Total
+		}
+	}
+	return s
+}
+
+func loadOf(snapshot *control.Snapshot) load {
+	told, taken := 0, 0
+	for _, endpoints := range snapshot.Endpoints {
+		for _, e := range endpoints {
+			if e.Slots == 0 {
+				continue
+			}
+			told++
+			if hasNoRoom(e) {
+				taken++
+			}
+		}
+	}
+	switch {
+	case told == 0:
+		return loadNotKnown
+	case 2*taken > told:
+		return loadFull
+	default:
+		return loadSpare
+	}
+}
+
+func hasNoRoom(e *endpoint.Endpoint) bool { return e.Waiting > 0 || e.Running >= e.Slots }
+
+// advise says what helps against the largest cause of a missed target.
+func advise(r *ClassReport, s state) string {
+	switch {
+	case r.Status != Missed:
+		return ""
+	case r.Complete():
+		return adviseStale(s)
+	}
+	switch max(r.Late, r.NotRun, r.Unknown) {
+	case r.Unknown:
+		return "replace endpoints that die"
+	case r.NotRun:
+		return adviseRefused(r, s)
+	default:
+		return adviseLate(s)
+	}
+}
+
+func adviseStale(s state) string {
+	if s.lagging > 0 {
+		return laggingText(s) + ": wait or restart"
+	}
+	return "allow more versions, or fewer rollouts"
+}
+
+// laggingText fits a line also with thousands of replicas.
+func laggingText(s state) string {
+	return fmt.Sprintf("%s of %s replicas lag", countText(int64(s.lagging)), countText(int64(s.replicas)))
+}
+
+func adviseLate(s state) string {
+	switch {
+	case s.slow > 0:
+		return fmt.Sprintf("replace slow endpoints (%d)", s.slow)
+	case s.load == loadFull:
+		return "queues full: add endpoints"
+	case s.load == loadSpare:
+		return "not full, none slow: raise lateness"
+	default:
+		return "loads not known: check the endpoints"
+	}
+}
+
+func adviseRefused(r *ClassReport, s state) string {
+	other := r.NotRun - r.Unclaimed - r.NoEndpoint - r.Full - r.Invalid
+	switch max(r.Unclaimed, r.NoEndpoint, r.Full, r.Invalid, other) {
+	case r.Unclaimed:
+		return adviseUnclaimed(s)
+	case r.NoEndpoint:
+		return adviseNoEndpoint(r, s)
+	case r.Full:
+		return "queues full: add endpoints"
+	case r.Invalid:
+		return "bad requests: mend the callers"
+	default:
+		return "cause not known: see the entries' logs"
+	}
+}
+
+func adviseUnclaimed(s state) string {
+	if s.storeDown {
+		return "bring the key-value service back"
+	}
+	return "store or an entry was away: repeat them"
+}
+
+func adviseNoEndpoint(r *ClassReport, s state) string {
+	if _, bounded := r.Class.Freshness.VersionLimit(); bounded && s.lagging > 0 {
+		return laggingText(s) + ": wait or restart"
+	}
+	return "none could take it: add endpoints"
+}
--- /dev/null
+++ b/internal/report/advice_test.go
@@ -0,0 +1,131 @@
+package report
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/step"
+	"github.com/comfreyfront/comfreyfront/internal/traffic"
+	"github.com/stretchr/testify/require"
+)
+
+// TestAdviceFitsTheCause has a row for each kind of miss.
+func TestAdviceFitsTheCause(t *testing.T) {
+	late := &peerpb.ClassDigest{Answered: 10, InTime: 5}
+	stale := &peerpb.ClassDigest{Answered: 10, InTime: 10, Versioned: 10, Stale: 3, MaxBehind: 4}
+	refused := func(of *peerpb.ClassDigest) *peerpb.ClassDigest {
+		of.NotRun = 10
+		return of
+	}
+	quiet := func(*control.Snapshot) {}
+	done := func(s *control.Snapshot) {
+		for _, e := range s.Endpoints["drafting"] {
+			e.ActiveVersion = 8
+		}
+	}
+	load := func(running int) func(*control.Snapshot) {
+		return func(s *control.Snapshot) {
+			for _, e := range s.Endpoints["drafting"] {
+				e.Slots, e.Running = 8, running
+			}
+		}
+	}
+	for _, row := range []struct {
+		want   string
+		state  func(*control.Snapshot)
+		counts *peerpb.ClassDigest
+	}{
+		{"queues full: add endpoints", load(8), late},
+		{"not full, none slow: raise lateness", load(1), late},
+		{"loads not known: check the endpoints", quiet, late},
+		{"replace slow endpoints (1)", func(s *control.Snapshot) { s.Endpoints["drafting"][0].Demotion = 0.5 }, late},
+		{"bring the key-value service back", func(s *control.Snapshot) { s.StoreReachable = false }, refused(&peerpb.ClassDigest{Unclaimed: 10})},
+		{"store or an entry was away: repeat them", quiet, refused(&peerpb.ClassDigest{Unclaimed: 10})},
+		{"5 of 9 replicas lag: wait or restart", quiet, refused(&peerpb.ClassDigest{NoEndpoint: 10})},
+		{"none could take it: add endpoints", done, refused(&peerpb.ClassDigest{NoEndpoint: 10})},
+		{"queues full: add endpoints", quiet, refused(&peerpb.ClassDigest{Full: 10})},
+		{"bad requests: mend the callers", quiet, refused(&peerpb.ClassDigest{Invalid: 10})},
+		{"cause not known: see the entries' logs", quiet, refused(&peerpb.ClassDigest{})},
+		{"replace endpoints that die", quiet, &peerpb.ClassDigest{Unknown: 1}},
+		{"5 of 9 replicas lag: wait or restart", quiet, stale},
+		{"allow more versions, or fewer rollouts", done, stale},
+		{"", quiet, &peerpb.ClassDigest{Answered: 10, InTime: 10, Versioned: 10, MaxBehind: 2}},
+	} {
+		s := hydrometra()
+		row.state(s)
+		row.counts.Class = "drafts"
+		r := Build(noon, s, digests(1, func(int) *peerpb.ClassDigest { return row.counts }))
+		for _, c := range r.Classes {
+			if c.Class.Name == "drafts" {
+				require.Equal(t, row.want, c.Advice)
+			}
+		}
+		require.Contains(t, r.Text(), row.want)
+	}
+}
+
+func TestFreshnessLine(t *testing.T) {
+	versions, age := class.Freshness{Versions: 2}, class.Freshness{Age: 20 * time.Minute}
+	for want, f := range map[string]Freshness{
+		"":                                    {Target: versions},
+		"at most 1 version behind (target 2)": {Target: versions, Known: 9, Worst: 1},
+		"3 versions behind, 4 not known (target 2)":               {Target: versions, Known: 9, Unknown: 4, Worst: 3},
+		"freshness not known (target 2 versions)":                 {Target: versions, Unknown: 9},
+		"at most 0 versions behind (target 0)":                    {Target: class.Freshness{Newest: true}, Known: 9},
+		"all of the newest weights (target 20m)":                  {Target: age, Known: 9},
+		"age of weights not known (target 20m)":                   {Target: age, Known: 9, Worst: 1},
+		fmt.Sprintf("age of weights not known (target %s)", "1h"): {Target: class.Freshness{Age: time.Hour}, Unknown: 1},
+	} {
+		require.Equal(t, want, f.Line())
+	}
+	require.Empty(t, Freshness{Known: 9, Worst: 7}.Line(), "no target, nothing to judge")
+}
+
+func TestRecorderCountsWeightsAndCauses(t *testing.T) {
+	r := NewRecorder(func() time.Time { return noon })
+	record := func(of traffic.Record) {
+		of.Class = "drafts"
+		r.Record(of)
+	}
+	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 3}, Stale: true})
+	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 1}})
+	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true}})
+	record(traffic.Record{Outcome: request.Answered})
+	for cause := traffic.RefusedOther; cause <= traffic.RefusedNoEndpoint; cause++ {
+		for range cause {
+			record(traffic.Record{Outcome: request.NotRun, Refusal: cause})
+		}
+	}
+	got := r.Digests(hydrometra().Classes)[1]
+	require.Equal(t, []int64{2, 1, 1, 3}, []int64{got.Versioned, got.Unversioned, got.Stale, got.MaxBehind})
+	require.Equal(t, []int64{10, 1, 2, 3, 4}, []int64{got.NotRun, got.Invalid, got.Full, got.Unclaimed, got.NoEndpoint})
+}
+
+func TestStepsAreToldOnceAndBounded(t *testing.T) {
+	var owned []step.Status
+	for i := range maxStepsTold + 2 {
+		owned = append(owned, step.Status{Trainer: "t", Step: int64(i), Class: "drafts", Samples: 10, Left: time.Hour, Needed: time.Duration(i) * 10 * time.Minute, Judged: true})
+	}
+	told := []*peerpb.ClassDigest{{Class: "lookups"}, {Class: "drafts"}}
+	addSteps(told, owned)
+	require.Empty(t, told[0].Steps)
+	require.Len(t, told[1].Steps, maxStepsTold)
+	all := digests(2, func(int) *peerpb.ClassDigest { return told[1] })
+	all[0].Age = time.Minute
+	r := Build(noon, hydrometra(), all[1:])
+	require.Len(t, r.Steps, maxStepsTold)
+	require.Equal(t, 2, r.StepsUnseen)
+	require.Contains(t, r.Text(), "likely late by 30m")
+	former := &peerpb.ClassDigest{Class: "drafts", Steps: []*peerpb.StepDigest{{Trainer: "t", Step: 9, Samples: 10, LeftMs: -1}}}
+	both := digests(2, func(entry int) *peerpb.ClassDigest {
+		return []*peerpb.ClassDigest{former, {Class: "drafts", Steps: told[1].Steps}}[entry]
+	})
+	both[0].Age = time.Minute
+	require.Len(t, Build(noon, hydrometra(), both).Steps, maxStepsTold, "the former owner's older word does not count")
+}
--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 )
 
 // heardLately is how old an entry's figures may be to count as known.
@@ -33,6 +34,10 @@
 	Share float64
 	// Requests, Late, NotRun, Unknown, Retries and Hedges are counts over Window.
 	Requests, Late, NotRun, Unknown, Retries, Hedges int64
+	// NoEndpoint, Unclaimed, Full and Invalid are the known causes of NotRun.
+	NoEndpoint, Unclaimed, Full, Invalid int64
+	// Freshness is the standing against the freshness target.
+	Freshness Freshness
 	// WorstP50 and WorstP99 are the largest of any entry.
 	WorstP50, WorstP99 time.Duration
 	// Advice is what the operator could do now; empty when nothing is needed.
@@ -60,6 +65,9 @@
 	Demoted     int64
 	Classes     []ClassReport
 	Models      []ModelReport
+	// Steps under way, the most urgent first; StepsUnseen more are known to be.
+	Steps       []StepReport
+	StepsUnseen int
 }
 
 // Build makes a report from a snapshot and the digests of all entries.
@@ -81,6 +89,11 @@
 	for _, c := range snapshot.Classes.Precedence() {
 		r.Classes = append(r.Classes, classReport(c, digests))
 	}
+	r.Steps, r.StepsUnseen = steps(digests)
+	state := stateOf(snapshot, r)
+	for i := range r.Classes {
+		r.Classes[i].Advice = advise(&r.Classes[i], state)
+	}
 	slices.SortStableFunc(r.Classes, func(a, b ClassReport) int { return cmp.Compare(urgency(a.Status), urgency(b.Status)) })
 	return r
 }
@@ -107,52 +120,39 @@
 
 func classReport(c class.Class, digests []exchange.Digest) ClassReport {
 	r := ClassReport{Class: c, Status: NotKnown}
-	var inTime, answered int64
+	var sum peerpb.ClassDigest
 	for _, d := range digests {
 		if d.News.Class != c.Name {
 			continue
 		}
 		r.Status = Idle
-		answered += d.News.Answered
-		inTime += d.News.InTime
-		r.NotRun += d.News.NotRun
-		r.Unknown += d.News.Unknown
-		r.Retries += d.News.Retries
-		r.Hedges += d.News.Hedges
+		addCounts(&sum, d.News)
 		r.WorstP50 = max(r.WorstP50, time.Duration(d.News.P50Ms)*time.Millisecond)
 		r.WorstP99 = max(r.WorstP99, time.Duration(d.News.P99Ms)*time.Millisecond)
 	}
-	r.Requests, r.Late = answered+r.NotRun+r.Unknown, answered-inTime
-	if r.Requests > 0 {
-		r.Share = float64(inTime) / float64(r.Requests)
-		r.Status = statusOf(r.Share, c.Completeness)
-	}
-	r.Advice = advise(r)
+	r.take(&sum)
 	return r
 }
 
-func statusOf(share, target float64) Status {
-	if share >= target {
-		return Met
-	}
-	return Missed
-}
-
-// advise names the largest cause of a missed target and what helps against it.
-func advise(r ClassReport) string {
-	if r.Status != Missed {
-		return ""
+// take judges the class by its counts.
+func (r *ClassReport) take(sum *peerpb.ClassDigest) {
+	r.NotRun, r.Unknown, r.Retries, r.Hedges = sum.NotRun, sum.Unknown, sum.Retries, sum.Hedges
+	r.NoEndpoint, r.Unclaimed, r.Full, r.Invalid = sum.NoEndpoint, sum.Unclaimed, sum.Full, sum.Invalid
+	r.Requests, r.Late = sum.Answered+sum.NotRun+sum.Unknown, sum.Answered-sum.InTime
+	r.Freshness = freshnessOf(r.Class.Freshness, sum)
+	if r.Requests == 0 {
+		return
 	}
-	switch max(r.Late, r.NotRun, r.Unknown) {
-	case r.Unknown:
-		return "replace endpoints that die"
-	case r.NotRun:
-		return "add endpoints or lower completeness"
-	default:
-		return "add endpoints or allow more lateness"
+	r.Share = float64(sum.InTime) / float64(r.Requests)
+	r.Status = Missed
+	if r.Complete() && r.Freshness.Stale == 0 {
+		r.Status = Met
 	}
 }
 
+// Complete reports whether the completeness target is met.
+func (r *ClassReport) Complete() bool { return r.Share >= r.Class.Completeness }
+
 func models(snapshot *control.Snapshot) []ModelReport {
 	var all []ModelReport
 	for model, endpoints := range snapshot.Endpoints {
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -23,6 +23,7 @@
 {{end}}{{range .Classes}}<section class="{{.Status}}">
 {{range $i, $line := .Lines}}{{if eq $i 0}}<p><b>{{$line}}</b></p>{{else}}<p>{{$line}}</p>{{end}}
 {{end}}</section>
+{{end}}{{range .StepLines}}<p>{{.}}</p>
 {{end}}{{range .Models}}<p>{{.Line}}</p>
 {{end}}</body></html>
 `))
--- a/internal/report/publisher.go
+++ b/internal/report/publisher.go
@@ -20,9 +20,9 @@
 	SetDigests(ctx context.Context, digests []*peerpb.ClassDigest)
 }
 
-// Publish hands the recorder's digests to the control goroutine until the
+// Publish hands the recorder's digests and the steps' to the control goroutine until the
 // context ends.
-func Publish(ctx context.Context, recorder *Recorder, snapshots *control.Snapshots, setter DigestSetter) error {
+func Publish(ctx context.Context, recorder *Recorder, snapshots *control.Snapshots, steps StepSource, setter DigestSetter) error {
 	for {
 		snapshot := snapshots.Load()
 		digests := recorder.Digests(snapshot.Classes)
@@ -30,6 +30,7 @@
 		for _, digest := range digests {
 			digest.Demotions = demotions
 		}
+		addSteps(digests, steps.Statuses())
 		setter.SetDigests(ctx, digests)
 		timer := time.NewTimer(digestInterval + time.Duration(len(snapshot.Peers))*digestIntervalPerPeer)
 		select {
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -8,8 +8,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/traffic"
 )
 
 // Window of the figures.
@@ -38,6 +40,11 @@
 	InTime  bool
 	Retries int
 	Hedges  int
+	// Refusal is why it did not run.
+	Refusal traffic.Refusal
+	// Weights are those of an answer; Stale: they are over the class's target.
+	Weights dispatch.Weights
+	Stale   bool
 }
 
 // Recorder counts how requests ended within a sliding window. It is safe for
@@ -130,7 +137,7 @@
 	case request.Answered:
 		s.answered(o)
 	case request.NotRun:
-		s.figures.NotRun++
+		s.refused(o.Refusal)
 	default:
 		s.figures.Unknown++
 	}
@@ -141,6 +148,7 @@
 	if o.InTime {
 		s.figures.InTime++
 	}
+	s.weights(o)
 	if s.latencies == nil {
 		s.latencies = hdrhistogram.New(minMillis, maxMillis, significantFigures)
 	}
@@ -148,6 +156,35 @@
 	_ = s.latencies.RecordValue(min(max(o.Took.Milliseconds(), minMillis), maxMillis))
 }
 
+func (s *slot) refused(cause traffic.Refusal) {
+	s.figures.NotRun++
+	switch cause {
+	case traffic.RefusedNoEndpoint:
+		s.figures.NoEndpoint++
+	case traffic.RefusedUnclaimed:
+		s.figures.Unclaimed++
+	case traffic.RefusedFull:
+		s.figures.Full++
+	case traffic.RefusedInvalid:
+		s.figures.Invalid++
+	}
+}
+
+func (s *slot) weights(o Observation) {
+	switch {
+	case !o.Weights.Used:
+		return
+	case !o.Weights.Known:
+		s.figures.Unversioned++
+		return
+	}
+	s.figures.Versioned++
+	s.figures.MaxBehind = max(s.figures.MaxBehind, o.Weights.Behind)
+	if o.Stale {
+		s.figures.Stale++
+	}
+}
+
 func (w *window) digest(name string, now time.Time) *peerpb.ClassDigest {
 	digest := &peerpb.ClassDigest{Class: name, WindowMs: Window.Milliseconds(), Sequence: now.UnixMilli()}
 	var merged *hdrhistogram.Histogram
@@ -157,12 +194,7 @@
 		if s.number <= newest-slots || s.number > newest {
 			continue
 		}
-		digest.Answered += s.figures.Answered
-		digest.InTime += s.figures.InTime
-		digest.NotRun += s.figures.NotRun
-		digest.Unknown += s.figures.Unknown
-		digest.Retries += s.figures.Retries
-		digest.Hedges += s.figures.Hedges
+		addCounts(digest, &s.figures)
 		merged = merge(merged, s.latencies)
 	}
 	if merged != nil {
@@ -171,6 +203,24 @@
 	return digest
 }
 
+// addCounts adds the counts of one digest to another's.
+func addCounts(into, from *peerpb.ClassDigest) {
+	into.Answered += from.Answered
+	into.InTime += from.InTime
+	into.NotRun += from.NotRun
+	into.NoEndpoint += from.NoEndpoint
+	into.Unclaimed += from.Unclaimed
+	into.Full += from.Full
+	into.Invalid += from.Invalid
+	into.Unknown += from.Unknown
+	into.Retries += from.Retries
+	into.Hedges += from.Hedges
+	into.Versioned += from.Versioned
+	into.Unversioned += from.Unversioned
+	into.Stale += from.Stale
+	into.MaxBehind = max(into.MaxBehind, from.MaxBehind)
+}
+
 func merge(into, from *hdrhistogram.Histogram) *hdrhistogram.Histogram {
 	if from == nil || from.TotalCount() == 0 {
 		return into
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -59,10 +59,23 @@
 	return func(int) *peerpb.ClassDigest { return &peerpb.ClassDigest{Class: name} }
 }
 
+// rollout tells of drafts that are in time and stale, and of two steps.
+func rollout(entry int) *peerpb.ClassDigest {
+	digest := &peerpb.ClassDigest{Class: "drafts", Answered: 50, InTime: 50, Versioned: 49, Unversioned: 1, Stale: 2, MaxBehind: 3, P99Ms: 9000}
+	if entry == 0 {
+		digest.Steps = []*peerpb.StepDigest{
+			{Trainer: "hydrometra", Step: 12, Samples: 4096, Delivered: 2500, Discarded: 7, LeftMs: 600_000, NeededMs: 420_000},
+			{Trainer: "hydrometra", Step: 13, Samples: 4096, LeftMs: 1_600_000, NeededMs: notJudged},
+		}
+		digest.StepsLeftOut = 1
+	}
+	return digest
+}
+
 func scenarios() map[string]Report {
 	calm := append(append(digests(6, lookups(1000)), digests(6, quiet("updates"))...), digests(6, quiet("drafts"))...)
 	overload := append(digests(6, lookups(990)), digests(6, func(int) *peerpb.ClassDigest {
-		return &peerpb.ClassDigest{Class: "drafts", Answered: 80, InTime: 80, NotRun: 20, P99Ms: 100000}
+		return &peerpb.ClassDigest{Class: "drafts", Answered: 80, InTime: 80, NotRun: 20, Full: 20, P99Ms: 100000}
 	})...)
 	overload = append(overload, digests(6, func(int) *peerpb.ClassDigest {
 		return &peerpb.ClassDigest{Class: "updates", Answered: 90, InTime: 90, Unknown: 2, P99Ms: 40}
@@ -83,12 +96,27 @@
 	for i := range 9 {
 		many.Endpoints[fmt.Sprintf("a-model-with-quite-a-long-name-%d", i)] = many.Endpoints["drafting"]
 	}
+	training := hydrometra()
+	for _, e := range training.Endpoints["drafting"] {
+		e.Slots, e.Running = 8, 8
+	}
+	training.Classes.Classes[0].Completeness = 0.95
+	training.Classes.Classes = append(training.Classes.Classes, class.Class{Name: "tagging", Lateness: time.Second, Freshness: class.Freshness{Age: 20 * time.Minute}, Completeness: 0.9})
+	busy := append(digests(6, lookups(940)), digests(6, rollout)...)
+	busy = append(busy, digests(6, func(int) *peerpb.ClassDigest {
+		return &peerpb.ClassDigest{Class: "tagging", Answered: 10, InTime: 10, Versioned: 10, MaxBehind: 1}
+	})...)
+	for i := range maxStepsShown + 2 {
+		many.Classes.Classes[i].Freshness.Newest = true
+		crowd[6*i].News.Steps = append(crowd[6*i].News.Steps, &peerpb.StepDigest{Trainer: strings.Repeat("t", 64), Step: int64(i), Samples: 4096, Delivered: 4095, Discarded: 1234567, LeftMs: 1, NeededMs: 3600_000_000})
+	}
 	empty := &control.Snapshot{Classes: &class.Document{}}
 	return map[string]Report{
 		"calm":     Build(noon, hydrometra(), calm),
 		"overload": Build(noon, hydrometra(), overload),
 		"cut":      Build(noon, cut, digests(2, lookups(1000))),
 		"many":     Build(noon, many, crowd),
+		"training": Build(noon, training, busy),
 		"empty":    Build(noon, empty, nil),
 	}
 }
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -17,7 +17,7 @@
 
 // Text renders the report in less than 25 lines of at most 45 columns.
 func (r Report) Text() string {
-	head, tail := r.headLines(), r.modelLines()
+	head, tail := r.headLines(), append(r.StepLines(), r.modelLines()...)
 	body := r.classLines(maxLines - len(head) - len(tail))
 	lines := append(append(head, body...), tail...)
 	for i := range lines {
@@ -97,6 +97,9 @@
 		fmt.Sprintf("%s by %s: %s", c.Status, c.Margin(), c.Class.Name),
 		fmt.Sprintf("  %s in %s (target %s), p99 %s", shareText(c.Share), c.Class.LatenessText(), c.Class.CompletenessText(), c.WorstP99),
 	}
+	if fresh := c.Freshness.Line(); fresh != "" {
+		lines = append(lines, "  "+fresh)
+	}
 	if done := c.Done(); done != "" {
 		lines = append(lines, "  "+done)
 	}
@@ -106,8 +109,12 @@
 	return lines
 }
 
-// Margin is by how many points the completeness target is met or missed.
+// Margin is by how many points the completeness target is met or missed; by
+// how many versions the freshness target is, when only that is missed.
 func (c ClassReport) Margin() string {
+	if c.Complete() && c.Freshness.Stale > 0 {
+		return countOf(-c.Freshness.Spare(), "version")
+	}
 	points := 100 * (c.Share - c.Class.Completeness)
 	return fmt.Sprintf("%.1f points", max(points, -points))
 }
@@ -120,6 +127,7 @@
 			parts = append(parts, fmt.Sprintf("%s %s", countText(count), what))
 		}
 	}
+	add(c.Freshness.Stale, "stale")
 	add(c.Late, "late")
 	add(c.NotRun, "refused")
 	add(c.Unknown, "unknown")
@@ -159,10 +167,11 @@
 // Line renders one model: how far its rollout is, and how many serve.
 func (m ModelReport) Line() string {
 	if m.Newest == 0 {
-		return fmt.Sprintf("%d of %d serve: %s", m.Serving, m.Total, m.Model)
+		return fmt.Sprintf("%d of %d replicas serve: %s", m.Serving, m.Total, m.Model)
 	}
-	if m.AtNewest < m.Total {
-		return fmt.Sprintf("%d of %d serve, %d at new v%d: %s", m.Serving, m.Total, m.AtNewest, m.Newest, m.Model)
+	serving := ""
+	if m.Serving < m.Total {
+		serving = fmt.Sprintf(", %d serve", m.Serving)
 	}
-	return fmt.Sprintf("%d of %d serve, all at v%d: %s", m.Serving, m.Total, m.Newest, m.Model)
+	return fmt.Sprintf("v%d: %d of %d replicas%s: %s", m.Newest, m.AtNewest, m.Total, serving, m.Model)
 }
--- a/internal/report/traffic.go
+++ b/internal/report/traffic.go
@@ -11,5 +11,8 @@
 		InTime:  record.InTime,
 		Retries: max(record.Attempts-record.Hedges-1, 0),
 		Hedges:  record.Hedges,
+		Refusal: record.Refusal,
+		Weights: record.Weights,
+		Stale:   record.Stale,
 	})
 }
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -39,6 +39,8 @@
 	idempotent bool
 	minVersion int64
 	arrived    time.Time
+	// refusal is why it did not run, for the report.
+	refusal Refusal
 }
 
 // readCaller reads and checks the headers, and echoes the request's identifier.
--- a/internal/traffic/problem.go
+++ b/internal/traffic/problem.go
@@ -32,6 +32,7 @@
 // returns its outcome.
 func (s *Server) fail(w http.ResponseWriter, c *caller, err error) request.Outcome {
 	problem := c.problem(err)
+	c.refusal = RefusalOf(err)
 	s.logFailure(c, problem, err)
 	writeProblem(w, problem)
 	return problem.Outcome
--- a/internal/traffic/record.go
+++ b/internal/traffic/record.go
@@ -20,5 +20,8 @@
 		InTime:   outcome == request.Answered && (c.class.Lateness <= 0 || took <= c.class.Lateness),
 		Attempts: effort.Attempts,
 		Hedges:   effort.Hedges,
+		Refusal:  c.refusal,
+		Weights:  effort.Weights,
+		Stale:    effort.Weights.Over(c.class.Freshness),
 	})
 }
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -25,6 +25,11 @@
 	InTime   bool
 	Attempts int
 	Hedges   int
+	// Refusal is why a request did not run.
+	Refusal Refusal
+	// Weights are those of an answer; Stale: they are over the class's target.
+	Weights dispatch.Weights
+	Stale   bool
 }
 
 // Recorder keeps the figures of the report.
