Ask the next entry when an owner cannot decide; learn pace without waits

Cause: (1) an entry cut off from the platform's service stayed first in rank for its partitions and answered 'cannot decide' for as long as the cut lasted; updates to them were refused for 60 s and more, and the entry did not exit within 15 s of SIGTERM, since it waited to give its ownerships back. (2) the queue counted the wait for an endpoint or for new weights as time per token, and refused work on idle engines with 'could not be in time'. Ruled out: asking the next entry with the same claim: the first owner, once it can write again, frees what stood in a group in doubt, and that must never be the claim that another owner granted; each ask has a name of its own. Leaving entries that lost the service out of the ranking (peers cannot know in time). Change: the router goes on after 'unavailable' under a new claimant; a hand-over takes 5 s at most; work carries how long it waited for an endpoint.

--- a/internal/claim/router.go
+++ b/internal/claim/router.go
@@ -64,10 +64,7 @@
 // Claim asks for the right to run a request.
 func (r *Router) Claim(ctx context.Context, request Request) (Grant, error) {
 	partition := PartitionOf(request.Key, r.options.Partitions)
-	claimant := request.Claimant + "/" + rand.Text()
-	wire := &peerpb.ClaimRequest{
-		Partition: partition, Key: request.Key[:], Fingerprint: request.Fingerprint.Bytes(), Claimant: claimant,
-	}
+	wire := r.newClaim(partition, request)
 	route := r.route(partition)
 	for range hopLimit {
 		peer, ok := route.next()
@@ -84,15 +81,32 @@
 			r.withdraw(ctx, peer, wire)
 			return Grant{}, ErrUnavailable.Wrap(err, "no reply from the owner %q", peer.ID)
 		}
+		if reply.GetVerdict() == peerpb.ClaimReply_UNAVAILABLE {
+			// It granted nothing; if it is cut off, the next one takes over. What it
+			// may still free, once it can write again, must not be this claim.
+			r.learn(partition, "")
+			wire = r.newClaim(partition, request)
+			continue
+		}
 		if reply.GetVerdict() == peerpb.ClaimReply_NOT_OWNER {
 			r.learn(partition, "")
 			route.redirect(reply.GetOwner())
 			continue
 		}
 		r.learn(partition, peer.ID)
-		return grantOf(request.Key, claimant, peer, reply)
+		return grantOf(request.Key, wire.Claimant, peer, reply)
+	}
+	return Grant{}, ErrUnavailable.New("no owner of partition %d can decide", partition)
+}
+
+// newClaim makes the message of a claim under a name that no other has.
+func (r *Router) newClaim(partition uint32, request Request) *peerpb.ClaimRequest {
+	return &peerpb.ClaimRequest{
+		Partition:   partition,
+		Key:         request.Key[:],
+		Fingerprint: request.Fingerprint.Bytes(),
+		Claimant:    request.Claimant + "/" + rand.Text(),
 	}
-	return Grant{}, ErrUnavailable.New("no owner of partition %d can be reached", partition)
 }
 
 func (r *Router) ask(ctx context.Context, peer Peer, wire *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
--- a/internal/claim/router_test.go
+++ b/internal/claim/router_test.go
@@ -22,11 +22,13 @@
 	reply   *peerpb.ClaimReply
 	err     error
 	claims  int
+	asked   []string // claimants
 	settles []*peerpb.SettleRequest
 }
 
-func (s *scriptedOwner) Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+func (s *scriptedOwner) Claim(_ context.Context, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 	s.claims++
+	s.asked = append(s.asked, request.GetClaimant())
 	return s.reply, s.err
 }
 
@@ -71,6 +73,17 @@
 	require.Equal(t, peerpb.Ending_NOT_RUN, owners[best].settles[0].GetEnding())
 }
 
+func TestRouterGoesOnUnderAnotherNameWhenAnOwnerCannotDecide(t *testing.T) {
+	best, next := first()
+	unavailable := &peerpb.ClaimReply{Verdict: peerpb.ClaimReply_UNAVAILABLE}
+	owners := map[string]*scriptedOwner{best: {reply: unavailable}, next: {reply: granted()}}
+	grant, err := routed(owners).Claim(context.Background(), requestOf(1, "caller"))
+	require.NoError(t, err)
+	require.Equal(t, Granted, grant.Verdict)
+	require.Equal(t, owners[next].asked, []string{grant.Claimant})
+	require.NotEqual(t, owners[best].asked, owners[next].asked, "what the first owner frees later must not be this grant")
+}
+
 func TestRouterFollowsTheHolder(t *testing.T) {
 	best, _ := first()
 	owners := map[string]*scriptedOwner{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 // no other is left. It waits for one until the work is due, and fails with
 // ErrNoEndpoint.
 func (d *Dispatcher) pick(ctx context.Context, work *policy.Work, avoid []string) (*endpoint.Endpoint, error) {
+	started := d.now()
+	defer func() { work.Waited += d.now().Sub(started) }()
 	for {
 		chosen, err := d.pickNow(work, avoid)
 		if err == nil {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -19,6 +19,8 @@
 	Application string
 	// Send is what goes to the service; its Address and RequestID are set here.
 	Send engine.ServiceCall
+	// work is set by Admit and used by Serve.
+	work *policy.Work
 }
 
 // serviceRun is the state of one service request while it runs.
@@ -41,13 +43,14 @@
 // Admit waits until a service request may start. On success, Serve must follow,
 // and the returned function must be called once it has ended.
 func (d *Dispatcher) Admit(ctx context.Context, request *ServiceRequest) (func(), error) {
-	return d.admit(ctx, &request.Call, d.newWork(&request.Call, endpoint.Service, request.Application))
+	request.work = d.newWork(&request.Call, endpoint.Service, request.Application)
+	return d.admit(ctx, &request.Call, request.work)
 }
 
 // Serve runs an admitted service request. It returns the whole answer, or an
 // error of the request layer that tells the outcome.
 func (d *Dispatcher) Serve(ctx context.Context, request *ServiceRequest) (*engine.ServiceAnswer, Effort, error) {
-	run := &serviceRun{d: d, request: request, work: d.newWork(&request.Call, endpoint.Service, request.Application)}
+	run := &serviceRun{d: d, request: request, work: request.work}
 	answer, err := run.loop(ctx)
 	effort := Effort{Attempts: run.attempts, Hedges: run.hedges}
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,9 @@
 // check fails, so that the balancer has seen it.
 const drainDelay = 2 * time.Second
 
+// handOverTimeout bounds the time in which ownerships are given up.
+const handOverTimeout = 5 * time.Second
+
 // listeners are the two interfaces of an entry.
 type listeners struct {
 	callers, internal net.Listener
@@ -113,11 +116,21 @@
 	group.Go(func() error { return callers.Shutdown(ctx) })
 	err := group.Wait()
 	err = errors.Join(err, parts.traffic.Wait(ctx))
-	parts.claims.HandOver(ctx)
-	err = errors.Join(err, parts.owner.ReleaseAll(ctx))
 	if err != nil {
 		event.EntryCutOff.Log(ctx, logger, slog.String("cause", err.Error()))
 	}
+	handOver(parts, logger)
+}
+
+// handOver gives up what the entry owns, so that other entries need not wait
+// for its lease to lapse. In an outage of the platform's service it does.
+func handOver(parts *parts, logger *slog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	parts.claims.HandOver(ctx)
+	if err := parts.owner.ReleaseAll(ctx); err != nil {
+		event.HandOverFailed.Log(ctx, logger, slog.String("cause", err.Error()))
+	}
 }
 
 func pause(ctx context.Context, duration time.Duration) {
--- a/internal/policy/work.go
+++ b/internal/policy/work.go
@@ -35,6 +35,9 @@
 	Idempotent bool
 	// Patient: a late answer is better than a refusal (samples of a step).
 	Patient bool
+	// Waited is how long, once started, it waited for an endpoint that may take
+	// it; that says nothing of how long such work takes.
+	Waited time.Duration
 	// Tried holds the IDs of endpoints that must not be tried again.
 	Tried []string
 }
--- a/internal/queue/group.go
+++ b/internal/queue/group.go
@@ -130,7 +130,7 @@
 	g.running--
 	g.runningExpected -= i.expected
 	if took > 0 {
-		g.pace.observe(i.work.ExpectedTokens, took)
+		g.pace.observe(i.work.ExpectedTokens, max(took-i.work.Waited, 0))
 	}
 }
 
