Keep to a freshness target that is an age

Cause: a class could state 'freshness: 20m', and nothing kept to it: only bounds in versions were used when an endpoint was chosen. Ruled out: wall times in the rollout's record (clocks of instances differ); ages spread with the exchange (another field for each model and message). Change: each entry remembers when it learned of the last 16 versions of a model and turns an age into the lowest version that may answer. An entry that has just started counts from when it learned of them. The test of published versions compares the two fields that it compared before.

--- a/internal/control/endpoint_test.go
+++ b/internal/control/endpoint_test.go
@@ -207,7 +207,9 @@
 		all[0].SetVersions(t.Context(), "drafts", 7, 5)
 		all[0].SetUnready(t.Context(), "replica0", true)
 		elapse(2 * time.Second)
-		require.Equal(t, Versions{Newest: 7, Floor: 5}, all[2].Snapshots().Load().Versions["drafts"])
+		published := all[2].Snapshots().Load().Versions["drafts"]
+		require.Equal(t, int64(7), published.Newest)
+		require.Equal(t, int64(5), published.Floor)
 		require.True(t, find(all[0], "replica0").Unready)
 	})
 }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -25,7 +25,7 @@
 		Classes:        m.classes,
 		ConfirmedAt:    m.state.ConfirmedAt(),
 		Endpoints:      last.Endpoints,
-		Versions:       m.versions(),
+		Versions:       m.versions(now),
 		StoreReachable: m.storeOK,
 		PeersReachable: m.peersReachable(now),
 	}
@@ -73,10 +73,13 @@
 	return peers
 }
 
-func (m *Manager) versions() map[string]Versions {
+func (m *Manager) versions(now time.Time) map[string]Versions {
+	last := m.options.Snapshots.Load().Versions
 	versions := map[string]Versions{}
 	m.state.Versions(func(model string, newest, floor int64) {
-		versions[model] = Versions{Newest: newest, Floor: floor}
+		next := last[model].accept(newest, now)
+		next.Floor = floor
+		versions[model] = next
 	})
 	return versions
 }
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
@@ -37,7 +36,13 @@
 // publishVersions puts raised versions in force before a peer is told that
 // they were received.
 func (m *Manager) publishVersions(now time.Time) {
-	if !maps.Equal(m.versions(), m.options.Snapshots.Load().Versions) {
+	published := m.options.Snapshots.Load().Versions
+	m.state.Versions(func(model string, newest, floor int64) {
+		if known := published[model]; known.Newest != newest || known.Floor != floor {
+			m.dirty.any, m.dirty.urgent = true, true
+		}
+	})
+	if m.dirty.urgent {
 		m.publish(now)
 	}
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,44 @@
 	Newest int64
 	// Floor: no answer of an older version may be given.
 	Floor int64
+	// accepted are the newest versions of late, in order.
+	accepted []acceptedVersion
+}
+
+// acceptedVersion is a version that became the newest, and when this entry
+// learned of it.
+type acceptedVersion struct {
+	version int64
+	at      time.Time
+}
+
+// maxAccepted is how many versions of a model are remembered with their times.
+const maxAccepted = 16
+
+// accept returns the versions with newest as the newest, learned of now.
+func (v Versions) accept(newest int64, now time.Time) Versions {
+	if newest <= v.Newest {
+		return v
+	}
+	v.Newest = newest
+	v.accepted = append(slices.Clone(v.accepted), acceptedVersion{version: newest, at: now})
+	if len(v.accepted) > maxAccepted {
+		v.accepted = v.accepted[1:]
+	}
+	return v
+}
+
+// OldestWithin returns the lowest version that was not replaced longer ago than
+// age, as far as this entry knows; an entry counts from when it learned of a
+// version.
+func (v Versions) OldestWithin(age time.Duration, now time.Time) int64 {
+	lowest := int64(0)
+	for _, accepted := range v.accepted {
+		if now.Sub(accepted.at) > age {
+			lowest = accepted.version
+		}
+	}
+	return lowest
 }
 
 // Snapshot is an immutable picture of the control state.
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -85,6 +85,7 @@
 }
 
 func (s *Server) newCompletion(c *caller, parsed *engine.CompletionRequest) *dispatch.Completion {
+	c.serves = parsed.Model
 	content := dispatch.FingerprintOf(parsed.Model, parsed.Prompt)
 	return &dispatch.Completion{Call: c.call(content), Request: *parsed, Fresh: s.freshness(c, parsed.Model)}
 }
@@ -98,6 +99,9 @@
 		if limit, bounded := c.class.Freshness.VersionLimit(); bounded {
 			lowest = max(lowest, versions.Newest-int64(limit))
 		}
+		if age, bounded := c.class.Freshness.AgeLimit(); bounded {
+			lowest = max(lowest, versions.OldestWithin(age, s.now()))
+		}
 		return lowest
 	}
 }
