--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"regexp"
 	"strings"
 	"time"
@@ -23,7 +22,6 @@
 	InternalListen  string // host:port for entries, operators and probes
 	StoreAddress    string // host:port of the platform's key-value service
 	ListAddress     string // host:port of the platform's instance list
-	DataFolder      string // folder for bulk data; empty is none
 	LogLevel        string
 	RequestTimeout  time.Duration
 	ShutdownTimeout time.Duration
@@ -90,7 +88,6 @@
 		{Name: "internal-listen", Usage: "host:port for entries, operators and probes", Text: &e.InternalListen},
 		{Name: "store-address", Usage: "host:port of the platform's key-value service", Text: &e.StoreAddress},
 		{Name: "list-address", Usage: "host:port of the platform's instance list", Text: &e.ListAddress},
-		{Name: "data-folder", Usage: "folder for bulk data, empty for none", Text: &e.DataFolder},
 		{Name: "log-level", Usage: "DEBUG, INFO, WARN or ERROR", Text: &e.LogLevel},
 		{Name: "request-timeout", Usage: "longest time for one request, as 10m or 30s", Duration: &e.RequestTimeout},
 		{Name: "shutdown-timeout", Usage: "longest time to finish work in flight, as 2m", Duration: &e.ShutdownTimeout},
@@ -151,11 +148,6 @@
 	if _, err := e.Level(); err != nil {
 		add("--log-level: %q must be DEBUG, INFO, WARN or ERROR", e.LogLevel)
 	}
-	if e.DataFolder != "" {
-		if info, err := os.Stat(e.DataFolder); err != nil || !info.IsDir() {
-			add("--data-folder: %q must be a folder that exists", e.DataFolder)
-		}
-	}
 	return invalid(mistakes)
 }
 
