Advise a class by the endpoints that serve it, and say how old figures are

Cause: advice looked at all endpoints, so that a class of a plain service could be told of a rollout or of slow engines. In the demo a step that had ended was shown as under way, as figures may be seconds old, and nothing said so. Change: digests name the models and applications that a class asked for, eight at most, of those that have endpoints; advice looks at these. The second line tells the age of the oldest figures taken in.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -180,13 +180,14 @@
 	return len(b.snapshots.Load().Peers) < 2 || b.alive(id)
 }
 
-func (b *builder) recordSample(class, tenant string, err error, took time.Duration, effort dispatch.Effort) {
+func (b *builder) recordSample(sample *step.GenerateRequest, err error, took time.Duration, effort dispatch.Effort) {
 	outcome := outcomeOf(err)
-	found, known := b.snapshots.Load().Classes.Find(class)
-	b.metrics.Ended(class, tenant, outcome, took)
+	found, known := b.snapshots.Load().Classes.Find(sample.Class)
+	b.metrics.Ended(sample.Class, sample.Tenant, outcome, took)
 	b.recorder.Record(traffic.Record{
-		Class:    class,
-		Tenant:   tenant,
+		Class:    sample.Class,
+		Tenant:   sample.Tenant,
+		Serves:   sample.Model,
 		Outcome:  outcome,
 		Took:     took,
 		InTime:   outcome == request.Answered && known && (found.Lateness <= 0 || took <= found.Lateness),
--- a/internal/entry/generator.go
+++ b/internal/entry/generator.go
@@ -16,7 +16,7 @@
 type generator struct {
 	dispatcher *dispatch.Dispatcher
 	snapshots  *control.Snapshots
-	record     func(class, tenant string, err error, took time.Duration, effort dispatch.Effort)
+	record     func(sample *step.GenerateRequest, err error, took time.Duration, effort dispatch.Effort)
 }
 
 // Generate implements step.Generator.
@@ -50,7 +50,7 @@
 			return nil
 		},
 	})
-	g.record(sample.Class, sample.Tenant, err, time.Since(arrived), effort)
+	g.record(&sample, err, time.Since(arrived), effort)
 	if err != nil {
 		return step.Generation{}, err
 	}
--- a/internal/report/advice.go
+++ b/internal/report/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
@@ -22,14 +23,24 @@
 	// slow endpoints get less work.
 	slow int64
 	load load
-	// lagging of replicas are not at the newest weights, over all models.
+	// lagging of replicas are not at the newest weights, over the models concerned.
 	lagging, replicas int
 }
 
-func stateOf(snapshot *control.Snapshot, r Report) state {
-	s := state{storeDown: r.StoreDown, slow: r.Demoted, load: loadOf(snapshot)}
+// stateOf tells the state of what serves a class; of all endpoints when nothing
+// is known to.
+func stateOf(snapshot *control.Snapshot, r *Report, serves []string) state {
+	s := state{storeDown: r.StoreDown}
+	concerns := func(name string) bool { return len(serves) == 0 || slices.Contains(serves, name) }
+	var concerned []*endpoint.Endpoint
+	for name, endpoints := range snapshot.Endpoints {
+		if concerns(name) {
+			concerned = append(concerned, endpoints...)
+		}
+	}
+	s.slow, s.load = slow(concerned), loadOf(concerned)
 	for _, m := range r.Models {
-		if m.Newest > 0 && m.AtNewest < m.Total {
+		if concerns(m.Model) && m.AtNewest < m.Total && m.Newest > 0 {
 			s.lagging += m.Total - m.AtNewest
 			s.replicas += m.Total
 		}
@@ -37,17 +48,25 @@
 	return s
 }
 
-func loadOf(snapshot *control.Snapshot) load {
+func slow(endpoints []*endpoint.Endpoint) int64 {
+	var count int64
+	for _, e := range endpoints {
+		if e.Demotion > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func loadOf(endpoints []*endpoint.Endpoint) load {
 	told, taken := 0, 0
-	for _, endpoints := range snapshot.Endpoints {
-		for _, e := range endpoints {
-			if e.Slots == 0 {
-				continue
-			}
-			told++
-			if hasNoRoom(e) {
-				taken++
-			}
+	for _, e := range endpoints {
+		if e.Slots == 0 {
+			continue
+		}
+		told++
+		if hasNoRoom(e) {
+			taken++
 		}
 	}
 	switch {
--- a/internal/report/advice_test.go
+++ b/internal/report/advice_test.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 	"github.com/comfreyfront/comfreyfront/internal/step"
@@ -42,6 +43,12 @@
 		counts *peerpb.ClassDigest
 	}{
 		{"queues full: add endpoints", load(8), late},
+		{"loads not known: check the endpoints", load(8), &peerpb.ClassDigest{Answered: 10, Serves: []string{"register"}}},
+		{"none could take it: add endpoints", quiet, refused(&peerpb.ClassDigest{NoEndpoint: 10, Serves: []string{"register"}})},
+		{"not full, none slow: raise lateness", func(s *control.Snapshot) {
+			load(1)(s)
+			s.Endpoints["register"] = []*endpoint.Endpoint{{Slots: 1, Running: 1, Demotion: 0.5}}
+		}, &peerpb.ClassDigest{Answered: 10, Serves: []string{"drafting"}}},
 		{"not full, none slow: raise lateness", load(1), late},
 		{"loads not known: check the endpoints", quiet, late},
 		{"replace slow endpoints (1)", func(s *control.Snapshot) { s.Endpoints["drafting"][0].Demotion = 0.5 }, late},
@@ -90,7 +97,7 @@
 func TestRecorderCountsWeightsAndCauses(t *testing.T) {
 	r := NewRecorder(func() time.Time { return noon })
 	record := func(of traffic.Record) {
-		of.Class = "drafts"
+		of.Class, of.Serves = "drafts", "drafting"
 		r.Record(of)
 	}
 	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 3}, Stale: true})
@@ -104,6 +111,11 @@
 	}
 	got := r.Digests(hydrometra().Classes)[1]
 	require.Equal(t, []int64{2, 1, 1, 3}, []int64{got.Versioned, got.Unversioned, got.Stale, got.MaxBehind})
+	require.Equal(t, []string{"drafting"}, got.Serves)
+	for i := range 2 * maxServes {
+		r.Observe(Observation{Class: "drafts", Serves: fmt.Sprint(i)})
+	}
+	require.Len(t, r.Digests(hydrometra().Classes)[1].Serves, maxServes)
 	require.Equal(t, []int64{10, 1, 2, 3, 4}, []int64{got.NotRun, got.Invalid, got.Full, got.Unclaimed, got.NoEndpoint})
 }
 
--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -40,6 +40,8 @@
 	Freshness Freshness
 	// WorstP50 and WorstP99 are the largest of any entry.
 	WorstP50, WorstP99 time.Duration
+	// Serves names the models and applications that its requests asked for.
+	Serves []string
 	// Advice is what the operator could do now; empty when nothing is needed.
 	Advice string
 }
@@ -63,8 +65,10 @@
 	// Unconfirmed: the classes may not be the newest.
 	Unconfirmed bool
 	Demoted     int64
-	Classes     []ClassReport
-	Models      []ModelReport
+	// Oldest is the age of the oldest figures that were taken in.
+	Oldest  time.Duration
+	Classes []ClassReport
+	Models  []ModelReport
 	// Steps under way, the most urgent first; StepsUnseen more are known to be.
 	Steps       []StepReport
 	StepsUnseen int
@@ -86,13 +90,15 @@
 		Demoted:     demoted(snapshot),
 		Models:      models(snapshot),
 	}
+	for _, d := range digests {
+		r.Oldest = max(r.Oldest, d.Age)
+	}
 	for _, c := range snapshot.Classes.Precedence() {
 		r.Classes = append(r.Classes, classReport(c, digests))
 	}
 	r.Steps, r.StepsUnseen = steps(digests)
-	state := stateOf(snapshot, r)
 	for i := range r.Classes {
-		r.Classes[i].Advice = advise(&r.Classes[i], state)
+		r.Classes[i].Advice = advise(&r.Classes[i], stateOf(snapshot, &r, r.Classes[i].Serves))
 	}
 	slices.SortStableFunc(r.Classes, func(a, b ClassReport) int { return cmp.Compare(urgency(a.Status), urgency(b.Status)) })
 	return r
@@ -139,6 +145,7 @@
 	r.NotRun, r.Unknown, r.Retries, r.Hedges = sum.NotRun, sum.Unknown, sum.Retries, sum.Hedges
 	r.NoEndpoint, r.Unclaimed, r.Full, r.Invalid = sum.NoEndpoint, sum.Unclaimed, sum.Full, sum.Invalid
 	r.Requests, r.Late = sum.Answered+sum.NotRun+sum.Unknown, sum.Answered-sum.InTime
+	r.Serves = sum.Serves
 	r.Freshness = freshnessOf(r.Class.Freshness, sum)
 	if r.Requests == 0 {
 		return
--- a/internal/report/publisher.go
+++ b/internal/report/publisher.go
@@ -46,11 +46,7 @@
 func demoted(snapshot *control.Snapshot) int64 {
 	var count int64
 	for _, endpoints := range snapshot.Endpoints {
-		for _, e := range endpoints {
-			if e.Demotion > 0 {
-				count++
-			}
-		}
+		count += slow(endpoints)
 	}
 	return count
 }
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -3,6 +3,7 @@
 package report
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,9 +32,17 @@
 	significantFigures = 2
 )
 
+// Bounds of the names of models and applications kept for a class.
+const (
+	maxServes       = 8
+	maxServesLength = 64 // bytes
+)
+
 // Observation is how one request ended.
 type Observation struct {
-	Class   string
+	Class string
+	// Serves is the model or application asked for; empty when none is known.
+	Serves  string
 	Outcome request.Outcome
 	Took    time.Duration
 	// InTime: the whole answer came within the class's lateness.
@@ -131,6 +140,7 @@
 }
 
 func (s *slot) add(o Observation) {
+	addServes(&s.figures, o.Serves)
 	s.figures.Retries += int64(o.Retries)
 	s.figures.Hedges += int64(o.Hedges)
 	switch o.Outcome {
@@ -205,6 +215,7 @@
 
 // addCounts adds the counts of one digest to another's.
 func addCounts(into, from *peerpb.ClassDigest) {
+	addServes(into, from.Serves...)
 	into.Answered += from.Answered
 	into.InTime += from.InTime
 	into.NotRun += from.NotRun
@@ -221,6 +232,16 @@
 	into.MaxBehind = max(into.MaxBehind, from.MaxBehind)
 }
 
+// addServes adds names that are not in a digest yet, up to the bound.
+func addServes(into *peerpb.ClassDigest, names ...string) {
+	for _, name := range names {
+		if len(name) == 0 || len(name) > maxServesLength || len(into.Serves) == maxServes || slices.Contains(into.Serves, name) {
+			continue
+		}
+		into.Serves = append(into.Serves, name)
+	}
+}
+
 func merge(into, from *hdrhistogram.Histogram) *hdrhistogram.Histogram {
 	if from == nil || from.TotalCount() == 0 {
 		return into
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -36,11 +36,19 @@
 func (r Report) headLines() []string {
 	lines := []string{
 		fmt.Sprintf("%s UTC, classes at revision %d", r.At.UTC().Format(time.TimeOnly), r.Revision),
-		fmt.Sprintf("last %s, %d of %d entries heard", Window, r.Heard, r.Entries),
+		fmt.Sprintf("last %s, %s", Window, r.HeardText()),
 	}
 	return append(lines, r.Warnings()...)
 }
 
+// HeardText says how many entries were heard, and how old their figures are.
+func (r Report) HeardText() string {
+	if r.Heard == 0 {
+		return fmt.Sprintf("0 of %d entries heard", r.Entries)
+	}
+	return fmt.Sprintf("%d of %d entries heard, %s old", r.Heard, r.Entries, r.Oldest.Round(time.Second))
+}
+
 // Warnings says what is not known and what stands out, one line each.
 func (r Report) Warnings() []string {
 	var lines []string
--- a/internal/report/traffic.go
+++ b/internal/report/traffic.go
@@ -6,6 +6,7 @@
 func (r *Recorder) Record(record traffic.Record) {
 	r.Observe(Observation{
 		Class:   record.Class,
+		Serves:  record.Serves,
 		Outcome: record.Outcome,
 		Took:    record.Took,
 		InTime:  record.InTime,
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -39,6 +39,8 @@
 	idempotent bool
 	minVersion int64
 	arrived    time.Time
+	// serves is the model or application that it asks for.
+	serves string
 	// refusal is why it did not run, for the report.
 	refusal Refusal
 }
--- a/internal/traffic/record.go
+++ b/internal/traffic/record.go
@@ -15,6 +15,7 @@
 	s.options.Recorder.Record(Record{
 		Class:    c.class.Name,
 		Tenant:   c.tenant,
+		Serves:   s.served(c.serves),
 		Outcome:  outcome,
 		Took:     took,
 		InTime:   outcome == request.Answered && (c.class.Lateness <= 0 || took <= c.class.Lateness),
@@ -25,3 +26,12 @@
 		Stale:    effort.Weights.Over(c.class.Freshness),
 	})
 }
+
+// served returns the name if endpoints of it are known, so that names that
+// callers make up are not kept.
+func (s *Server) served(name string) string {
+	if len(s.options.Snapshots.Load().Endpoints[name]) == 0 {
+		return ""
+	}
+	return name
+}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -18,8 +18,10 @@
 
 // Record is how one request ended, for the report.
 type Record struct {
-	Class    string
-	Tenant   string
+	Class  string
+	Tenant string
+	// Serves is the model or application asked for; empty when none is known.
+	Serves   string
 	Outcome  request.Outcome
 	Took     time.Duration
 	InTime   bool
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -44,6 +44,7 @@
 
 func (s *Server) serviceRequest(c *caller, r *http.Request, body []byte) *dispatch.ServiceRequest {
 	application := r.PathValue("application")
+	c.serves = application
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
