Judge freshness targets that are ages in the report

Change: an answer's weights carry how long ago the oldest had been replaced, as far as the entry knows; answers from versions replaced before the entry learned of any are counted as not known, unless what is known is over the target already. A class that is complete and stale is missed by versions or by time. Ruled out: an exact age for versions that were replaced before the entry's start, as nobody holds it.

--- /dev/null
+++ b/internal/control/replaced.go
@@ -0,0 +1,19 @@
+package control
+
+import "time"
+
+// ReplacedFor returns how long ago a newer version than the given one was
+// accepted; zero for the newest. It is exact if known is set, and otherwise at
+// least so long, as an entry counts from when it learned of a version.
+func (v Versions) ReplacedFor(version int64, now time.Time) (ago time.Duration, known bool) {
+	if version >= v.Newest {
+		return 0, v.Newest > 0
+	}
+	for _, accepted := range v.accepted {
+		if accepted.version > version {
+			return now.Sub(accepted.at), known
+		}
+		known = true
+	}
+	return 0, false
+}
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/comfreyfront/comfreyfront/internal/class"
+import (
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+)
 
 // Weights says how old the weights behind an answer are. The zero value is an
 // answer that no weights were newly used for, such as that of a plain service.
@@ -12,21 +16,29 @@
 	// Behind is how many versions the oldest tokens were behind the newest, when
 	// the answer was whole.
 	Behind int64
+	// Age is how long ago those oldest tokens' weights had been replaced, zero for
+	// the newest; at least so long if AgeKnown is not set.
+	Age      time.Duration
+	AgeKnown bool
 }
 
-// Over reports whether the answer is known to be beyond the versions that the
-// target allows. A target of an age is not judged.
+// Over reports whether the answer is known to be beyond the versions or the age
+// that the target allows.
 func (w Weights) Over(target class.Freshness) bool {
-	limit, bounded := target.VersionLimit()
-	return bounded && w.Known && w.Behind > int64(limit)
+	if limit, bounded := target.VersionLimit(); bounded {
+		return w.Known && w.Behind > int64(limit)
+	}
+	limit, bounded := target.AgeLimit()
+	return bounded && w.Age > limit
 }
 
 // weightsOf judges a whole answer against the newest version known now.
 func (d *Dispatcher) weightsOf(model string, answer *Progress) Weights {
-	newest := d.options.Snapshots.Load().Versions[model].Newest
+	versions := d.options.Snapshots.Load().Versions[model]
 	oldest, known := answer.oldest()
-	if !known || newest == 0 {
+	if !known || versions.Newest == 0 {
 		return Weights{Used: true}
 	}
-	return Weights{Used: true, Known: true, Behind: max(newest-oldest, 0)}
+	age, ageKnown := versions.ReplacedFor(oldest, d.now())
+	return Weights{Used: true, Known: true, Behind: max(versions.Newest-oldest, 0), Age: age, AgeKnown: ageKnown}
 }
--- a/internal/dispatch/weights_test.go
+++ b/internal/dispatch/weights_test.go
@@ -13,7 +13,7 @@
 
 func TestWeightsAreThoseOfTheOldestTokens(t *testing.T) {
 	snapshots := &control.Snapshots{}
-	d := &Dispatcher{options: Options{Snapshots: snapshots}}
+	d := &Dispatcher{options: Options{Snapshots: snapshots, Clock: time.Now}}
 	answer := &Progress{Spans: []engine.Span{{WeightVersion: 7, Tokens: 1}, {WeightVersion: 5, Tokens: 1}, {WeightVersion: 8, Tokens: 1}}}
 	require.Equal(t, Weights{Used: true}, d.weightsOf("m", answer), "no newest version is known")
 	snapshots.Publish(&control.Snapshot{Versions: map[string]control.Versions{"m": {Newest: 8}}})
@@ -23,6 +23,11 @@
 	require.True(t, found.Over(class.Freshness{Versions: 2}))
 	require.True(t, found.Over(class.Freshness{Newest: true}))
 	require.False(t, found.Over(class.Freshness{Versions: 3}))
+	require.False(t, found.Over(class.Freshness{Age: time.Second}), "its age is not known")
+	newest := d.weightsOf("m", &Progress{Spans: answer.Spans[2:]})
+	require.Equal(t, Weights{Used: true, Known: true, AgeKnown: true}, newest)
+	found.Age = time.Second
 	require.False(t, found.Over(class.Freshness{Age: time.Second}))
+	require.True(t, found.Over(class.Freshness{Age: time.Millisecond}), "it is at least so old")
 	require.False(t, found.Over(class.Freshness{}))
 }
--- a/internal/report/advice.go
+++ b/internal/report/advice.go
@@ -103,7 +103,7 @@
 	if s.lagging > 0 {
 		return laggingText(s) + ": wait or restart"
 	}
-	return "allow more versions, or fewer rollouts"
+	return "allow older weights, or fewer rollouts"
 }
 
 // laggingText fits a line also with thousands of replicas.
--- a/internal/report/advice_test.go
+++ b/internal/report/advice_test.go
@@ -61,7 +61,7 @@
 		{"cause not known: see the entries' logs", quiet, refused(&peerpb.ClassDigest{})},
 		{"replace endpoints that die", quiet, &peerpb.ClassDigest{Unknown: 1}},
 		{"5 of 9 replicas lag: wait or restart", quiet, stale},
-		{"allow more versions, or fewer rollouts", done, stale},
+		{"allow older weights, or fewer rollouts", done, stale},
 		{"", quiet, &peerpb.ClassDigest{Answered: 10, InTime: 10, Versioned: 10, MaxBehind: 2}},
 	} {
 		s := hydrometra()
@@ -81,16 +81,20 @@
 	versions, age := class.Freshness{Versions: 2}, class.Freshness{Age: 20 * time.Minute}
 	for want, f := range map[string]Freshness{
 		"":                                    {Target: versions},
-		"at most 1 version behind (target 2)": {Target: versions, Known: 9, Worst: 1},
-		"3 versions behind, 4 not known (target 2)":               {Target: versions, Known: 9, Unknown: 4, Worst: 3},
-		"freshness not known (target 2 versions)":                 {Target: versions, Unknown: 9},
-		"at most 0 versions behind (target 0)":                    {Target: class.Freshness{Newest: true}, Known: 9},
-		"all of the newest weights (target 20m)":                  {Target: age, Known: 9},
-		"age of weights not known (target 20m)":                   {Target: age, Known: 9, Worst: 1},
-		fmt.Sprintf("age of weights not known (target %s)", "1h"): {Target: class.Freshness{Age: time.Hour}, Unknown: 1},
+		"1 version behind at most (target 2)": {Target: versions, Known: 9, Worst: 1},
+		"3 versions behind, 4 not known (target 2)":  {Target: versions, Known: 9, Unknown: 4, Worst: 3},
+		"freshness not known (target 2 versions)":    {Target: versions, Unknown: 9},
+		"0 versions behind at most (target 0)":       {Target: class.Freshness{Newest: true}, Known: 9},
+		"0s outdated at most (target 20m)":           {Target: age, Known: 9, Worst: 1},
+		"1h1m outdated, 600k not known (target 20m)": {Target: age, Known: 9, Unknown: 600_000, WorstAge: 61 * time.Minute},
+		"21m0s outdated, 1 not known (target 20m)":   {Target: age, Unknown: 1, Stale: 1, WorstAge: 21 * time.Minute},
+		"freshness not known (target 20m)":           {Target: age, Unknown: 1},
 	} {
 		require.Equal(t, want, f.Line())
 	}
+	require.Equal(t, "1m0s", Freshness{Target: age, WorstAge: 21 * time.Minute}.Missed())
+	require.Equal(t, "1 version", Freshness{Target: versions, Worst: 3}.Missed())
+	require.Equal(t, Freshness{Target: age, Known: 3, Unknown: 6}, freshnessOf(age, &peerpb.ClassDigest{Versioned: 5, Unversioned: 4, Aged: 3}))
 	require.Empty(t, Freshness{Known: 9, Worst: 7}.Line(), "no target, nothing to judge")
 }
 
@@ -100,8 +104,8 @@
 		of.Class, of.Serves = "drafts", "drafting"
 		r.Record(of)
 	}
-	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 3}, Stale: true})
-	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 1}})
+	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 3, Age: time.Minute}, Stale: true})
+	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true, Known: true, Behind: 1, Age: time.Second, AgeKnown: true}})
 	record(traffic.Record{Outcome: request.Answered, Weights: dispatch.Weights{Used: true}})
 	record(traffic.Record{Outcome: request.Answered})
 	for cause := traffic.RefusedOther; cause <= traffic.RefusedNoEndpoint; cause++ {
@@ -112,6 +116,7 @@
 	got := r.Digests(hydrometra().Classes)[1]
 	require.Equal(t, []int64{2, 1, 1, 3}, []int64{got.Versioned, got.Unversioned, got.Stale, got.MaxBehind})
 	require.Equal(t, []string{"drafting"}, got.Serves)
+	require.Equal(t, []int64{1, 60_000}, []int64{got.Aged, got.MaxWeightsAgeMs})
 	for i := range 2 * maxServes {
 		r.Observe(Observation{Class: "drafts", Serves: fmt.Sprint(i)})
 	}
--- a/internal/report/freshness.go
+++ b/internal/report/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
@@ -10,53 +11,66 @@
 // Freshness is the standing of a class against its freshness target.
 type Freshness struct {
 	Target class.Freshness
-	// Known and Unknown count answers of models whose versions behind the newest
-	// are known and not known. Both are zero for a plain service.
+	// Known and Unknown count answers of models of which is known, and not
+	// known, what the target is about: the versions behind the newest, or how
+	// long ago the weights had been replaced. Both are zero for a plain service.
 	Known, Unknown int64
-	// Stale counts answers over the target; Worst is the most versions behind.
-	Stale, Worst int64
+	// Stale counts answers over the target.
+	Stale int64
+	// Worst is the most versions behind; WorstAge the longest time since weights
+	// had been replaced.
+	Worst    int64
+	WorstAge time.Duration
 }
 
 func freshnessOf(target class.Freshness, sum *peerpb.ClassDigest) Freshness {
-	return Freshness{Target: target, Known: sum.Versioned, Unknown: sum.Unversioned, Stale: sum.Stale, Worst: sum.MaxBehind}
+	f := Freshness{
+		Target:   target,
+		Known:    sum.Versioned,
+		Stale:    sum.Stale,
+		Worst:    sum.MaxBehind,
+		WorstAge: time.Duration(sum.MaxWeightsAgeMs) * time.Millisecond,
+	}
+	if _, ofAge := target.AgeLimit(); ofAge {
+		f.Known = sum.Aged
+	}
+	f.Unknown = sum.Versioned + sum.Unversioned - f.Known
+	return f
 }
 
-// Spare is how many versions the worst answer was within the target, negative
-// when it was over it. It means nothing for a target that is not of versions.
-func (f Freshness) Spare() int64 {
-	limit, _ := f.Target.VersionLimit()
-	return int64(limit) - f.Worst
+// Missed is by how much the worst answer was over the target.
+func (f Freshness) Missed() string {
+	if limit, ofVersions := f.Target.VersionLimit(); ofVersions {
+		return countOf(f.Worst-int64(limit), "version")
+	}
+	limit, _ := f.Target.AgeLimit()
+	return roughly(f.WorstAge - limit)
 }
 
 // Line renders the standing; it is empty where freshness does not apply.
 func (f Freshness) Line() string {
-	if f.Known+f.Unknown == 0 {
-		return ""
-	}
-	_, ofVersions := f.Target.VersionLimit()
+	limit, ofVersions := f.Target.VersionLimit()
 	_, ofAge := f.Target.AgeLimit()
 	switch {
-	case ofVersions && f.Known == 0:
+	case f.Known+f.Unknown == 0 || !ofVersions && !ofAge:
+		return ""
+	case f.Known == 0 && f.Stale == 0:
 		return fmt.Sprintf("freshness not known (target %s)", f.Target)
-	case ofVersions && f.Unknown > 0:
-		return fmt.Sprintf("%s behind, %s not known (target %d)", versions(f.Worst), countText(f.Unknown), f.limit())
 	case ofVersions:
-		return fmt.Sprintf("at most %s behind (target %d)", versions(f.Worst), f.limit())
-	case ofAge && f.Known > 0 && f.Worst == 0 && f.Unknown == 0:
-		return fmt.Sprintf("all of the newest weights (target %s)", f.Target)
-	case ofAge:
-		return fmt.Sprintf("age of weights not known (target %s)", f.Target)
+		return fmt.Sprintf("%s behind%s (target %d)", countOf(f.Worst, "version"), f.doubt(), limit)
+	default:
+		return fmt.Sprintf("%s outdated%s (target %s)", roughly(f.WorstAge), f.doubt(), f.Target)
 	}
-	return ""
 }
 
-func (f Freshness) limit() int {
-	limit, _ := f.Target.VersionLimit()
-	return limit
+// doubt says of how many answers the freshness is not known.
+func (f Freshness) doubt() string {
+	if f.Unknown == 0 {
+		return " at most"
+	}
+	return fmt.Sprintf(", %s not known", countText(f.Unknown))
 }
 
-func versions(count int64) string { return countOf(count, "version") }
-
 // countOf renders a count of things.
 func countOf(count int64, thing string) string {
 	if count == 1 {
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -190,6 +190,10 @@
 	}
 	s.figures.Versioned++
 	s.figures.MaxBehind = max(s.figures.MaxBehind, o.Weights.Behind)
+	s.figures.MaxWeightsAgeMs = max(s.figures.MaxWeightsAgeMs, o.Weights.Age.Milliseconds())
+	if o.Weights.AgeKnown {
+		s.figures.Aged++
+	}
 	if o.Stale {
 		s.figures.Stale++
 	}
@@ -229,6 +233,8 @@
 	into.Versioned += from.Versioned
 	into.Unversioned += from.Unversioned
 	into.Stale += from.Stale
+	into.Aged += from.Aged
+	into.MaxWeightsAgeMs = max(into.MaxWeightsAgeMs, from.MaxWeightsAgeMs)
 	into.MaxBehind = max(into.MaxBehind, from.MaxBehind)
 }
 
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -104,7 +104,7 @@
 	training.Classes.Classes = append(training.Classes.Classes, class.Class{Name: "tagging", Lateness: time.Second, Freshness: class.Freshness{Age: 20 * time.Minute}, Completeness: 0.9})
 	busy := append(digests(6, lookups(940)), digests(6, rollout)...)
 	busy = append(busy, digests(6, func(int) *peerpb.ClassDigest {
-		return &peerpb.ClassDigest{Class: "tagging", Answered: 10, InTime: 10, Versioned: 10, MaxBehind: 1}
+		return &peerpb.ClassDigest{Class: "tagging", Answered: 10, InTime: 10, Versioned: 10, MaxBehind: 1, Stale: 1, Aged: 8, MaxWeightsAgeMs: 1_260_000}
 	})...)
 	for i := range maxStepsShown + 2 {
 		many.Classes.Classes[i].Freshness.Newest = true
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -62,7 +62,7 @@
 		lines = append(lines, "! classes unconfirmed: maybe not the newest")
 	}
 	if r.Demoted > 0 {
-		lines = append(lines, fmt.Sprintf("! %d slow endpoints get less work", r.Demoted))
+		lines = append(lines, "! less work for "+countOf(r.Demoted, "slow endpoint"))
 	}
 	if len(r.Classes) == 0 {
 		lines = append(lines, "! no classes yet: class apply -f FILE")
@@ -118,10 +118,10 @@
 }
 
 // Margin is by how many points the completeness target is met or missed; by
-// how many versions the freshness target is, when only that is missed.
+// how much the freshness target is, when only that is missed.
 func (c ClassReport) Margin() string {
 	if c.Complete() && c.Freshness.Stale > 0 {
-		return countOf(-c.Freshness.Spare(), "version")
+		return c.Freshness.Missed()
 	}
 	points := 100 * (c.Share - c.Class.Completeness)
 	return fmt.Sprintf("%.1f points", max(points, -points))
