Bound the bodies that an entry holds at once

Cause: each body was bounded, the number of them was not; many callers with bodies of 1 MiB could fill a small instance. Ruled out: a bound on connections (streams hold them long and hold little). Change: 256 MiB of bodies at a time, counted by their stated length, 1 MiB when it is not stated; beyond it requests are refused as not run, to come back in 1 s.

--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/comfreyfront/comfreyfront/internal/claim"
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
@@ -39,6 +41,13 @@
 	Record(Record)
 }
 
+const (
+	// maxHeldBodies bounds the bodies of all requests at a time, in bytes.
+	maxHeldBodies = 256 << 20
+	// fullRetryAfter is when to come back after that bound was met.
+	fullRetryAfter = time.Second
+)
+
 // Options of the server. All fields are needed but those with a default.
 type Options struct {
 	Snapshots  *control.Snapshots
@@ -62,6 +71,8 @@
 	options Options
 	logger  *slog.Logger
 	mux     *http.ServeMux
+	// bodies bounds the bytes of bodies that are held at once.
+	bodies *semaphore.Weighted
 	// detached counts keyed requests that go on after their caller went.
 	detached sync.WaitGroup
 }
@@ -71,7 +82,7 @@
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
-	s := &Server{options: options, logger: logger, mux: http.NewServeMux()}
+	s := &Server{options: options, logger: logger, mux: http.NewServeMux(), bodies: semaphore.NewWeighted(maxHeldBodies)}
 	s.mux.HandleFunc("POST /v1/completions", s.serveCompletion)
 	s.mux.HandleFunc("/services/{application}/{path...}", s.serveService)
 	s.mux.Handle("/v1/steps", options.Steps)
@@ -86,10 +97,25 @@
 // ServeHTTP serves one request and recovers from faults of a handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer s.recoverFault(r)
+	size := heldSize(r)
+	if !s.bodies.TryAcquire(size) {
+		err := request.ErrRefused.New("this entry holds as many bytes of bodies as it may")
+		writeProblem(w, request.ProblemOf(request.WithRetryAfter(err, fullRetryAfter)))
+		return
+	}
+	defer s.bodies.Release(size)
 	r.Body = newTimedBody(w, r.Body)
 	s.mux.ServeHTTP(w, r)
 }
 
+// heldSize is how many bytes of body a request may have held, at least one.
+func heldSize(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return maxBodySize
+	}
+	return min(max(r.ContentLength, 1), maxHeldBodies)
+}
+
 // Wait returns when no request goes on that its caller has left, or with the
 // context's error.
 func (s *Server) Wait(ctx context.Context) error {
--- a/internal/traffic/server_test.go
+++ b/internal/traffic/server_test.go
@@ -299,3 +299,17 @@
 	snapshots.Publish(&control.Snapshot{Classes: renewed, ConfirmedAt: now.Add(-time.Minute)})
 	require.Equal(t, int64(2), s.confirmed(context.Background()).Classes.Revision, "cut off from everything, it serves with what it has")
 }
+
+func TestBodiesHeldAtOnceAreBounded(t *testing.T) {
+	front, _ := newServer(t, &counting{}, newClaims())
+	server := front.Config.Handler.(*Server)
+	require.True(t, server.bodies.TryAcquire(maxHeldBodies-1))
+	answer, body := send(t, http.MethodPost, front.URL+"/services/register/wells", "xx", withKey("k"))
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, body)
+	require.Equal(t, string(request.NotRun), answer.Header.Get(request.HeaderOutcome))
+	server.bodies.Release(maxHeldBodies - 1)
+	answer, _ = send(t, http.MethodPost, front.URL+"/services/register/wells", "xx", withKey("k"))
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	givenBack := func() bool { return server.bodies.TryAcquire(maxHeldBodies) }
+	require.Eventually(t, givenBack, 10*time.Second, time.Millisecond, "each request gives back what it held")
+}
