Test endpoints that are listed and cannot be reached

Cause: an endpoint was killed in tests, never cut off alive and still listed. Ruled out: a cut between two entries. Entries call each other at the address that an entry gives of itself in the exchange, which is the one it listens at; listing a link's address is overruled by it, so this needs an entry that can be told the address to give.

--- a/e2e/truth_test.go
+++ b/e2e/truth_test.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyfront/comfreyfront/internal/proctest"
 	standin "github.com/comfreyfront/comfreyfront/internal/standin/engine"
 	"github.com/comfreyfront/comfreyfront/internal/standin/service"
 )
@@ -56,3 +57,11 @@
 	}
 	return count
 }
+
+// serviceRuns is the number of calls that a service truly ran.
+func (w *world) serviceRuns(endpoint *proctest.Endpoint) int {
+	w.t.Helper()
+	records, err := service.ReadJournal(endpoint.Journal)
+	require.NoError(w.t, err)
+	return len(records)
+}
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -15,6 +15,9 @@
 // stopTimeout bounds the wait for a process that was asked to end.
 const stopTimeout = 15 * time.Second
 
+// region is that of all instances of a cluster.
+const region = "r1"
+
 // Layout says what a cluster consists of at its start.
 type Layout struct {
 	Binaries Binaries
@@ -66,7 +69,9 @@
 	Kind string
 	// Journal is the file of its journal, which outlives it.
 	Journal string
-	args    []string
+	// Link is between entries and this one; nil unless it was started behind one.
+	Link *Link
+	args []string
 }
 
 // Control returns the control interface.
@@ -107,7 +112,7 @@
 		return nil, err
 	}
 	all := []string{"entry",
-		"--id", id, "--failure-domain", failureDomain, "--region", "r1",
+		"--id", id, "--failure-domain", failureDomain, "--region", region,
 		"--listen", "127.0.0.1:0", "--internal-listen", "127.0.0.1:0",
 		"--store-address", storeLink.Address(), "--list-address", c.List.Addresses[0]}
 	process, err := Start(Spec{Name: id, Path: c.layout.Binaries.Entry, Args: append(all, args...), Log: c.layout.Log})
@@ -139,13 +144,13 @@
 func (c *Cluster) announce(entry *Entry, failureDomain string) error {
 	instance := platform.Instance{
 		ID: entry.ID, Kind: platform.KindEntry, Address: entry.Internal(),
-		FailureDomain: failureDomain, Region: "r1",
+		FailureDomain: failureDomain, Region: region,
 	}
-	return errors.Join(c.keepListed(entry, instance), c.updateBalancer())
+	return errors.Join(c.keepListed(entry.Process, instance), c.updateBalancer())
 }
 
-// keepListed registers an entry and renews it while its process lives.
-func (c *Cluster) keepListed(entry *Entry, instance platform.Instance) error {
+// keepListed registers a process and renews it while it lives.
+func (c *Cluster) keepListed(process *Process, instance platform.Instance) error {
 	if err := c.ListControl().Post("/register", instance); err != nil {
 		return err
 	}
@@ -157,7 +162,7 @@
 		defer ticker.Stop()
 		for {
 			select {
-			case <-entry.Done():
+			case <-process.Done():
 				return
 			case <-c.List.Done():
 				return
@@ -203,8 +208,8 @@
 }
 
 func (c *Cluster) startEndpoint(id string, args []string) (*Endpoint, error) {
-	journal := fmt.Sprintf("%s/%s.journal", c.layout.Folder, id)
-	all := append(args, "--id", id, "--region", "r1", "--journal-file", journal, "--list-control", c.List.Addresses[1])
+	journal := c.journal(id)
+	all := append(args, "--id", id, "--region", region, "--journal-file", journal, "--list-control", c.List.Addresses[1])
 	process, err := c.standin(id, all...)
 	if err != nil {
 		return nil, err
@@ -216,6 +221,10 @@
 	return endpoint, nil
 }
 
+func (c *Cluster) journal(id string) string {
+	return fmt.Sprintf("%s/%s.journal", c.layout.Folder, id)
+}
+
 // RestartEndpoint starts a new process in place of one that has ended; it keeps
 // the identifier and the journal.
 func (c *Cluster) RestartEndpoint(old *Endpoint) (*Endpoint, error) {
--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -172,3 +172,27 @@
 	link.Restore()
 	requireEcho(t, dial(t, link.Address()))
 }
+
+func TestEndpointBehindALinkIsListedThereAndCutOff(t *testing.T) {
+	cluster := newCluster(t)
+	endpoint, err := cluster.StartServiceBehindLink("s1", "fd1", "register")
+	require.NoError(t, err)
+	var reply struct{ Instances []platform.Instance }
+	require.NoError(t, cluster.ListControl().Get("/instances", &reply))
+	require.Equal(t, []platform.Instance{{
+		ID: "s1", Kind: platform.KindService, Address: endpoint.Link.Address(),
+		FailureDomain: "fd1", Region: "r1", Serves: "register",
+	}}, reply.Instances)
+	get := func() error {
+		resp, err := http.Get("http://" + endpoint.Link.Address() + "/")
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	require.NoError(t, get())
+	endpoint.Link.Cut()
+	require.Error(t, get())
+	endpoint.Link.Restore()
+	require.NoError(t, get())
+}
