Test what an operator is told of a change

Cause: the operator's commands had no tests, and a change that could not even be sent was reported as not known. Ruled out: reading the outcome from the text of the error. Change: a refused connection is an error of its own, 'nothing was stored'; tests of accepted, bad file, conflict, store away, not known and not sent.

--- /dev/null
+++ b/internal/command/class_test.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/class"
+	"github.com/comfreyfront/comfreyfront/internal/config"
+	"github.com/comfreyfront/comfreyfront/internal/operator"
+)
+
+const goodFile = "classes:\n- name: lookup\n  lateness: 800ms\n  freshness: none\n  completeness: 99%\n"
+
+// apply runs `class apply` on a file's text against an entry that answers with
+// status and body, and returns the exit code and what was printed.
+func apply(t *testing.T, text string, status int, body any) (int, string) {
+	t.Helper()
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}))
+	defer entry.Close()
+	file := filepath.Join(t.TempDir(), "classes.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	var printed bytes.Buffer
+	arguments := []string{"class", "apply", "--file", file, "--entry", entry.URL, "--change-id", "change-1"}
+	code := Run(context.Background(), arguments, &printed, &printed)
+	return code, printed.String()
+}
+
+func TestApplyTellsWhatBecameOfAChange(t *testing.T) {
+	conflict := &config.Conflict{Expected: 1, Current: 2, Won: []config.Entry{{Revision: 2, Who: "eleni"}},
+		Yours: []class.Change{{Kind: class.Added, Class: "lookup"}}}
+	cases := []struct {
+		name, text string
+		status     int
+		body       any
+		code       int
+		want       []string
+	}{
+		{"accepted", goodFile, 200, operator.Accepted{Revision: 3}, exitOK, []string{"accepted as revision 3"}},
+		{"bad file", "classes:\n- name: lookup\n  lateness: soon\n", 200, operator.Accepted{}, exitUsage, []string{"line 3", "nothing was stored"}},
+		{"conflict", goodFile, 409, operator.Refusal{Reason: "conflict", Conflict: conflict}, exitFailed, []string{"revision 2 by eleni", "yours would do now", "nothing was stored"}},
+		{"store away", goodFile, 503, operator.Refusal{Reason: "unavailable"}, exitFailed, []string{"nothing was stored"}},
+		{"not known", goodFile, 504, operator.Refusal{Reason: "lost", Unknown: true}, exitUnknown, []string{"NOT KNOWN", "--change-id change-1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			code, printed := apply(t, c.text, c.status, c.body)
+			require.Equal(t, c.code, code, printed)
+			for _, want := range c.want {
+				require.Contains(t, printed, want)
+			}
+		})
+	}
+}
+
+func TestChangeThatCouldNotBeSentWasNotStored(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "classes.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(goodFile), 0o600))
+	var printed bytes.Buffer
+	code := Run(context.Background(), []string{"class", "apply", "--file", file, "--entry", "127.0.0.1:1"}, &printed, &printed)
+	require.Equal(t, exitFailed, code, printed.String())
+	require.Contains(t, printed.String(), "nothing was stored")
+}
+
+func TestEntryNamesEveryMistake(t *testing.T) {
+	var printed bytes.Buffer
+	code := Run(context.Background(), []string{"entry", "--id", "a b"}, &printed, &printed)
+	require.Equal(t, exitUsage, code)
+	for _, flag := range []string{"--id", "--failure-domain", "--store-address", "--list-address"} {
+		require.Contains(t, printed.String(), flag)
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 
@@ -18,6 +20,8 @@
 	Errors = errorx.NewNamespace("operator")
 	// ErrUnreachable: the entry did not answer; a change may have been accepted.
 	ErrUnreachable = Errors.NewType("unreachable")
+	// ErrNotSent: nothing listens at the entry's address; nothing was changed.
+	ErrNotSent = Errors.NewType("not_sent")
 	// ErrRefused: the entry refused; RefusalOf tells why.
 	ErrRefused = Errors.NewType("refused")
 
@@ -104,6 +108,9 @@
 		return nil, err
 	}
 	answer, err := c.http.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, ErrNotSent.Wrap(err, "no entry listens there")
+	}
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err, "the entry did not answer")
 	}
