--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -32,11 +32,19 @@
 	if m.dirty.endpoints || last.Endpoints == nil {
 		snapshot.Endpoints = m.pictures()
 	}
+	snapshot.Sharers = m.sharers(snapshot.Staying())
 	m.noteIsolation(snapshot)
 	m.dirty = dirtiness{}
 	m.options.Snapshots.Publish(snapshot)
 }
 
+func (m *Manager) sharers(staying int) int {
+	if len(m.endpoints) <= m.options.FollowAll {
+		return staying
+	}
+	return min(staying, m.options.Followers)
+}
+
 func (m *Manager) peersReachable(now time.Time) bool {
 	return !m.peerAt.IsZero() && now.Sub(m.peerAt) < peersLately
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -79,6 +79,9 @@
 	ConfirmedAt time.Time
 	// Endpoints by model or application. Slices are never changed.
 	Endpoints map[string][]*endpoint.Endpoint
+	// Sharers is the number of entries that share an endpoint: all that stay, or
+	// its followers where not every entry follows all.
+	Sharers int
 	// Versions by model.
 	Versions map[string]Versions
 	// StoreReachable: the platform's key-value service answered lately.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -78,6 +78,9 @@
 	Idempotent bool
 	// Patient: a late answer is better than a refusal.
 	Patient bool
+	// Urgent: it takes the places of work that somebody waits on, as a straggler
+	// that its step waits for.
+	Urgent bool
 	// Fingerprint identifies its content, to find requests that crash endpoints.
 	Fingerprint Fingerprint
 }
@@ -101,7 +104,7 @@
 		ExpectedTokens: 1,
 		Deadline:       call.due(),
 		MinVersion:     call.MinVersion,
-		Interactive:    policy.Interactive(call.Class) && !call.Patient,
+		Interactive:    call.Urgent || policy.Interactive(call.Class) && !call.Patient,
 		Idempotent:     call.Idempotent,
 		Patient:        call.Patient,
 	}
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -148,7 +148,7 @@
 	for {
 		changed := b.snapshots.Changed()
 		snapshot := b.snapshots.Load()
-		waiting.Refresh(snapshot.Classes, snapshot.Endpoints, snapshot.Staying())
+		waiting.Refresh(snapshot.Classes, snapshot.Endpoints, snapshot.Sharers)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/entry/generator.go
+++ b/internal/entry/generator.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 	"github.com/comfreyfront/comfreyfront/internal/step"
 	"github.com/comfreyfront/comfreyfront/internal/step/wire"
@@ -16,17 +19,44 @@
 type generator struct {
 	dispatcher *dispatch.Dispatcher
 	snapshots  *control.Snapshots
+	mover      policy.Mover
 	record     func(sample *step.GenerateRequest, err error, took time.Duration, effort dispatch.Effort)
 }
 
-// Generate implements step.Generator.
+// errMove ends an attempt whose sample is to go on elsewhere.
+var errMove = errors.New("the sample moves")
+
+// Generate implements step.Generator. A straggler goes on elsewhere with the
+// tokens that it has, in the places of work that somebody waits on.
 func (g *generator) Generate(ctx context.Context, sample step.GenerateRequest) (step.Generation, error) {
 	class, known := g.snapshots.Load().Classes.Find(sample.Class)
 	if !known {
 		return step.Generation{}, request.ErrRefused.New("there is no class %q now", sample.Class)
 	}
-	arrived := time.Now()
-	done, effort, err := g.dispatcher.Complete(ctx, &dispatch.Completion{
+	started := time.Now()
+	work := &policy.Work{Class: sample.Class, Model: sample.Model}
+	watch := g.mover.Watch(work)
+	completion := newSample(&sample, class, started)
+	for {
+		moving := false
+		completion.OnPiece = g.onPiece(&sample, watch, completion.Resume.Tokens, &moving)
+		done, effort, err := g.dispatcher.Complete(ctx, completion)
+		if moving {
+			completion.Resume, completion.Urgent, completion.Arrived = done, true, time.Now()
+			continue
+		}
+		g.record(&sample, err, time.Since(started), effort)
+		if err != nil {
+			return step.Generation{}, err
+		}
+		g.mover.Done(work, done.Tokens, time.Since(started))
+		return step.Generation{Text: done.Text, FinishReason: done.FinishReason, Spans: wireSpans(done.Spans)}, nil
+	}
+}
+
+// newSample makes the completion of a sample.
+func newSample(sample *step.GenerateRequest, class class.Class, arrived time.Time) *dispatch.Completion {
+	return &dispatch.Completion{
 		Call: dispatch.Call{
 			RequestID:   dispatch.NewID(),
 			Class:       class,
@@ -45,16 +75,21 @@
 			Seed:      sample.Seed,
 		},
 		Resume: dispatch.Progress{Text: sample.Resume.Text, Tokens: sample.Resume.Tokens, Spans: engineSpans(sample.Resume.Spans)},
-		OnPiece: func(piece engine.CompletionChoice) error {
-			sample.Progress(step.Piece{Text: piece.Text, Tokens: piece.Tokens, WeightVersion: piece.WeightVersion})
-			return nil
-		},
-	})
-	g.record(&sample, err, time.Since(arrived), effort)
-	if err != nil {
-		return step.Generation{}, err
 	}
-	return step.Generation{Text: done.Text, FinishReason: done.FinishReason, Spans: wireSpans(done.Spans)}, nil
+}
+
+// onPiece hands pieces to the step and ends the attempt when the sample is to
+// move; moving is then set.
+func (g *generator) onPiece(sample *step.GenerateRequest, watch *policy.Watch, tokens int, moving *bool) func(engine.CompletionChoice) error {
+	return func(piece engine.CompletionChoice) error {
+		if piece.FinishReason == "" && watch.Piece(time.Now(), tokens+piece.Tokens) {
+			*moving = true
+			return errMove
+		}
+		tokens += piece.Tokens
+		sample.Progress(step.Piece{Text: piece.Text, Tokens: piece.Tokens, WeightVersion: piece.WeightVersion})
+		return nil
+	}
 }
 
 func outcomeOf(err error) request.Outcome {
