End a repeatable call of a service that went silent

Ruled out: a bound for calls that must not be repeated (a slow update may well run; its outcome would only become unknown sooner). Change: such a call ends as stalled after 40 times its usual time, 3 to 30 s, as a stream does, and is made elsewhere.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -11,9 +11,10 @@
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
-// Bounds of the wait for the next piece of a stream.
+// Bounds of the wait for the next piece of a stream, or for the answer to a call
+// of a service that may be repeated.
 const (
-	stallTokens     = 40 // as many times the usual time of a token
+	stallFactor     = 40 // times the usual time
 	minStallTimeout = 3 * time.Second
 	maxStallTimeout = 30 * time.Second
 )
@@ -68,7 +69,7 @@
 		Address:      p.endpoint.Address,
 		RequestID:    NewID(),
 		Request:      p.request,
-		StallTimeout: stallTimeout(p.endpoint),
+		StallTimeout: stallAfter(time.Duration(live.TokenNanos.Load())),
 		OnPiece: func(piece engine.CompletionChoice) error {
 			if err := p.onPiece(piece); err != nil {
 				return err
@@ -88,9 +89,9 @@
 	return attempt{endpoint: p.endpoint, progress: done, err: err}
 }
 
-func stallTimeout(chosen *endpoint.Endpoint) time.Duration {
-	usual := time.Duration(chosen.Live.TokenNanos.Load())
-	return min(max(usual*stallTokens, minStallTimeout), maxStallTimeout)
+// stallAfter returns how long to wait for what usually takes so long.
+func stallAfter(usual time.Duration) time.Duration {
+	return min(max(usual*stallFactor, minStallTimeout), maxStallTimeout)
 }
 
 // errRelay: the caller could not take a piece.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -158,6 +158,7 @@
 	send := r.request.Send
 	send.Address = chosen.Address
 	send.RequestID = NewID()
+	send.StallTimeout = stallAfter(time.Duration(chosen.Live.CallNanos.Load()))
 	chosen.Live.InFlight.Add(1)
 	started := r.d.now()
 	answer, err := r.d.options.Services.Do(ctx, send, r.request.Idempotent)
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 )
 
 // maxServiceAnswer bounds the buffered answer of a plain service, in bytes.
@@ -18,6 +19,9 @@
 	Path      string // with its query
 	Header    http.Header
 	Body      []byte
+	// StallTimeout bounds a repeatable call, which then fails with ErrStalled;
+	// zero is no bound.
+	StallTimeout time.Duration
 }
 
 // ServiceAnswer is a whole answer of a plain service.
@@ -50,6 +54,11 @@
 // not run is returned as it is, whatever its status, except that a repeatable
 // call fails with ErrFailed on a status of 500 or more.
 func (c *ServiceClient) Do(ctx context.Context, call ServiceCall, repeatable bool) (*ServiceAnswer, error) {
+	if repeatable && call.StallTimeout > 0 {
+		bounded, cancel := context.WithTimeoutCause(ctx, call.StallTimeout, errStalled)
+		defer cancel()
+		ctx = bounded
+	}
 	var sent sending
 	request, err := http.NewRequestWithContext(sent.trace(ctx), call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
