Take a refused connection as a death; measure failover and configuration

Ruled out: a shorter suspicion (a slow peer or a lossy link would be taken for dead); one refusal as proof (the entry may be starting). Change: two refused connections in a row, or one to a peer that others suspect, tell the death at once; a peer that others suspect is looked at in the next round. make measure has a workload with six entries as separate processes.

--- a/internal/control/rounds.go
+++ b/internal/control/rounds.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
+	"github.com/joomcode/errorx"
 	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -67,9 +68,7 @@
 	delete(m.running, e.to.Address)
 	if e.err != nil {
 		m.metrics.failures.Inc()
-		if e.epoch == m.epoch { // the peer is not to blame for our own freeze
-			m.state.Failed(now, e.to.ID)
-		}
+		e.blame(m, now)
 		return
 	}
 	m.metrics.receivedBytes.Add(float64(proto.Size(e.reply)))
@@ -82,6 +81,18 @@
 	m.offerClasses(ctx, e)
 }
 
+// blame counts a failure against the peer, unless this entry was frozen itself
+// meanwhile.
+func (e exchanged) blame(m *Manager, now time.Time) {
+	switch {
+	case e.epoch != m.epoch:
+	case errorx.IsOfType(e.err, exchange.ErrRefused):
+		m.state.Refused(now, e.to.ID)
+	default:
+		m.state.Failed(now, e.to.ID)
+	}
+}
+
 // offerClasses sends the class document to a peer that is behind, at once and
 // once.
 func (m *Manager) offerClasses(ctx context.Context, e exchanged) {
--- a/internal/exchange/caller.go
+++ b/internal/exchange/caller.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 )
 
-// Caller swaps news with one peer. It fails with ErrUnreachable.
+// Caller swaps news with one peer. It fails with ErrRefused or ErrUnreachable.
 type Caller interface {
 	Exchange(ctx context.Context, address string, news *peerpb.News) (*peerpb.News, error)
 }
@@ -25,6 +27,9 @@
 // Exchange calls the peer at host:port.
 func (c *HTTPCaller) Exchange(ctx context.Context, address string, news *peerpb.News) (*peerpb.News, error) {
 	reply, err := peerpb.NewPeerProtobufClient("http://"+address, c.client).Exchange(ctx, news)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, ErrRefused.New("exchange with %s: %v", address, err)
+	}
 	if err != nil {
 		return nil, ErrUnreachable.New("exchange with %s: %v", address, err)
 	}
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -122,6 +122,9 @@
 		s.members.set(seen.Id, &member{seen: joined, changedAt: known.changedAt})
 		return
 	}
+	if joined.Suspected && !known.seen.Suspected && !slices.Contains(s.retry, seen.Id) {
+		s.retry = append(s.retry, seen.Id) // look for ourselves in the next round
+	}
 	// What refutes a suspicion is news again, so that the reply carries it.
 	s.members.put(seen.Id, &member{seen: joined, changedAt: now})
 }
@@ -160,6 +163,24 @@
 	s.members.put(id, &member{seen: suspected, changedAt: now})
 }
 
+// Refused records that a member's instance refused the connection, so that no
+// process listens there; after two in a row, or one when it is suspected, the
+// member counts as dead at once.
+func (s *State) Refused(now time.Time, id string) {
+	known, exists := s.members.get(id)
+	if !exists || known.gone(now, s.options.SuspicionTime) {
+		return
+	}
+	if !known.seen.Suspected && !slices.Contains(s.retry, id) {
+		s.retry = append(s.retry, id)
+		return
+	}
+	s.Answered(id)
+	dead := proto.Clone(known.seen).(*peerpb.PeerSeen)
+	dead.Suspected = true
+	s.members.put(id, &member{seen: dead, changedAt: now.Add(-s.options.SuspicionTime)})
+}
+
 // Answered records that an exchange with a member succeeded.
 func (s *State) Answered(id string) {
 	s.retry = slices.DeleteFunc(s.retry, func(other string) bool { return other == id })
--- a/internal/exchange/state.go
+++ b/internal/exchange/state.go
@@ -15,6 +15,8 @@
 	Errors = errorx.NewNamespace("exchange")
 	// ErrInvalid: the news breaks a bound; nothing of it was taken.
 	ErrInvalid = Errors.NewType("invalid")
+	// ErrRefused: nothing listens at the peer's address.
+	ErrRefused = Errors.NewType("refused", errorx.Temporary())
 	// ErrUnreachable: the peer did not answer.
 	ErrUnreachable = Errors.NewType("unreachable", errorx.Temporary())
 )
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -29,6 +29,7 @@
 		{"failing", Failing},
 		{"crossings", Crossings},
 		{"updates", Updates},
+		{"processes", Processes},
 	}
 }
 
