--- a/internal/control/endpoint_test.go
+++ b/internal/control/endpoint_test.go
@@ -239,11 +239,13 @@
 		elapse(15 * time.Second)
 		for _, m := range all[1:] {
 			require.Len(t, m.Snapshots().Load().Peers, 5)
+			require.Equal(t, []string{"entry0"}, m.Snapshots().Load().Dead)
 		}
 		f.with(func() { f.cut["entry0"] = false })
 		elapse(10 * time.Second)
 		for _, m := range all {
 			require.Len(t, m.Snapshots().Load().Peers, 6, "healed")
+			require.Empty(t, m.Snapshots().Load().Dead, "healed")
 		}
 	})
 }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -22,6 +22,7 @@
 	snapshot := &Snapshot{
 		Self:           peerOf(m.state.Self()),
 		Peers:          m.peers(now),
+		Dead:           namesOf(m.state.Dead(now)),
 		Classes:        m.classes,
 		ConfirmedAt:    m.state.ConfirmedAt(),
 		Endpoints:      last.Endpoints,
@@ -38,6 +39,14 @@
 	m.options.Snapshots.Publish(snapshot)
 }
 
+func namesOf(members []exchange.Member) []string {
+	var names []string
+	for _, member := range members {
+		names = append(names, member.ID)
+	}
+	return names
+}
+
 func (m *Manager) sharers(staying int) int {
 	if len(m.endpoints) <= m.options.FollowAll {
 		return staying
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -72,8 +72,10 @@
 
 // Snapshot is an immutable picture of the control state.
 type Snapshot struct {
-	Self    Peer
-	Peers   []Peer // entries that are not dead, with Self, in order of ID
+	Self  Peer
+	Peers []Peer // entries that are not dead, with Self, in order of ID
+	// Dead lists the IDs of entries that were known and are taken for dead.
+	Dead    []string
 	Classes *class.Document
 	// ConfirmedAt is when the class document was last known to be the newest.
 	ConfirmedAt time.Time
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -168,16 +168,10 @@
 	})
 }
 
-// alive reports whether another entry is believed to live.
-func (b *builder) alive(id string) bool {
-	snapshot := b.snapshots.Load()
-	return id != b.chosen.ID && slices.ContainsFunc(snapshot.Peers, func(peer control.Peer) bool { return peer.ID == id })
-}
-
-// holderAlive reports whether the holder of a unit is believed to live. An
-// entry that knows of no other one, as at its start, takes nobody for dead.
+// holderAlive reports whether the holder of a unit is believed to live. A former
+// process of this entry is not; an entry that is not known, as at the start, is.
 func (b *builder) holderAlive(id string) bool {
-	return len(b.snapshots.Load().Peers) < 2 || b.alive(id)
+	return id != b.chosen.ID && !slices.Contains(b.snapshots.Load().Dead, id)
 }
 
 func (b *builder) recordSample(sample *step.GenerateRequest, err error, took time.Duration, effort dispatch.Effort) {
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -58,27 +58,31 @@
 
 // Live returns the other entries that are neither dead nor leaving, by ID.
 func (s *State) Live(now time.Time) []Member {
-	var live []Member
-	s.members.each(func(_ string, m *member) {
-		if !m.gone(now, s.options.SuspicionTime) {
-			live = append(live, memberOf(m.seen))
-		}
-	})
-	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return live
+	return s.those(func(m *member) bool { return !m.gone(now, s.options.SuspicionTime) })
 }
 
 // Reachable returns the other entries that are not dead, by ID: those that are
 // leaving still hold what they have not handed over.
 func (s *State) Reachable(now time.Time) []Member {
-	var reachable []Member
+	return s.those(func(m *member) bool { return !m.dead(now, s.options.SuspicionTime) })
+}
+
+// Dead returns the entries that were known and have been suspected for long
+// enough, by ID. An entry that is not known is not among them.
+func (s *State) Dead(now time.Time) []Member {
+	return s.those(func(m *member) bool { return m.dead(now, s.options.SuspicionTime) })
+}
+
+// those returns the members of a kind, by ID.
+func (s *State) those(kind func(*member) bool) []Member {
+	var chosen []Member
 	s.members.each(func(_ string, m *member) {
-		if !m.dead(now, s.options.SuspicionTime) {
-			reachable = append(reachable, memberOf(m.seen))
+		if kind(m) {
+			chosen = append(chosen, memberOf(m.seen))
 		}
 	})
-	slices.SortFunc(reachable, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return reachable
+	slices.SortFunc(chosen, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return chosen
 }
 
 // join merges two records of one entry: the higher incarnation wins whole;
@@ -212,14 +216,8 @@
 }
 
 func (s *State) split(now time.Time) (live, gone []Member) {
-	live = s.Live(now)
-	s.members.each(func(_ string, m *member) {
-		if m.gone(now, s.options.SuspicionTime) {
-			gone = append(gone, memberOf(m.seen))
-		}
-	})
-	slices.SortFunc(gone, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return live, gone
+	gone = s.those(func(m *member) bool { return m.gone(now, s.options.SuspicionTime) })
+	return s.Live(now), gone
 }
 
 // view sums up which entries are known in which incarnation and standing.
