One wait, one reading of requests, one temporary cluster

Ruled out: sharing what is alike only in shape (options with defaults, errors). Behaviour is as it was. Conclusion: the same logic stands once in these places.

--- a/cmd/demo/cluster.go
+++ b/cmd/demo/cluster.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/config"
 	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // pollInterval is the pause between two looks at something awaited.
@@ -22,7 +23,7 @@
 
 // demonstrate starts everything, sends the work, kills an entry meanwhile, and
 // checks the promises.
-func demonstrate(ctx context.Context, cluster *proctest.Cluster, binaries proctest.Binaries, folder string) error {
+func demonstrate(ctx context.Context, cluster *proctest.Cluster, folder string) error {
 	if err := startAll(cluster); err != nil {
 		return err
 	}
@@ -132,11 +133,10 @@
 	return nil
 }
 
+// sleep waits, or fails when the context ends first.
 func sleep(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-time.After(duration):
+	if wait.For(ctx, duration) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -9,7 +9,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -64,49 +63,44 @@
 	fmt.Println("demo passed: every promise that it checks held")
 }
 
-// run builds the programs, starts the cluster, and always ends it.
+// run starts the cluster, and shows the end of its logs when it fails.
 func run(ctx context.Context, logFile string) error {
-	folder, err := os.MkdirTemp("", "comfreyfront-demo-")
+	logs, err := openLog(logFile)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binaries, err := proctest.Build(folder)
+	defer func() { _ = logs.Close() }()
+	temporary := proctest.Temporary{Log: logs, ListLag: time.Second}
+	err = proctest.RunTemporary(temporary, func(cluster *proctest.Cluster, folder string) error {
+		return demonstrate(ctx, cluster, folder)
+	})
 	if err != nil {
-		return err
-	}
-	if logFile == "" {
-		logFile = filepath.Join(folder, "log")
-	}
-	logs, err := os.Create(logFile)
-	if err != nil {
-		return err
+		printTail(logs)
 	}
-	cluster, err := proctest.NewCluster(proctest.Layout{Binaries: binaries, Folder: folder, Log: logs, ListLag: time.Second})
-	if cluster != nil {
-		defer func() { _ = cluster.Close() }()
+	return err
+}
+
+// openLog opens the file for the logs; without a name, one that is gone when it
+// is closed.
+func openLog(name string) (*os.File, error) {
+	if name != "" {
+		return os.Create(name)
 	}
+	file, err := os.CreateTemp("", "comfreyfront-demo-")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if err := demonstrate(ctx, cluster, binaries, folder); err != nil {
-		printTail(logFile)
-		return err
-	}
-	return nil
+	return file, os.Remove(file.Name())
 }
 
 // tailSize is how much of the logs a failure shows, in bytes.
 const tailSize = 4 << 10
 
-func printTail(path string) {
-	file, err := os.Open(path)
+func printTail(logs *os.File) {
+	info, err := logs.Stat()
 	if err != nil {
 		return
 	}
-	defer func() { _ = file.Close() }()
-	if info, err := file.Stat(); err == nil && info.Size() > tailSize {
-		_, _ = file.Seek(-tailSize, io.SeekEnd)
-	}
-	_, _ = io.Copy(os.Stderr, file)
+	start := max(info.Size()-tailSize, 0)
+	_, _ = io.Copy(os.Stderr, io.NewSectionReader(logs, start, tailSize))
 }
--- a/cmd/overhead/main.go
+++ b/cmd/overhead/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -48,27 +49,9 @@
 }
 
 func run() error {
-	folder, err := os.MkdirTemp("", "comfreyfront-overhead-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binaries, err := proctest.Build(folder)
-	if err != nil {
-		return err
-	}
-	logs, err := os.Create(folder + "/log")
-	if err != nil {
-		return err
-	}
-	cluster, err := proctest.NewCluster(proctest.Layout{Binaries: binaries, Folder: folder, Log: logs})
-	if cluster != nil {
-		defer func() { _ = cluster.Close() }()
-	}
-	if err != nil {
-		return err
-	}
-	return measure(cluster)
+	return proctest.RunTemporary(proctest.Temporary{Log: io.Discard}, func(cluster *proctest.Cluster, _ string) error {
+		return measure(cluster)
+	})
 }
 
 func measure(cluster *proctest.Cluster) error {
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -10,6 +10,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/platform"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // tracked is what the control goroutine knows of one endpoint.
@@ -47,7 +48,7 @@
 		instances, err := m.options.List.Instances(call)
 		cancel()
 		m.send(ctx, listed{instances: instances, err: err})
-		if !pause(ctx, jittered(m.options.ListInterval)) {
+		if !wait.For(ctx, jittered(m.options.ListInterval)) {
 			return nil
 		}
 	}
@@ -59,18 +60,6 @@
 	return d - d/part + rand.N(2*d/part+1)
 }
 
-// pause waits; false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // listed is one reading of the list of instances.
 type listed struct {
 	instances []platform.Instance
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 )
@@ -85,7 +86,7 @@
 			group.TryGo(func() error { m.readLoad(ctx, to); return nil })
 			spacing = m.pollSpacing(len(*targets))
 		}
-		if !pause(ctx, jittered(spacing)) {
+		if !wait.For(ctx, jittered(spacing)) {
 			return group.Wait()
 		}
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/metrics"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Observer is told what traffic sees of endpoints. Its methods do not block.
@@ -176,15 +177,12 @@
 	return nil, errNoneReady(work.Model)
 }
 
+// sleep waits, or fails when the context ends first.
 func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if wait.For(ctx, duration) {
 		return nil
-	case <-ctx.Done():
-		return errGone(ctx)
 	}
+	return errGone(ctx)
 }
 
 // observe records how one call at an endpoint ended.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Bounds of connections from callers and entries.
@@ -110,7 +111,7 @@
 	event.EntryDraining.Log(ctx, logger)
 	parts.health.drain()
 	parts.control.Leave(ctx)
-	pause(ctx, drainDelay)
+	wait.For(ctx, drainDelay)
 	var group errgroup.Group
 	group.Go(func() error { return parts.steps.Drain(ctx) })
 	group.Go(func() error { return callers.Shutdown(ctx) })
@@ -133,15 +134,6 @@
 	}
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -10,6 +10,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/rollout"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 const (
@@ -93,6 +94,6 @@
 			return nil
 		}
 		event.RolloutsUnread.Log(ctx, b.logger, slog.String("cause", err.Error()))
-		pause(ctx, loadRetry)
+		wait.For(ctx, loadRetry)
 	}
 }
--- a/internal/measure/crossings.go
+++ b/internal/measure/crossings.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in Crossings.
@@ -19,7 +21,7 @@
 		return nil, err
 	}
 	defer w.Close()
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	replies := millis(w.drive(ctx, shortWork(newRandom(seed), crossingsPerSecond, crossingsSpan)))
 	return []Value{
 		{"crossings", "share", float64(w.Traffic.Crossings.Load()) / float64(w.Traffic.Calls.Load())},
--- a/internal/measure/failing.go
+++ b/internal/measure/failing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in Failing.
@@ -23,7 +24,7 @@
 	}
 	defer w.Close()
 	random := newRandom(seed)
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	for i := range failingEngines {
 		w.Site.Engines[(int(seed)+3*i)%engineCount].SetFault(engine.Fault{Fail: true})
 	}
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Shapes of the work.
@@ -74,7 +76,7 @@
 	started := time.Now()
 	var open sync.WaitGroup
 	for i, a := range all {
-		pause(ctx, a.after-time.Since(started))
+		wait.For(ctx, a.after-time.Since(started))
 		e := w.balance()
 		open.Go(func() { replies[i] = w.ask(ctx, e, a.ask) })
 	}
--- a/internal/measure/overload.go
+++ b/internal/measure/overload.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/request"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in Overload.
@@ -38,7 +39,7 @@
 	}
 	defer w.Close()
 	random := newRandom(seed)
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	perSecond := overloadFactor * capacity() / overloadTokens
 	draw := func(number int) Ask { return mixed(random, number) }
 	ramp := arrivals(random, perSecond, overloadRamp, draw)
@@ -47,7 +48,7 @@
 		w.drive(ctx, ramp)
 		close(rampEnded)
 	}()
-	pause(ctx, overloadRamp)
+	wait.For(ctx, overloadRamp)
 	all := arrivals(random, perSecond, overloadSpan, draw)
 	started := time.Now()
 	replies := w.drive(ctx, all)
--- a/internal/measure/processes.go
+++ b/internal/measure/processes.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -41,22 +40,16 @@
 func Processes(ctx context.Context, arm Arm, seed uint64) ([]Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, processTimeout)
 	defer cancel()
-	folder, err := os.MkdirTemp("", "comfreyfront-measure-")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	binaries, err := proctest.Build(folder)
-	if err != nil {
-		return nil, err
-	}
-	cluster, err := proctest.NewCluster(proctest.Layout{Binaries: binaries, Folder: folder, Log: io.Discard})
-	if cluster != nil {
-		defer func() { _ = cluster.Close() }()
-	}
-	if err != nil {
-		return nil, err
-	}
+	var values []Value
+	err := proctest.RunTemporary(proctest.Temporary{Log: io.Discard}, func(cluster *proctest.Cluster, _ string) error {
+		var err error
+		values, err = measureProcesses(ctx, cluster, arm, seed)
+		return err
+	})
+	return values, err
+}
+
+func measureProcesses(ctx context.Context, cluster *proctest.Cluster, arm Arm, seed uint64) ([]Value, error) {
 	if err := startProcesses(cluster, arm); err != nil {
 		return nil, err
 	}
--- a/internal/measure/short.go
+++ b/internal/measure/short.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in ShortBehindLong.
@@ -25,7 +27,7 @@
 	}
 	defer w.Close()
 	random := newRandom(seed)
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	idle := millis(w.drive(ctx, shortWork(random, shortPerSecond, shortSpan/2)))
 
 	longCtx, stop := context.WithCancel(ctx)
--- a/internal/measure/slowed.go
+++ b/internal/measure/slowed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in Slowed.
@@ -24,7 +25,7 @@
 	}
 	defer w.Close()
 	random := newRandom(seed)
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	w.drive(ctx, shortWork(random, slowedPerSecond, warmUp))
 	none := millis(w.drive(ctx, shortWork(random, slowedPerSecond, slowedSpan/2)))
 	for i := range slowedEngines {
--- a/internal/measure/training.go
+++ b/internal/measure/training.go
@@ -8,6 +8,7 @@
 
 	protocol "github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in Training.
@@ -32,7 +33,7 @@
 		return nil, err
 	}
 	defer w.Close()
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	noise, quiet := context.WithCancel(ctx)
 	var neighbours sync.WaitGroup
 	neighbours.Go(func() { w.neighbours(noise, newRandom(seed+1000)) })
@@ -54,7 +55,7 @@
 	for ctx.Err() == nil {
 		slow := w.Site.Engines[random.IntN(engineCount)]
 		slow.SetFault(engine.Fault{SlowFactor: neighbourFactor})
-		pause(ctx, neighbourSpan)
+		wait.For(ctx, neighbourSpan)
 		slow.SetFault(engine.Fault{})
 	}
 }
@@ -84,7 +85,7 @@
 		if step+1 < stepCount {
 			next = t.generate(ctx, step+1)
 		}
-		pause(ctx, trainTime)
+		wait.For(ctx, trainTime)
 		t.world.activate(t.world.Version.Add(1))
 	}
 	t.total = time.Since(started)
--- a/internal/measure/updates.go
+++ b/internal/measure/updates.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Sizes of the work in Updates.
@@ -27,7 +28,7 @@
 		return nil, err
 	}
 	defer w.Close()
-	pause(ctx, 3*pollInterval)
+	wait.For(ctx, 3*pollInterval)
 	w.Site.Services[int(seed)%serviceCnt].SetDelay(slowCall)
 	victim := w.Site.Services[(int(seed)+1)%serviceCnt]
 	crash := time.AfterFunc(updatesSpan/3, victim.Crash)
@@ -50,7 +51,7 @@
 	started := time.Now()
 	done := make(chan struct{}, len(all))
 	for i, a := range all {
-		pause(ctx, a.after-time.Since(started))
+		wait.For(ctx, a.after-time.Since(started))
 		e, update := w.balance(), random.IntN(3) == 0
 		go func() {
 			replies[i] = w.call(ctx, e, i, update)
@@ -80,13 +81,13 @@
 		request.Send.Method = http.MethodPut
 		request.Send.Body = []byte(fmt.Sprintf("update-%d", number))
 	}
-	pause(ctx, clientDelay)
+	wait.For(ctx, clientDelay)
 	leave, err := e.Dispatcher.Admit(ctx, request)
 	if err == nil {
 		_, _, err = e.Dispatcher.Serve(ctx, request)
 		leave()
 	}
-	pause(ctx, clientDelay)
+	wait.For(ctx, clientDelay)
 	return Reply{Took: time.Since(started), Err: err}
 }
 
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // World is a site with the entries before it.
@@ -88,7 +89,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(a.HangUp)*w.classes[a.Class].Lateness)
 		defer cancel()
 	}
-	pause(ctx, clientDelay)
+	wait.For(ctx, clientDelay)
 	completion := &dispatch.Completion{
 		Call: dispatch.Call{
 			Class:      w.classes[a.Class],
@@ -107,15 +108,6 @@
 	} else {
 		answer, effort, err = e.Dispatcher.Complete(ctx, completion)
 	}
-	pause(ctx, clientDelay)
+	wait.For(ctx, clientDelay)
 	return Reply{Took: time.Since(started), Err: err, Effort: effort, Answer: answer}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/rollout/barrier.go
+++ b/internal/rollout/barrier.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // awaitOthers says that this domain is staged and waits until all are, so that
@@ -34,7 +35,7 @@
 			return nil
 		}
 		p.log(ctx, event.RolloutStoreBad, slog.String("error", err.Error()))
-		sleep(waitCtx, p.options.Interval)
+		wait.For(waitCtx, p.options.Interval)
 	}
 }
 
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // fleet is the engines of one model, the leases and the control side.
@@ -162,11 +163,11 @@
 	delay, work := e.delay+e.held, e.work+e.slow
 	e.held, e.slow = 0, 0
 	e.fleet.mu.Unlock()
-	sleep(context.Background(), delay)
+	wait.For(context.Background(), delay)
 	if err := e.begin(order); err != nil {
 		return answer{err: err}
 	}
-	sleep(context.Background(), work)
+	wait.For(context.Background(), work)
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	e.fleet.busy[e.domain]--
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // stageAll stages the version on all replicas, a few at a time. Replicas that
@@ -47,7 +48,7 @@
 		if err == nil || errorx.IsOfType(err, errLost) {
 			return err
 		}
-		if !sleep(ctx, orderBackoff<<try) {
+		if !wait.For(ctx, orderBackoff<<try) {
 			return ctx.Err()
 		}
 	}
@@ -134,7 +135,7 @@
 // ownership is checked after the deadline is set, so that an order that is
 // held up afterwards is dropped by the engine.
 func (p *pass) order(ctx context.Context, r Replica, within time.Duration) (engine.WeightOrder, error) {
-	if !r.ChecksFence && !sleep(ctx, time.Until(p.unfenced)) {
+	if !r.ChecksFence && !wait.For(ctx, time.Until(p.unfenced)) {
 		return engine.WeightOrder{}, ctx.Err()
 	}
 	order := engine.WeightOrder{Version: p.version, Fence: p.tenure.Epoch, Deadline: time.Now().Add(within)}
@@ -155,15 +156,3 @@
 	}
 	return err
 }
-
-// sleep waits, and reports false when ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -156,6 +156,20 @@
 	return body, nil
 }
 
+// receive reads a request whole; false when it was answered as invalid.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request) (*caller, []byte, bool) {
+	c, err := s.readCaller(w, r)
+	var body []byte
+	if err == nil {
+		body, err = readBody(w, r)
+	}
+	if err != nil {
+		s.record(c, s.fail(w, c, err), dispatch.Effort{})
+		return c, nil, false
+	}
+	return c, body, true
+}
+
 // call returns what the dispatcher needs to know.
 func (c *caller) call(fingerprint dispatch.Fingerprint) dispatch.Call {
 	return dispatch.Call{
--- a/internal/traffic/completions.go
+++ b/internal/traffic/completions.go
@@ -33,14 +33,8 @@
 
 // serveCompletion runs one completion.
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
-	c, err := s.readCaller(w, r)
-	if err != nil {
-		s.record(c, s.fail(w, c, err), dispatch.Effort{})
-		return
-	}
-	body, err := readBody(w, r)
-	if err != nil {
-		s.record(c, s.fail(w, c, err), dispatch.Effort{})
+	c, body, ok := s.receive(w, r)
+	if !ok {
 		return
 	}
 	parsed, err := parseCompletion(body)
--- a/internal/traffic/services.go
+++ b/internal/traffic/services.go
@@ -21,14 +21,8 @@
 
 // serveService runs one call of a plain service.
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
-	c, err := s.readCaller(w, r)
-	if err != nil {
-		s.record(c, s.fail(w, c, err), dispatch.Effort{})
-		return
-	}
-	body, err := readBody(w, r)
-	if err != nil {
-		s.record(c, s.fail(w, c, err), dispatch.Effort{})
+	c, body, ok := s.receive(w, r)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.options.RequestTimeout)
--- a/trainer/client.go
+++ b/trainer/client.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Options configure a Client. URL is required.
@@ -148,27 +149,15 @@
 
 // repeat calls until the call succeeds, fails for good, or ctx ends.
 func repeat(ctx context.Context, call func(context.Context) error) error {
-	wait := firstBackoff
+	pause := firstBackoff
 	for {
 		err := call(ctx)
 		if !errorx.IsOfType(err, errRetry) {
 			return err
 		}
-		if !sleep(ctx, max(wait, retryAfterOf(err))) {
+		if !wait.For(ctx, max(pause, retryAfterOf(err))) {
 			return ctx.Err()
 		}
-		wait = min(2*wait, maxBackoff)
-	}
-}
-
-// sleep waits, and reports false when ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+		pause = min(2*pause, maxBackoff)
 	}
 }
