Let exchanges outlive the call that began them

Cause: exchanges that an operator's or a trainer's call began used that call's context. When it ended they were aborted, the peer was blamed, and, since their end could not be handed to the control goroutine either, the peer counted as being asked for good and never was again: an entry grew deaf to its peers with each change of classes. Also, word of others who saw a dead entry a little later undid what a refused connection told. Ruled out: the twirp client's errors (the refusals were told apart rightly); chance (no entry asked the dead one in seven rounds). Change: exchanges run until the entry ends; a member that refuses connections stays dead until it is heard itself.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -116,7 +116,8 @@
 // own is the control goroutine.
 func (m *Manager) own(ctx context.Context, group *errgroup.Group) error {
 	defer close(m.stopped)
-	m.call = func(ctx context.Context, to exchange.Member) { m.startExchange(ctx, group, to) }
+	// Exchanges outlive the call that began them: they run until the entry ends.
+	m.call = func(_ context.Context, to exchange.Member) { m.startExchange(ctx, group, to) }
 	rounds := time.NewTicker(m.options.RoundInterval)
 	defer rounds.Stop()
 	flush := time.NewTicker(flushInterval)
--- a/internal/exchange/member.go
+++ b/internal/exchange/member.go
@@ -16,6 +16,8 @@
 	seen *peerpb.PeerSeen
 	// changedAt is when it came up, left, or was suspected or cleared.
 	changedAt time.Time
+	// refused: nothing listens at its address, as far as this entry has seen.
+	refused bool
 }
 
 // gone reports whether a member counts as left or dead.
@@ -23,9 +25,10 @@
 	return m.seen.Leaving || m.dead(now, suspicion)
 }
 
-// dead reports whether a member has been suspected for long enough.
+// dead reports whether a member refuses connections, or has been suspected for
+// long enough.
 func (m *member) dead(now time.Time, suspicion time.Duration) bool {
-	return m.seen.Suspected && now.Sub(m.changedAt) >= suspicion
+	return m.refused || m.seen.Suspected && now.Sub(m.changedAt) >= suspicion
 }
 
 // past reports whether a member went so long ago that it is no news any more.
@@ -122,15 +125,16 @@
 	}
 	joined := join(known.seen, seen)
 	refuted := seen.Suspected && !joined.Suspected
+	refused := known.refused && joined.Incarnation == known.seen.Incarnation
 	if sameStanding(known.seen, joined) && !refuted {
-		s.members.set(seen.Id, &member{seen: joined, changedAt: known.changedAt})
+		s.members.set(seen.Id, &member{seen: joined, changedAt: known.changedAt, refused: refused})
 		return
 	}
 	if joined.Suspected && !known.seen.Suspected && !slices.Contains(s.retry, seen.Id) {
 		s.retry = append(s.retry, seen.Id) // look for ourselves in the next round
 	}
 	// What refutes a suspicion is news again, so that the reply carries it.
-	s.members.put(seen.Id, &member{seen: joined, changedAt: now})
+	s.members.put(seen.Id, &member{seen: joined, changedAt: now, refused: refused})
 }
 
 func sameStanding(a, b *peerpb.PeerSeen) bool {
@@ -161,15 +165,16 @@
 		s.retry = append(s.retry, id)
 		return
 	}
-	s.Answered(id)
+	s.tried(id)
 	suspected := proto.Clone(known.seen).(*peerpb.PeerSeen)
 	suspected.Suspected = true
 	s.members.put(id, &member{seen: suspected, changedAt: now})
 }
 
 // Refused records that a member's instance refused the connection, so that no
-// process listens there; after two in a row, or one when it is suspected, the
-// member counts as dead at once.
+// process listens there. After two in a row, or one when it is suspected, the
+// member counts as dead at once, until it is heard itself: word of others who
+// saw it a little later does not bring it back.
 func (s *State) Refused(now time.Time, id string) {
 	known, exists := s.members.get(id)
 	if !exists || known.gone(now, s.options.SuspicionTime) {
@@ -179,17 +184,25 @@
 		s.retry = append(s.retry, id)
 		return
 	}
-	s.Answered(id)
-	dead := proto.Clone(known.seen).(*peerpb.PeerSeen)
-	dead.Suspected = true
-	s.members.put(id, &member{seen: dead, changedAt: now.Add(-s.options.SuspicionTime)})
+	s.tried(id)
+	suspected := proto.Clone(known.seen).(*peerpb.PeerSeen)
+	suspected.Suspected = true
+	s.members.put(id, &member{seen: suspected, changedAt: now, refused: true})
 }
 
-// Answered records that an exchange with a member succeeded.
-func (s *State) Answered(id string) {
+// tried takes a member off those that are looked at in the next round.
+func (s *State) tried(id string) {
 	s.retry = slices.DeleteFunc(s.retry, func(other string) bool { return other == id })
 }
 
+// Answered records that a member was heard itself.
+func (s *State) Answered(id string) {
+	s.tried(id)
+	if known, exists := s.members.get(id); exists {
+		known.refused = false
+	}
+}
+
 // Every healRounds rounds one exchange goes to an entry that counts as gone,
 // so that the two sides of a healed partition find each other.
 const healRounds = 8
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -31,6 +31,7 @@
 	if err := check(news); err != nil {
 		return nil, err
 	}
+	s.Answered(news.From)
 	for _, seen := range news.Peers {
 		s.mergeMember(now, seen)
 	}
--- a/internal/exchange/refused_test.go
+++ b/internal/exchange/refused_test.go
@@ -23,3 +23,15 @@
 	w.swap(w.states[2], a) // it started again
 	require.Len(t, a.Live(w.now), 2)
 }
+
+func TestLastSignOfLifeDoesNotBringADeadEntryBack(t *testing.T) {
+	w := newWorld(3)
+	a, b := w.states[0], w.states[1]
+	w.swap(a, b)
+	w.states[2].Tick(w.now)
+	w.swap(w.states[2], b) // b has seen it later than a
+	a.Refused(w.now, "entry2")
+	a.Refused(w.now, "entry2")
+	w.swap(b, a)
+	require.Len(t, a.Live(w.now), 1)
+}
