Take 'too many requests' of an engine for its state, not the request's fault

Cause: an engine's 408 or 429 was passed on as an invalid request, not run, and no other engine was asked. Ruled out: counting them as not run (an engine that means that says so in its outcome header). Change: both are failures of the endpoint; what may be repeated goes elsewhere. Figures: a new case of the client's table fails without the change, passes with.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -59,6 +59,7 @@
 		{name: "stated not run", status: 503, header: map[string]string{HeaderOutcome: OutcomeNotRun}, want: ErrNotRun},
 		{name: "leaving", status: 503, header: map[string]string{HeaderOutcome: OutcomeNotRun, HeaderLeaving: "true"}, want: ErrLeaving},
 		{name: "failure", status: 500, want: ErrFailed},
+		{name: "too many requests", status: 429, want: ErrFailed},
 		{name: "rejected", status: 422, want: ErrRejected},
 	}
 	for _, c := range cases {
--- a/internal/engine/sending.go
+++ b/internal/engine/sending.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// blamesEndpoint reports whether a status speaks of the endpoint's state, not of
+// the request; another endpoint may answer it.
+func blamesEndpoint(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return true
+	default:
+		return status >= http.StatusInternalServerError
+	}
+}
+
 // classifyStatus turns an answer that is no success into an error of this layer.
 func classifyStatus(answer *http.Response) error {
 	notRun := answer.Header.Get(HeaderOutcome) == OutcomeNotRun
@@ -78,7 +89,7 @@
 		return ErrLeaving.New("status %d", answer.StatusCode)
 	case notRun:
 		return ErrNotRun.New("status %d", answer.StatusCode)
-	case answer.StatusCode >= http.StatusInternalServerError:
+	case blamesEndpoint(answer.StatusCode):
 		return ErrFailed.New("status %d", answer.StatusCode)
 	default:
 		return ErrRejected.New("status %d", answer.StatusCode)
