Tell a dying endpoint from a living one; be ready only with the others known

(1) TestPoisonousRequest lost three engines: a process closes its connections before its listener, so the probe after the second death was still taken, and the death did not count. (2) TestReplacementRefusesNothing: an entry that had just started was ready before it knew the others, and could not ask the holder of a partition. Ruled out: counting each broken stream as a death; a pause before readiness. Change: the probe looks again while a new connection is closed at once; readiness waits until the entries of the list are known, 3 s at most; a report asks all live peers. The test of the report cuts its entry before it has figures.

--- a/internal/control/gather.go
+++ b/internal/control/gather.go
@@ -12,8 +12,7 @@
 // Bounds of gathering figures for a report. In a large fleet the exchange
 // spreads them too slowly, and a report is rare.
 const (
-	// gatherInterval is the shortest time between two gatherings, and the age
-	// from which on an entry's figures are asked for.
+	// gatherInterval is the shortest time between two gatherings.
 	gatherInterval = 30 * time.Second
 	// gatherTimeout bounds one gathering.
 	gatherTimeout = 700 * time.Millisecond
@@ -27,7 +26,8 @@
 	news *peerpb.News
 }
 
-// gather asks the live peers whose figures were not heard lately.
+// gather asks the live peers for all their figures: the exchange may have
+// brought those of some classes only.
 func (m *Manager) gather(ctx context.Context) {
 	var questions []question
 	m.do(ctx, func(now time.Time) { questions = m.questions(now) })
@@ -57,18 +57,10 @@
 		return nil
 	}
 	m.gatheredAt = now
-	heard := map[string]bool{}
-	for _, digest := range m.state.Digests(now) {
-		if digest.Age < gatherInterval {
-			heard[digest.News.Entry] = true
-		}
-	}
 	var questions []question
 	for _, peer := range m.state.Live(now) {
-		if !heard[peer.ID] {
-			peer.WantDigests = true
-			questions = append(questions, question{to: peer, news: m.state.Request(now, peer)})
-		}
+		peer.WantDigests = true
+		questions = append(questions, question{to: peer, news: m.state.Request(now, peer)})
 	}
 	return questions
 }
--- a/internal/control/gather_test.go
+++ b/internal/control/gather_test.go
@@ -18,6 +18,7 @@
 		defer f.stop()
 		all := f.size(entries)
 		elapse(10 * time.Second)
+		f.with(func() { f.cut["entry7"] = true }) // before it has anything to tell
 		for i, m := range all {
 			var digests []*peerpb.ClassDigest
 			for c := range classes {
@@ -25,7 +26,6 @@
 			}
 			m.SetDigests(t.Context(), digests)
 		}
-		f.with(func() { f.cut["entry7"] = true })
 		heard := map[string]int{}
 		for _, d := range all[0].Digests(t.Context()) {
 			heard[d.News.Entry]++
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -74,6 +74,8 @@
 	for _, t := range m.endpoints {
 		t.listed = false
 	}
+	m.listRead = true
+	m.dirty.any = m.dirty.any || !m.settled
 	clear(m.entries)
 	for _, instance := range l.instances {
 		m.takeInstance(now, instance)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -48,9 +48,12 @@
 	judgedAt   time.Time
 	gatheredAt time.Time
 	dirty      dirtiness
-	listDown   bool
-	started    bool // was connected once
-	isolated   bool
+	// listRead: the list was read since the start; settled: see settle.
+	listRead, settled bool
+	startedAt         time.Time
+	listDown          bool
+	started           bool // was connected once
+	isolated          bool
 	// liveSignature tells sets of live peers apart.
 	liveSignature uint64
 	// call starts an exchange.
@@ -123,6 +126,7 @@
 	flush := time.NewTicker(flushInterval)
 	defer flush.Stop()
 	m.lastWake = m.options.Now()
+	m.startedAt = m.lastWake
 	m.publish(m.lastWake)
 	for {
 		select {
@@ -161,6 +165,7 @@
 	m.judge(now)
 	m.round(ctx, now, m.roundPeers(now))
 	m.reviewMembers(now)
+	m.dirty.any = m.dirty.any || !m.settled
 }
 
 // roundPeers is the number of peers in a round. In a large fleet it is half,
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -78,6 +78,8 @@
 const (
 	// flushInterval is how long changes that are not urgent are gathered.
 	flushInterval = 50 * time.Millisecond
+	// settleTime is how long a starting entry looks for the others of the list.
+	settleTime = 3 * time.Second
 	// clockGap is the time between two wakings from which on the process is taken
 	// to have been frozen.
 	clockGap = 2 * time.Second
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -33,12 +33,29 @@
 	if m.dirty.endpoints || last.Endpoints == nil {
 		snapshot.Endpoints = m.pictures()
 	}
+	snapshot.Settled = m.settle(now)
 	snapshot.Sharers = m.sharers(snapshot.Staying())
 	m.noteIsolation(snapshot)
 	m.dirty = dirtiness{}
 	m.options.Snapshots.Publish(snapshot)
 }
 
+// settle reports whether the entry knows whom to ask for what others hold. Once
+// it does, that stays so.
+func (m *Manager) settle(now time.Time) bool {
+	m.settled = m.settled || now.Sub(m.startedAt) >= settleTime || m.listRead && m.knowsListed()
+	return m.settled
+}
+
+func (m *Manager) knowsListed() bool {
+	for id := range m.entries {
+		if !m.state.Knows(id) {
+			return false
+		}
+	}
+	return true
+}
+
 func namesOf(members []exchange.Member) []string {
 	var names []string
 	for _, member := range members {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -86,6 +86,9 @@
 	Sharers int
 	// Versions by model.
 	Versions map[string]Versions
+	// Settled: the entry knows the other entries of the instance list, or has
+	// looked for them for a while since its start.
+	Settled bool
 	// StoreReachable: the platform's key-value service answered lately.
 	StoreReachable bool
 	// PeersReachable: a peer answered lately.
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"errors"
-	"net"
 	"strconv"
-	"syscall"
-	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -82,35 +78,19 @@
 	}, nil
 }
 
-// probeTimeout bounds the check whether an endpoint still listens.
-const probeTimeout = 500 * time.Millisecond
-
 // endingOf turns the end of a call into an ending. An endpoint counts as dead
 // when the connection broke and it refuses a new one.
 func (d *Dispatcher) endingOf(ctx context.Context, chosen *endpoint.Endpoint, err error) Ending {
 	switch v := verdictOf(err); {
 	case v == verdictWhole || v == verdictRejected:
 		return EndingSurvived
-	case errorx.IsOfType(err, engine.ErrBroken) && refuses(ctx, chosen.Address):
+	case errorx.IsOfType(err, engine.ErrBroken) && died(ctx, chosen.Address):
 		return EndingDied
 	default:
 		return EndingOther
 	}
 }
 
-// refuses reports whether nobody listens at host:port.
-func refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	connection, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = connection.Close()
-	return false
-}
-
 // NoSuspects suspects nothing.
 type NoSuspects struct{}
 
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -26,6 +26,8 @@
 		http.Error(w, "not ready: shutting down", http.StatusServiceUnavailable)
 	case snapshot.ConfirmedAt.IsZero():
 		http.Error(w, "not ready: no configuration was read yet, neither from the platform's service nor from a peer", http.StatusServiceUnavailable)
+	case !snapshot.Settled:
+		http.Error(w, "not ready: the other entries are not known yet", http.StatusServiceUnavailable)
 	case snapshot.Isolated():
 		fmt.Fprintln(w, "ready, cut off: neither the platform's key-value service nor another entry answers; classes cannot be confirmed; refused as not run: requests with an Idempotency-Key once the lease of their partition's owner has run out, changes of classes, new weight rollouts")
 	case !snapshot.StoreReachable:
--- a/internal/entry/health_test.go
+++ b/internal/entry/health_test.go
@@ -22,9 +22,10 @@
 		want     string
 	}{
 		{"nothing known yet", control.Snapshot{StoreReachable: true}, false, http.StatusServiceUnavailable, "no configuration was read"},
-		{"whole", control.Snapshot{ConfirmedAt: confirmed, StoreReachable: true}, false, http.StatusOK, "ready\n"},
-		{"store away", control.Snapshot{ConfirmedAt: confirmed, PeersReachable: true}, false, http.StatusOK, "degraded"},
-		{"cut off", control.Snapshot{ConfirmedAt: confirmed}, false, http.StatusOK, "cut off"},
+		{"just started", control.Snapshot{ConfirmedAt: confirmed, StoreReachable: true}, false, http.StatusServiceUnavailable, "other entries"},
+		{"whole", control.Snapshot{ConfirmedAt: confirmed, Settled: true, StoreReachable: true}, false, http.StatusOK, "ready\n"},
+		{"store away", control.Snapshot{ConfirmedAt: confirmed, Settled: true, PeersReachable: true}, false, http.StatusOK, "degraded"},
+		{"cut off", control.Snapshot{ConfirmedAt: confirmed, Settled: true}, false, http.StatusOK, "cut off"},
 		{"draining", control.Snapshot{ConfirmedAt: confirmed, StoreReachable: true}, true, http.StatusServiceUnavailable, "shutting down"},
 	}
 	for _, c := range cases {
