Let a call that was never sent be made elsewhere without a retry

Cause: while a poisonous request took endpoints down, innocent streams ended as unknown with 'connection refused' as their last error: calls to dead endpoints that were refused at the connection used up the retry budget. Ruled out: a larger budget (retries amplify load; these calls reach nobody). The new test of the dispatcher passes with a policy of no retries.

--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -61,6 +61,7 @@
 	ran      bool
 	attempts int
 	hedges   int
+	unsent   unsent
 }
 
 // Complete runs a completion. It returns the whole answer, or an error of the
@@ -163,11 +164,13 @@
 		return err
 	case r.relayed && (r.progress.FinishReason != "" || r.progress.tooOld(r.minVersion())):
 		return err // what the caller has can neither be gone on from nor taken back
+	case r.unsent.allow(v):
+		r.attempts--
 	case !r.d.options.Policy.Retrier.Allow(r.work, r.attempts):
 		return err
 	}
 	event.RequestRetried.Log(ctx, r.d.logger, retryAttrs(r.call, result.endpoint.ID, r.attempts, err)...)
-	return sleep(ctx, r.d.pauseAfter(r.attempts))
+	return sleep(ctx, r.d.pauseAfter(r.attempts+int(r.unsent)))
 }
 
 func (d *Dispatcher) pauseAfter(attempts int) time.Duration {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -329,3 +330,25 @@
 	_, _, err := d.Complete(context.Background(), completion)
 	require.True(t, errorx.IsOfType(err, request.ErrNoEndpoint), "%v", err)
 }
+
+// noRetries allows none.
+type noRetries struct{ manyRetries }
+
+func (noRetries) Allow(*policy.Work, int) bool { return false }
+
+func TestCallsThatWereNeverSentNeedNoRetry(t *testing.T) {
+	decisions := generous()
+	decisions.Retrier = noRetries{}
+	d, closeFleet := newFleet(&fleet{}, decisions, &observer{})
+	defer closeFleet()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	d.options.Snapshots.Load().Endpoints[testModel][0].Address = closed.Addr().String()
+	for range 4 { // the first choice goes round
+		done, effort, err := d.Complete(context.Background(), newCompletion(true))
+		require.NoError(t, err)
+		require.Equal(t, wholeText(), done.Text)
+		require.Equal(t, 1, effort.Attempts)
+	}
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -31,6 +31,7 @@
 	ran      bool
 	attempts int
 	hedges   int
+	unsent   unsent
 }
 
 // serviceResult is how one call ended.
@@ -97,12 +98,14 @@
 		return result.err
 	case v.ran() && !r.request.Idempotent:
 		return result.err
+	case r.unsent.allow(v):
+		r.attempts--
 	case !r.d.options.Policy.Retrier.Allow(r.work, r.attempts):
 		return result.err
 	}
 	r.work.Tried = append(r.work.Tried, result.endpoint.ID)
 	event.RequestRetried.Log(ctx, r.d.logger, retryAttrs(&r.request.Call, result.endpoint.ID, r.attempts, result.err)...)
-	return sleep(ctx, r.d.pauseAfter(r.attempts))
+	return sleep(ctx, r.d.pauseAfter(r.attempts+int(r.unsent)))
 }
 
 // race makes a call and, when the policy hedges the work, a second one
