Let completions and service calls share one run

Ruled out: one loop for both (a completion goes on from the tokens it has, and relays pieces while it runs). Change: the shared state and these four steps are in run, which both embed. Behaviour is as it was; no test was touched. Conclusion: what decides on another attempt stands once.

--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -9,7 +9,6 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
@@ -51,17 +50,11 @@
 
 // completionRun is the state of one completion while it runs.
 type completionRun struct {
-	d          *Dispatcher
-	call       *Call
+	run
 	completion *Completion
-	work       *policy.Work
 	progress   Progress
 	// relayed: the caller has a part of the answer.
-	relayed  bool
-	ran      bool
-	attempts int
-	hedges   int
-	unsent   unsent
+	relayed bool
 }
 
 // Complete runs a completion. It returns the whole answer, or an error of the
@@ -104,7 +97,7 @@
 	work := d.newWork(&completion.Call, endpoint.Engine, completion.Request.Model)
 	work.ExpectedTokens = d.lengths.Expect(work, completion.Request.MaxTokens)
 	work.Prefix = prefixOf(completion.Request.Prompt)
-	return &completionRun{d: d, call: &completion.Call, completion: completion, work: work, progress: completion.Resume}
+	return &completionRun{run: run{d: d, call: &completion.Call, work: work}, completion: completion, progress: completion.Resume}
 }
 
 // loop makes attempts until one is whole or no other may follow.
@@ -112,19 +105,15 @@
 	reason := reasonFirst
 	for {
 		r.dropTooOld()
-		chosen, err := r.d.choose(ctx, r.call, r.work)
+		chosen, err := r.begin(ctx, reason)
 		if err != nil {
 			return err
 		}
-		r.attempts++
-		r.d.options.Metrics.Attempted(r.call.Class.Name, reason)
 		started := r.d.now()
 		result := r.race(ctx, chosen)
-		if errorx.IsOfType(result.err, ErrHeldBack) {
-			r.attempts--
-			if err := r.d.holdBack(ctx, r.work, result.err); err != nil {
-				return err
-			}
+		if held, err := r.heldBack(ctx, result.err); err != nil {
+			return err
+		} else if held {
 			continue
 		}
 		r.take(result)
@@ -164,13 +153,8 @@
 		return err
 	case r.relayed && (r.progress.FinishReason != "" || r.progress.tooOld(r.minVersion())):
 		return err // what the caller has can neither be gone on from nor taken back
-	case r.unsent.allow(v):
-		r.attempts--
-	case !r.d.options.Policy.Retrier.Allow(r.work, r.attempts):
-		return err
 	}
-	event.RequestRetried.Log(ctx, r.d.logger, retryAttrs(r.call, result.endpoint.ID, r.attempts, err)...)
-	return sleep(ctx, r.d.pauseAfter(r.attempts+int(r.unsent)))
+	return r.retry(ctx, result.endpoint.ID, err)
 }
 
 func (d *Dispatcher) pauseAfter(attempts int) time.Duration {
--- a/internal/dispatch/race.go
+++ b/internal/dispatch/race.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/event"
 )
 
 // maxRacers is how many attempts run side by side at most.
@@ -100,15 +98,10 @@
 	if c.owner.Load() != 0 {
 		return
 	}
-	other := *r.work
-	other.Tried = append(slices.Clone(r.work.Tried), first.ID)
-	chosen, err := r.d.pickNow(&other, nil)
-	if err != nil || chosen.ID == first.ID || !r.d.options.Policy.Hedger.Take() {
+	chosen, ok := r.second(ctx, first)
+	if !ok {
 		return
 	}
-	r.hedges++
-	r.d.options.Metrics.Attempted(r.call.Class.Name, reasonHedge)
-	event.RequestHedged.Log(ctx, r.d.logger, hedgeAttrs(r.call, first.ID, chosen.ID)...)
 	c.start(ctx, chosen)
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 )
 
@@ -25,13 +21,8 @@
 
 // serviceRun is the state of one service request while it runs.
 type serviceRun struct {
-	d        *Dispatcher
-	request  *ServiceRequest
-	work     *policy.Work
-	ran      bool
-	attempts int
-	hedges   int
-	unsent   unsent
+	run
+	request *ServiceRequest
 }
 
 // serviceResult is how one call ended.
@@ -51,7 +42,7 @@
 // Serve runs an admitted service request. It returns the whole answer, or an
 // error of the request layer that tells the outcome.
 func (d *Dispatcher) Serve(ctx context.Context, request *ServiceRequest) (*engine.ServiceAnswer, Effort, error) {
-	run := &serviceRun{d: d, request: request, work: request.work}
+	run := &serviceRun{run: run{d: d, call: &request.Call, work: request.work}, request: request}
 	answer, err := run.loop(ctx)
 	effort := Effort{Attempts: run.attempts, Hedges: run.hedges}
 	if err != nil {
@@ -64,19 +55,15 @@
 func (r *serviceRun) loop(ctx context.Context) (*engine.ServiceAnswer, error) {
 	reason := reasonFirst
 	for {
-		chosen, err := r.d.choose(ctx, &r.request.Call, r.work)
+		chosen, err := r.begin(ctx, reason)
 		if err != nil {
 			return nil, err
 		}
-		r.attempts++
-		r.d.options.Metrics.Attempted(r.request.Class.Name, reason)
 		started := r.d.now()
 		result := r.race(ctx, chosen)
-		if errorx.IsOfType(result.err, ErrHeldBack) {
-			r.attempts--
-			if err := r.d.holdBack(ctx, r.work, result.err); err != nil {
-				return nil, err
-			}
+		if held, err := r.heldBack(ctx, result.err); err != nil {
+			return nil, err
+		} else if held {
 			continue
 		}
 		if result.err == nil {
@@ -98,14 +85,9 @@
 		return result.err
 	case v.ran() && !r.request.Idempotent:
 		return result.err
-	case r.unsent.allow(v):
-		r.attempts--
-	case !r.d.options.Policy.Retrier.Allow(r.work, r.attempts):
-		return result.err
 	}
 	r.work.Tried = append(r.work.Tried, result.endpoint.ID)
-	event.RequestRetried.Log(ctx, r.d.logger, retryAttrs(&r.request.Call, result.endpoint.ID, r.attempts, result.err)...)
-	return sleep(ctx, r.d.pauseAfter(r.attempts+int(r.unsent)))
+	return r.retry(ctx, result.endpoint.ID, result.err)
 }
 
 // race makes a call and, when the policy hedges the work, a second one
@@ -138,20 +120,6 @@
 	}
 }
 
-// second chooses the endpoint of a hedge, within the budget.
-func (r *serviceRun) second(ctx context.Context, first *endpoint.Endpoint) (*endpoint.Endpoint, bool) {
-	other := *r.work
-	other.Tried = append(slices.Clone(r.work.Tried), first.ID)
-	chosen, err := r.d.pickNow(&other, nil)
-	if err != nil || chosen.ID == first.ID || !r.d.options.Policy.Hedger.Take() {
-		return nil, false
-	}
-	r.hedges++
-	r.d.options.Metrics.Attempted(r.request.Class.Name, reasonHedge)
-	event.RequestHedged.Log(ctx, r.d.logger, hedgeAttrs(&r.request.Call, first.ID, chosen.ID)...)
-	return chosen, true
-}
-
 // attempt makes one call at one endpoint.
 func (r *serviceRun) attempt(ctx context.Context, chosen *endpoint.Endpoint) serviceResult {
 	ended, err := r.d.begin(ctx, &r.request.Call, r.work.Alone, chosen)
