--- /dev/null
+++ b/internal/cluster/lease.go
@@ -0,0 +1,145 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
+)
+
+// Shares of the lease's time to live.
+const (
+	renewalsPerTTL = 3
+	retriesPerTTL  = 8
+)
+
+// leaseState is the node's lease and its key under it.
+type leaseState struct {
+	id int64
+	// until is when the lease surely still stands.
+	until time.Time
+	// written: the node's key hangs on the lease, as far as is known.
+	written bool
+}
+
+// keepLease keeps the node's key in the store until ctx ends.
+func (c *Cluster) keepLease(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := c.options.TTL / renewalsPerTTL
+		if err := c.refreshLease(ctx); err != nil {
+			pause = c.options.TTL / retriesPerTTL
+		}
+		c.waitForLease(ctx, pause)
+	}
+	return nil
+}
+
+// waitForLease waits, but not on when the node's key was seen to be gone.
+func (c *Cluster) waitForLease(ctx context.Context, pause time.Duration) {
+	const step = 50 * time.Millisecond
+	for ; pause > 0 && wait.For(ctx, min(step, pause)); pause -= step {
+		c.mu.Lock()
+		gone := c.lease.id != 0 && !c.lease.written
+		c.mu.Unlock()
+		if gone {
+			return
+		}
+	}
+}
+
+func (c *Cluster) refreshLease(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, c.options.TTL/2)
+	defer cancel()
+	c.mu.Lock()
+	state := c.lease
+	c.mu.Unlock()
+	sent := c.now()
+	if state.id != 0 && state.written {
+		err := c.options.Store.Renew(callCtx, state.id)
+		if errorx.IsOfType(err, metastore.ErrLeaseEnded) {
+			event.LeaseLost.Log(ctx, c.options.Logger)
+			c.setLease(leaseState{})
+			return err
+		}
+		if err == nil {
+			c.mu.Lock()
+			c.lease.until = sent.Add(c.options.TTL)
+			c.mu.Unlock()
+		}
+		return err
+	}
+	return c.writeSelf(callCtx, state, sent)
+}
+
+// writeSelf writes the node's key, under a new lease if there is none.
+func (c *Cluster) writeSelf(ctx context.Context, state leaseState, sent time.Time) error {
+	if state.id == 0 {
+		id, err := c.options.Store.Grant(ctx, c.options.TTL)
+		if err != nil {
+			return err
+		}
+		state = leaseState{id: id, until: sent.Add(c.options.TTL)}
+		c.setLease(state)
+	}
+	value, err := json.Marshal(c.Self())
+	if err != nil {
+		return ErrNotConfirmed.Wrap(err, "node record")
+	}
+	_, err = c.options.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Put{{
+		Key: nodePrefix + c.options.Self.Name, Value: value, Lease: state.id,
+	}}})
+	if errorx.IsOfType(err, metastore.ErrLeaseEnded) {
+		c.setLease(leaseState{})
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	state.written = true
+	c.setLease(state)
+	return nil
+}
+
+func (c *Cluster) setLease(state leaseState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease = state
+}
+
+// Confirmed reports whether the node's lease surely stands now.
+func (c *Cluster) Confirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.written && c.now().Before(c.lease.until)
+}
+
+// Leave tells the others that this node hands over what it owns.
+func (c *Cluster) Leave(ctx context.Context) {
+	c.mu.Lock()
+	c.options.Self.Leaving = true
+	state := c.lease
+	c.mu.Unlock()
+	if err := c.writeSelf(ctx, state, c.now()); err != nil {
+		event.UnitNotTaken.Log(ctx, c.options.Logger, slog.String("unit", "leaving"), slog.String("cause", err.Error()))
+	}
+}
+
+// EndLease removes the node's key.
+func (c *Cluster) EndLease(ctx context.Context) {
+	c.mu.Lock()
+	id := c.lease.id
+	c.lease = leaseState{}
+	c.mu.Unlock()
+	if id == 0 {
+		return
+	}
+	if err := c.options.Store.End(ctx, id); err != nil {
+		event.LeaseLost.Log(ctx, c.options.Logger, slog.String("cause", err.Error()))
+	}
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/route"
+)
+
+// stall is how long a resumable stream may be silent, as a multiple of the
+// route's target, before it goes on elsewhere.
+const stall = 2
+
+// Stream hands the events of a request on as they arrive. Where the route
+// allows it, a stream that broke goes on at another endpoint after the last
+// event; the caller sees one answer with the first endpoint's head. Started
+// reports whether anything was handed on.
+func (s *Service) Stream(ctx context.Context, r *route.Route, request *call.Request, after int, receiver call.Receiver) (started bool, err error) {
+	fingerprint := Fingerprint(request)
+	if s.Crashes.Held(fingerprint) {
+		event.RequestCrashes.Log(ctx, s.Logger, slog.String("request", request.ID))
+		return false, call.ErrRejected.New("endpoints crashed while they ran it")
+	}
+	var tried []string
+	sent, refused := 0, 0
+	service := r.ServiceFor(request.ID)
+	for {
+		e, ok := fleet.Choose(s.Directory.Of(service), fleet.Work{Tried: tried, Zone: s.Zone}, time.Now())
+		if !ok && refused > 0 && refused <= extraOffers && ctx.Err() == nil {
+			tried = nil
+			refused++
+			time.Sleep(fullPause)
+			continue
+		}
+		if !ok {
+			return started, lastOf(err, call.ErrNoEndpoint.New("no endpoint of the route takes work"))
+		}
+		tried = append(tried, e.ID)
+		err = s.streamOnce(ctx, r, e, request, &after, &started, receiver)
+		if err == nil {
+			e.Live.Succeed()
+			return started, nil
+		}
+		event.AttemptFailed.Log(ctx, s.Logger, slog.String("request", request.ID), slog.String("endpoint", e.ID), slog.String("cause", err.Error()))
+		if call.NotRun(err) {
+			refused++
+		} else {
+			sent++
+		}
+		s.blame(e, err, fingerprint, started)
+		if ctx.Err() != nil || sent > 0 && !r.Resumable || sent >= r.MaxAttempts || refused > extraOffers {
+			return started, err
+		}
+	}
+}
+
+func lastOf(err, otherwise error) error {
+	if err != nil {
+		return err
+	}
+	return otherwise
+}
+
+func (s *Service) blame(e *fleet.Endpoint, err error, fingerprint uint64, started bool) {
+	now := time.Now()
+	switch {
+	case call.Is(err, call.ErrFull):
+		e.Live.Full(now.Add(4 * fullPause))
+	case call.Is(err, call.ErrBroken, call.ErrNotSent, call.ErrMisdirected):
+		e.Live.Fail(now)
+		if call.Is(err, call.ErrBroken) && !started {
+			s.Crashes.Broke(fingerprint)
+		}
+	}
+}
+
+func (s *Service) streamOnce(ctx context.Context, r *route.Route, e *fleet.Endpoint, request *call.Request, after *int, started *bool, receiver call.Receiver) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := e.Live.Begin()
+	defer done()
+	silence := func() {}
+	if r.Resumable && r.Target > 0 {
+		timer := time.AfterFunc(stall*r.Target, cancel)
+		defer timer.Stop()
+		silence = func() { timer.Reset(stall * r.Target) }
+	}
+	return s.Streamer.Stream(ctx, e, request, *after, call.Receiver{
+		Start: func(start call.Start) error {
+			if *started {
+				return nil
+			}
+			*started = true
+			return receiver.Start(start)
+		},
+		Event: func(event call.Event) error {
+			silence()
+			if err := receiver.Event(event); err != nil {
+				return err
+			}
+			*after = event.ID
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/metastore/follow.go
@@ -0,0 +1,165 @@
+package metastore
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
+)
+
+// Defaults of a Follower.
+const (
+	// DefaultWatchWait is how long one watch waits for a change.
+	DefaultWatchWait = 10 * time.Second
+	// watchSlack is the time beyond its wait after which a watch is given up.
+	watchSlack = 1500 * time.Millisecond
+	listTimeout = 2 * time.Second
+	// Failed calls are repeated after a random time of up to followBackoff,
+	// which doubles up to followBackoffMost.
+	followBackoff     = 50 * time.Millisecond
+	followBackoffMost = 400 * time.Millisecond
+)
+
+// Follower keeps a consumer up to date with all keys under a prefix. Its
+// methods run in the goroutine of Run.
+type Follower struct {
+	Store  Store
+	Prefix string
+	// Changed is told of each new or changed key, and of each removed one.
+	Changed func(Event)
+	// Settled is called after each round of changes; the first call tells that
+	// the whole range was read.
+	Settled func()
+	// Lost is called when the store is first not reached, and Regained when it
+	// answers again. Both may be nil.
+	Lost     func(error)
+	Regained func()
+	// Gather is how long changes are gathered before the next watch; zero is not.
+	Gather time.Duration
+	Logger *slog.Logger
+
+	known map[string]int64
+	// position is the revision up to which changes were seen; zero asks for a
+	// new reading of the range.
+	position int64
+	failing  bool
+	backoff  time.Duration
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.known = map[string]int64{}
+	for ctx.Err() == nil {
+		if err := f.round(ctx); err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.answered(ctx)
+	}
+	return nil
+}
+
+func (f *Follower) round(ctx context.Context) error {
+	if f.position == 0 {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if errorx.IsOfType(err, ErrCompacted) {
+		f.position = 0
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if !f.failing {
+		f.failing = true
+		event.StoreLost.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.String("cause", err.Error()))
+		if f.Lost != nil {
+			f.Lost(err)
+		}
+	}
+	f.backoff = min(max(2*f.backoff, followBackoff), followBackoffMost)
+	wait.For(ctx, f.backoff/2+rand.N(f.backoff))
+}
+
+func (f *Follower) answered(ctx context.Context) {
+	f.backoff = 0
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	event.StoreRegained.Log(ctx, f.Logger, slog.String("prefix", f.Prefix))
+	if f.Regained != nil {
+		f.Regained()
+	}
+}
+
+// list reads the whole range again and reconciles by revision: a page that is
+// older than what a watch told brings nothing back.
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	items, revision, err := ListAll(ctx, f.Store, f.Prefix)
+	if err != nil {
+		return err
+	}
+	present := make(map[string]struct{}, len(items))
+	for _, item := range items {
+		present[item.Key] = struct{}{}
+		f.apply(Event{Item: item})
+	}
+	for key, known := range f.known {
+		if _, ok := present[key]; !ok && known <= revision {
+			f.apply(Event{Item: Item{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+	f.position = revision
+	f.Settled()
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, f.watchWait()+watchSlack)
+	defer cancel()
+	events, revision, err := f.Store.Watch(callCtx, f.Prefix, f.position, f.watchWait())
+	if err != nil {
+		return err
+	}
+	for _, e := range events {
+		f.apply(e)
+	}
+	f.position = max(f.position, revision)
+	if len(events) > 0 {
+		f.Settled()
+		wait.For(ctx, f.Gather)
+	}
+	return nil
+}
+
+// watchWait is short while the store is failing, so that its return is seen.
+func (f *Follower) watchWait() time.Duration {
+	if f.failing {
+		return time.Millisecond
+	}
+	return DefaultWatchWait
+}
+
+func (f *Follower) apply(e Event) {
+	if e.Revision <= f.known[e.Key] && f.known[e.Key] != 0 {
+		return
+	}
+	if e.Deleted {
+		delete(f.known, e.Key)
+	} else {
+		f.known[e.Key] = e.Revision
+	}
+	f.Changed(e)
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/platform"
+)
+
+// gatherEndpoints is how long changes of endpoints are gathered before the next
+// watch, which saves calls.
+const gatherEndpoints = 100 * time.Millisecond
+
+// followers returns what keeps the node up to date with the store.
+func (n *Node) followers() []*metastore.Follower {
+	return []*metastore.Follower{
+		{Store: n.store, Prefix: platform.KeyOperator, Logger: n.logger, Changed: n.operatorChanged, Settled: func() {}},
+		{Store: n.store, Prefix: platform.KeyEndpoints, Logger: n.logger, Gather: gatherEndpoints,
+			Changed: n.endpointChanged, Settled: n.endpointsSettled,
+			Lost: func(error) { n.directory.StoreLost() }, Regained: n.directory.StoreRegained},
+		{Store: n.store, Prefix: cluster.Prefix, Logger: n.logger, Changed: n.cluster.Changed, Settled: n.cluster.Settled},
+	}
+}
+
+func (n *Node) operatorChanged(e metastore.Event) {
+	ctx := context.Background()
+	switch platform.RecordOf(e.Key) {
+	case platform.ConfigurationRecord:
+		n.configurationChanged(ctx, e)
+	case platform.VersionRecord:
+		n.versionNamed(ctx, e)
+	case platform.RetireRecord:
+		if !e.Deleted {
+			n.retire.asked(platform.RetiredInstance(e.Key))
+		}
+	case platform.OtherRecord:
+	}
+}
+
+func (n *Node) configurationChanged(ctx context.Context, e metastore.Event) {
+	if e.Deleted {
+		return // the configuration in force stays
+	}
+	configuration, err := platform.DecodeConfiguration(e.Value)
+	if err != nil {
+		event.RecordBroken.Log(ctx, n.logger, slog.String("key", e.Key), slog.String("cause", err.Error()))
+		return
+	}
+	if n.routes.Offer(configuration) {
+		event.ConfigurationInForce.Log(ctx, n.logger, slog.Int64("version", configuration.Version), slog.Int64("revision", e.Revision))
+		n.wantUnits()
+	}
+}
+
+func (n *Node) versionNamed(ctx context.Context, e metastore.Event) {
+	if e.Deleted {
+		return
+	}
+	named, err := platform.DecodeVersion(e.Key, e.Value)
+	if err != nil {
+		event.RecordBroken.Log(ctx, n.logger, slog.String("key", e.Key), slog.String("cause", err.Error()))
+		return
+	}
+	if n.targets.Name(named.Model, named.Version) {
+		n.wantUnits()
+		n.fleetChanged()
+	}
+}
+
+func (n *Node) endpointChanged(e metastore.Event) {
+	if e.Deleted {
+		n.directory.Remove(platform.EndpointID(e.Key))
+		return
+	}
+	endpoint, err := platform.DecodeEndpoint(e.Key, e.Value)
+	if err != nil {
+		event.RecordBroken.Log(context.Background(), n.logger, slog.String("key", e.Key), slog.String("cause", err.Error()))
+		n.directory.Remove(platform.EndpointID(e.Key))
+		return
+	}
+	n.directory.Set(endpoint)
+}
+
+func (n *Node) endpointsSettled() {
+	n.directory.Publish()
+	n.listed.Store(true)
+}
+
+// retiring answers requests to empty an instance. Nothing that must last stands
+// on any, so each is empty at once.
+type retiring struct {
+	node *Node
+	mu   sync.Mutex
+	seen map[string]struct{}
+}
+
+// Times of the answer.
+const (
+	retireTimeout = time.Second
+	retirePause   = 300 * time.Millisecond
+	retireTries   = 100
+	// retireSpread keeps the nodes from writing the same answer at once.
+	retireSpread = 400 * time.Millisecond
+)
+
+func (r *retiring) asked(instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.seen[instance]; known {
+		return
+	}
+	r.seen[instance] = struct{}{}
+	go r.answer(instance)
+}
+
+func (r *retiring) answer(instance string) {
+	time.Sleep(rand.N(retireSpread))
+	key, value := platform.RetireStatus(instance)
+	for range retireTries {
+		ctx, cancel := context.WithTimeout(context.Background(), retireTimeout)
+		_, err := r.node.store.Get(ctx, key)
+		if errorx.IsOfType(err, metastore.ErrNotFound) {
+			_, err = r.node.store.Commit(ctx, metastore.Txn{
+				Conditions: []metastore.Condition{{Key: key}}, Puts: []metastore.Put{{Key: key, Value: value}},
+			})
+		}
+		cancel()
+		if err == nil || errorx.IsOfType(err, metastore.ErrConflict) {
+			event.RetireWritten.Log(context.Background(), r.node.logger, slog.String("instance", instance))
+			return
+		}
+		time.Sleep(retirePause)
+	}
+}
+
+// sortNear puts the nodes of a failure domain first, each part in random order.
+func sortNear(nodes []cluster.Node, zone string) {
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	slices.SortStableFunc(nodes, func(a, b cluster.Node) int { return cmp.Compare(far(a, zone), far(b, zone)) })
+}
+
+func far(node cluster.Node, zone string) int {
+	if node.Zone == zone {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/node/front.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/submission"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+	"github.com/comfreyfront/comfreyfront/platform"
+)
+
+// Limits while no configuration is known.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+// Times after which a caller is told to come back.
+const (
+	comeBackSoon  = 100 * time.Millisecond
+	comeBackStore = 300 * time.Millisecond
+)
+
+// front serves callers: new connections are served under the limits that are
+// in force when they come.
+type front struct {
+	node *Node
+
+	mu      sync.Mutex
+	servers []*frontServer
+	limits  route.Limits
+	closing bool
+	done    chan struct{}
+}
+
+// frontServer is an HTTP server under fixed limits, fed with connections.
+type frontServer struct {
+	server *http.Server
+	conns  *connListener
+}
+
+func newFront(n *Node) *front {
+	f := &front{node: n, done: make(chan struct{})}
+	f.apply(route.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+	n.routes.OnChange(func(c *route.Configuration) { f.apply(c.Limits) })
+	return f
+}
+
+// apply starts a server for new connections when the limits differ.
+func (f *front) apply(limits route.Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closing || len(f.servers) > 0 && f.limits == limits {
+		return
+	}
+	f.limits = limits
+	server := &http.Server{
+		Handler:           &platform.Ingress{Front: f.node},
+		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    max(limits.HeaderBytes, 4<<10),
+		ErrorLog:          quiet(),
+	}
+	s := &frontServer{server: server, conns: &connListener{conns: make(chan net.Conn), done: f.done}}
+	f.servers = append(f.servers, s)
+	go func() { _ = server.Serve(s.conns) }() // it ends when the front closes
+}
+
+func orDefault(value, otherwise time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// Serve hands connections to the newest server until the listener closes.
+func (f *front) Serve(listener net.Listener) error {
+	go func() {
+		<-f.done
+		_ = listener.Close() // nothing is accepted any more
+	}()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			select {
+			case <-f.done:
+				return http.ErrServerClosed
+			default:
+				return err
+			}
+		}
+		f.mu.Lock()
+		s := f.servers[len(f.servers)-1]
+		f.mu.Unlock()
+		s.conns.give(conn)
+	}
+}
+
+// settleTime is how long new connections are still taken after readiness
+// failed: the balancer asks once a second and believes the second miss.
+const settleTime = 2500 * time.Millisecond
+
+// Shutdown takes no more connections once the balancer knows, and ends those
+// that stand after their answer.
+func (f *front) Shutdown(ctx context.Context) error {
+	f.mu.Lock()
+	f.closing = true
+	servers := f.servers
+	f.mu.Unlock()
+	for _, s := range servers {
+		s.server.SetKeepAlivesEnabled(false)
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	close(f.done)
+	for _, s := range servers {
+		if err := s.server.Shutdown(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// connListener is a listener whose connections are handed to it.
+type connListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *connListener) give(conn net.Conn) {
+	select {
+	case l.conns <- conn:
+	case <-l.done:
+		_ = conn.Close() // nobody serves it
+	}
+}
+
+// Accept implements net.Listener.
+func (l *connListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *connListener) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (l *connListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+var _ platform.Front = (*Node)(nil)
+
+// Configuration implements platform.Front.
+func (n *Node) Configuration() *route.Configuration { return n.routes.Load() }
+
+// Do implements platform.Front.
+func (n *Node) Do(ctx context.Context, r *route.Route, request *call.Request) (*call.Answer, error) {
+	return n.forward.Do(ctx, r, request)
+}
+
+// Stream implements platform.Front.
+func (n *Node) Stream(ctx context.Context, r *route.Route, request *call.Request, after int, receiver call.Receiver) (bool, error) {
+	return n.forward.Stream(ctx, r, request, after, receiver)
+}
+
+// Accept implements platform.Front.
+func (n *Node) Accept(ctx context.Context, r *route.Route, record *recordpb.Submission) error {
+	service := r.ServiceFor(record.GetId())
+	if service == "" {
+		return call.ErrNoEndpoint.New("the route has no service")
+	}
+	return n.submissions.Accept(ctx, unitEngines+service, record)
+}
+
+// Read implements platform.Front.
+func (n *Node) Read(ctx context.Context, id string, after int, patience time.Duration) (int, []*recordpb.Result, error) {
+	return n.submissions.Read(ctx, id, after, patience)
+}
+
+// Body implements platform.Front.
+func (n *Node) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+	return n.submissions.Body(ctx, id, itemID)
+}
+
+// End implements platform.Front.
+func (n *Node) End(ctx context.Context, id string) error { return n.submissions.End(ctx, id) }
+
+// Refusal implements platform.Front. 503 promises that nothing ran; 502 and 504
+// promise nothing.
+func (n *Node) Refusal(err error) (int, time.Duration) {
+	switch {
+	case call.NotRun(err):
+		return http.StatusServiceUnavailable, comeBackSoon
+	case call.Is(err, call.ErrEnded, submission.ErrUnknown):
+		return http.StatusGatewayTimeout, 0
+	case call.Is(err, submission.ErrMalformed):
+		return http.StatusBadRequest, 0
+	case call.Is(err, submission.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge, 0
+	case call.Is(err, submission.ErrNotFound):
+		return http.StatusNotFound, 0
+	case call.Is(err, submission.ErrUnavailable):
+		return http.StatusServiceUnavailable, comeBackStore
+	}
+	return http.StatusBadGateway, 0
+}
+
+// Ended implements platform.Front.
+func (n *Node) Ended(end platform.End) {
+	n.metrics.ended(end.Route, strconv.Itoa(end.Status), end.Took)
+	attrs := []slog.Attr{
+		slog.String("request", end.ID), slog.String("route", end.Route), slog.Int("status", end.Status),
+		slog.Int64("took_ms", end.Took.Milliseconds()),
+	}
+	if end.Err != nil {
+		event.RequestFailed.Log(context.Background(), n.logger, append(attrs, slog.String("cause", end.Err.Error()))...)
+		return
+	}
+	event.RequestEnded.Log(context.Background(), n.logger, attrs...)
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+)
+
+// Errors of calls between nodes.
+var (
+	Errors = errorx.NewNamespace("node")
+	// ErrPeer: another node did not answer as it should.
+	ErrPeer = Errors.NewType("peer")
+)
+
+// peers calls other nodes. It is safe for concurrent use.
+type peers struct {
+	client *http.Client
+
+	mu      sync.Mutex
+	clients map[string]nodepb.Node // by address
+}
+
+func newPeers(transport http.RoundTripper) *peers {
+	return &peers{client: &http.Client{Transport: transport}, clients: map[string]nodepb.Node{}}
+}
+
+// maxPeerClients bounds the clients that are kept.
+const maxPeerClients = 1024
+
+func (p *peers) dial(address string) nodepb.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client := p.clients[address]
+	if client == nil {
+		if len(p.clients) >= maxPeerClients {
+			clear(p.clients)
+		}
+		client = nodepb.NewNodeProtobufClient("http://"+address, p.client)
+		p.clients[address] = client
+	}
+	return client
+}
+
+// Ping implements cluster.Pinger.
+func (p *peers) Ping(ctx context.Context, node cluster.Node) (int64, bool, error) {
+	reply, err := p.dial(node.Address).Ping(ctx, &nodepb.PingRequest{})
+	if err != nil {
+		return 0, errors.Is(err, syscall.ECONNREFUSED), ErrPeer.Wrap(err, "ping of %s", node.Name)
+	}
+	if reply.GetNode() != node.Name {
+		return 0, true, ErrPeer.New("%s answers at the address of %s", reply.GetNode(), node.Name)
+	}
+	return reply.GetIncarnation(), false, nil
+}
+
+// Announce implements submission.Peers.
+func (p *peers) Announce(ctx context.Context, node cluster.Node, record []byte) error {
+	if _, err := p.dial(node.Address).Announce(ctx, &nodepb.Announcement{Submission: record}); err != nil {
+		return ErrPeer.Wrap(err, "announcement to %s", node.Name)
+	}
+	return nil
+}
+
+// Read implements submission.Peers.
+func (p *peers) Read(ctx context.Context, node cluster.Node, id string, after int, wait time.Duration) (int, []*recordpb.Result, bool, error) {
+	reply, err := p.dial(node.Address).Read(ctx, &nodepb.ReadRequest{Id: id, After: int32(after), WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return 0, nil, false, ErrPeer.Wrap(err, "read from %s", node.Name)
+	}
+	batch := &recordpb.Batch{}
+	if err := proto.Unmarshal(reply.GetResults(), batch); err != nil {
+		return 0, nil, false, ErrPeer.Wrap(err, "results of %s", node.Name)
+	}
+	return int(reply.GetTotal()), batch.GetResults(), reply.GetOwned(), nil
+}
+
+// crashed tells a node of a request that crashes endpoints.
+func (p *peers) crashed(ctx context.Context, node cluster.Node, fingerprint uint64, life time.Duration) error {
+	_, err := p.dial(node.Address).Crashed(ctx, &nodepb.CrashedRequest{Fingerprint: fingerprint, LifeMs: life.Milliseconds()})
+	if err != nil {
+		return ErrPeer.Wrap(err, "word to %s", node.Name)
+	}
+	return nil
+}
+
+// storeThrough returns the metadata store as another node reaches it.
+func (p *peers) storeThrough(node cluster.Node) metastore.Store {
+	return &peerStore{client: p.dial(node.Address)}
+}
--- /dev/null
+++ b/internal/node/server.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+)
+
+// peerServer answers other nodes.
+type peerServer struct {
+	node *Node
+	// direct is the metadata store as this node itself reaches it.
+	direct metastore.Store
+}
+
+var _ nodepb.Node = (*peerServer)(nil)
+
+// Ping implements nodepb.Node.
+func (s *peerServer) Ping(context.Context, *nodepb.PingRequest) (*nodepb.PingReply, error) {
+	self := s.node.cluster.Self()
+	return &nodepb.PingReply{Node: self.Name, Incarnation: self.Incarnation, InTouch: s.node.store.InTouch()}, nil
+}
+
+// Announce implements nodepb.Node.
+func (s *peerServer) Announce(_ context.Context, request *nodepb.Announcement) (*nodepb.Announced, error) {
+	record := &recordpb.Submission{}
+	if err := proto.Unmarshal(request.GetSubmission(), record); err != nil {
+		return nil, ErrPeer.Wrap(err, "announcement")
+	}
+	s.node.submissions.Announced(record)
+	return &nodepb.Announced{}, nil
+}
+
+// Read implements nodepb.Node.
+func (s *peerServer) Read(ctx context.Context, request *nodepb.ReadRequest) (*nodepb.ReadReply, error) {
+	total, results, owned := s.node.submissions.ReadLocal(ctx, request.GetId(), int(request.GetAfter()), time.Duration(request.GetWaitMs())*time.Millisecond)
+	encoded, err := proto.Marshal(&recordpb.Batch{Results: results})
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "results")
+	}
+	return &nodepb.ReadReply{Owned: owned, Total: int32(total), Results: encoded}, nil
+}
+
+// Store implements nodepb.Node.
+func (s *peerServer) Store(ctx context.Context, request *nodepb.StoreRequest) (*nodepb.StoreReply, error) {
+	return serveStore(ctx, s.direct, request), nil
+}
+
+// Crashed implements nodepb.Node.
+func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
+	s.node.crashes.Hold(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
+	return &nodepb.CrashedReply{}, nil
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,210 @@
+// Package relay reaches the metadata store through another node while this one
+// is cut off from it or turned away.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+)
+
+// Limits of calls.
+const (
+	// directTimeout bounds one direct call that does not wait.
+	directTimeout = 800 * time.Millisecond
+	// relayedTimeout bounds one call through a peer that does not wait.
+	relayedTimeout = 900 * time.Millisecond
+	// probeEvery is how often a direct call is tried while the store does not
+	// answer this node.
+	probeEvery = 500 * time.Millisecond
+	// failuresToTurn is how many calls in a row must fail before calls go
+	// through peers.
+	failuresToTurn = 2
+	// relayedWait is the longest that a watch through a peer waits.
+	relayedWait = time.Second
+)
+
+// Peers returns stores that reach the platform's through other nodes, the best
+// first.
+type Peers func() []metastore.Store
+
+// Store calls the metadata store directly, or through a peer while it does not
+// answer here. It is safe for concurrent use.
+type Store struct {
+	direct metastore.Store
+	peers  Peers
+	now    func() time.Time
+
+	mu       sync.Mutex
+	failures int
+	probeAt  time.Time
+	// turned is closed when calls begin to go through peers.
+	turned chan struct{}
+}
+
+var _ metastore.Store = (*Store)(nil)
+
+// New returns a store over a direct one.
+func New(direct metastore.Store, peers Peers) *Store {
+	return &Store{direct: direct, peers: peers, now: time.Now, turned: make(chan struct{})}
+}
+
+// InTouch reports whether the store answers this node itself.
+func (s *Store) InTouch() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failures < failuresToTurn
+}
+
+// tryDirect reports whether the next call is to go directly.
+func (s *Store) tryDirect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures < failuresToTurn {
+		return true
+	}
+	if s.now().Before(s.probeAt) {
+		return false
+	}
+	s.probeAt = s.now().Add(probeEvery)
+	return true
+}
+
+// note records how a direct call ended.
+func (s *Store) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !lost(err) {
+		if s.failures >= failuresToTurn {
+			s.turned = make(chan struct{})
+		}
+		s.failures = 0
+		return
+	}
+	s.failures++
+	if s.failures == failuresToTurn {
+		s.probeAt = s.now().Add(probeEvery)
+		close(s.turned)
+	}
+}
+
+// lost reports whether an error means that the store does not answer.
+func lost(err error) bool {
+	return err != nil && (errorx.IsOfType(err, metastore.ErrUnavailable) || errorx.IsOfType(err, metastore.ErrUnknown))
+}
+
+// do makes one call, directly or through a peer. A call that changes something
+// and may have been done is not repeated here.
+func (s *Store) do(ctx context.Context, changes bool, call func(context.Context, metastore.Store) error) error {
+	var err error
+	if s.tryDirect() {
+		callCtx, cancel := context.WithTimeout(ctx, directTimeout)
+		err = call(callCtx, s.direct)
+		cancel()
+		s.note(err)
+		if !lost(err) || changes && errorx.IsOfType(err, metastore.ErrUnknown) {
+			return err
+		}
+	}
+	for _, peer := range s.peers() {
+		if ctx.Err() != nil {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, relayedTimeout)
+		err = call(callCtx, peer)
+		cancel()
+		if !lost(err) || changes && errorx.IsOfType(err, metastore.ErrUnknown) {
+			return err
+		}
+	}
+	if err == nil {
+		err = metastore.ErrUnavailable.New("no way to the store")
+	}
+	return err
+}
+
+// Get implements metastore.Store.
+func (s *Store) Get(ctx context.Context, key string) (item metastore.Item, err error) {
+	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+		item, err = store.Get(ctx, key)
+		return err
+	})
+	return item, err
+}
+
+// Range implements metastore.Store.
+func (s *Store) Range(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
+	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+		page, err = store.Range(ctx, prefix, after)
+		return err
+	})
+	return page, err
+}
+
+// Commit implements metastore.Store.
+func (s *Store) Commit(ctx context.Context, txn metastore.Txn) (revision int64, err error) {
+	err = s.do(ctx, true, func(ctx context.Context, store metastore.Store) (err error) {
+		revision, err = store.Commit(ctx, txn)
+		return err
+	})
+	return revision, err
+}
+
+// Grant implements metastore.Store. A lease that may have been granted ends by
+// itself, so that another can be asked for.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (lease int64, err error) {
+	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+		lease, err = store.Grant(ctx, ttl)
+		return err
+	})
+	return lease, err
+}
+
+// Renew implements metastore.Store.
+func (s *Store) Renew(ctx context.Context, lease int64) error {
+	return s.do(ctx, false, func(ctx context.Context, store metastore.Store) error { return store.Renew(ctx, lease) })
+}
+
+// End implements metastore.Store.
+func (s *Store) End(ctx context.Context, lease int64) error {
+	return s.do(ctx, false, func(ctx context.Context, store metastore.Store) error { return store.End(ctx, lease) })
+}
+
+// Watch implements metastore.Store. A watch that waits directly is given up when
+// calls begin to go through peers.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	s.mu.Lock()
+	turned, direct := s.turned, s.failures < failuresToTurn
+	s.mu.Unlock()
+	if direct {
+		return s.watchDirect(ctx, turned, prefix, after, wait)
+	}
+	var events []metastore.Event
+	var revision int64
+	err := s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+		events, revision, err = store.Watch(ctx, prefix, after, min(wait, relayedWait/2))
+		return err
+	})
+	return events, revision, err
+}
+
+func (s *Store) watchDirect(ctx context.Context, turned <-chan struct{}, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-turned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	events, revision, err := s.direct.Watch(ctx, prefix, after, wait)
+	if ctx.Err() == nil {
+		s.note(err)
+	}
+	return events, revision, err
+}
--- /dev/null
+++ b/internal/submission/item.go
@@ -0,0 +1,166 @@
+package submission
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+)
+
+// state is where an item stands.
+type state int
+
+const (
+	waiting state = iota
+	running
+	scoring
+	// finished: it has a result, listed or not.
+	finished
+)
+
+// text is what is known of an item's generated text.
+type text struct {
+	events   []string
+	versions []int64
+	complete bool
+}
+
+// fits reports whether the text may be used under a submission's bounds.
+func (t *text) fits(minVersion int64, single bool) bool {
+	for _, version := range t.versions {
+		if version < minVersion {
+			return false
+		}
+	}
+	return !single || len(t.versions) <= 1
+}
+
+func (t *text) add(data string, version int64) {
+	t.events = append(t.events, data)
+	if !slices.Contains(t.versions, version) {
+		t.versions = append(t.versions, version)
+	}
+}
+
+// item is one item in its owner's memory. The owner's lock guards it.
+type item struct {
+	record *recordpb.Item
+	// of is the submission that it belongs to; nil after that one ended, until
+	// another brings it back.
+	of         *open
+	orphanedAt time.Time
+	state      state
+	text       text
+	score      string
+	// failures counts runs that an endpoint itself reported as failed.
+	failures int
+	// breaks counts broken runs in a row that brought no event.
+	breaks    int
+	notBefore time.Time
+	run       *run
+	result    *recordpb.Result
+	readyAt   time.Time
+	// carried: it comes back from a submission that ended before it was listed.
+	carried bool
+}
+
+// run is one stream of an item.
+type run struct {
+	endpoint  *fleet.Endpoint
+	cancel    context.CancelFunc
+	startedAt time.Time
+	lastEvent time.Time
+	events    int
+	// moved: the owner ended it, so that it goes on elsewhere.
+	moved bool
+}
+
+// expected estimates how many tokens are still to be generated: the order in
+// which items are started, the longest first.
+func (i *item) expected() int64 {
+	guess := i.record.GetExpectedTokens()
+	if guess == 0 {
+		guess = i.record.GetTokens()
+	}
+	return guess
+}
+
+// settle makes the item's result.
+func (i *item) settle(abandoned bool, now time.Time) {
+	i.state = finished
+	i.readyAt = now
+	if abandoned {
+		i.result = &recordpb.Result{Id: i.record.GetId(), Abandoned: true}
+		return
+	}
+	versions := slices.Clone(i.text.versions)
+	slices.Sort(versions)
+	i.result = &recordpb.Result{
+		Id:       i.record.GetId(),
+		Output:   strings.Join(i.text.events, "\n"),
+		Versions: versions,
+		Score:    i.score,
+	}
+}
+
+// open is a submission in its owner's memory. The owner's lock guards it.
+type open struct {
+	id     string
+	head   head
+	record *recordpb.Submission
+	// listed are the results that last in the store, in their order.
+	listed []*recordpb.Result
+	// batch is the number of the next write of results.
+	batch   int
+	ready   []*item
+	left    map[string]int // unfinished items by group
+	writing bool
+	ended   bool
+	endedAt time.Time
+	// changed is closed when results were listed.
+	changed chan struct{}
+}
+
+func groupOf(record *recordpb.Item) string {
+	if record.GetGroup() != "" {
+		return record.GetGroup()
+	}
+	return "item/" + record.GetId()
+}
+
+// flushAfter is how long results of an incomplete group may wait for the rest
+// of it before they are written.
+const flushAfter = time.Second
+
+// due returns the results to write now: those of complete groups, and all when
+// one has waited for long.
+func (o *open) due(now time.Time) []*item {
+	if o.ended || len(o.ready) == 0 {
+		return nil
+	}
+	all := now.Sub(o.ready[0].readyAt) >= flushAfter
+	var due []*item
+	bytes := 0
+	for _, i := range o.ready {
+		if !all && o.left[groupOf(i.record)] > 0 {
+			continue
+		}
+		bytes += len(i.result.GetOutput()) + len(i.result.GetScore()) + len(i.result.GetId())
+		if len(due) > 0 && bytes > batchBytes {
+			break
+		}
+		due = append(due, i)
+	}
+	return due
+}
+
+// show adds results that last in the store now.
+func (o *open) show(results []*recordpb.Result) {
+	o.listed = append(o.listed, results...)
+	o.batch++
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/submission/list.go
@@ -0,0 +1,111 @@
+package submission
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
+)
+
+// Times of writes.
+const (
+	writeTimeout  = time.Second
+	writePause    = 40 * time.Millisecond
+	writePauseMax = 500 * time.Millisecond
+)
+
+// list starts a write for each submission that has results to show; o.mu is held.
+func (o *Owner) list(now time.Time) {
+	for _, s := range o.submissions {
+		if s.writing {
+			continue
+		}
+		due := s.due(now)
+		if len(due) == 0 {
+			continue
+		}
+		s.writing = true
+		go o.write(s, due, s.batch)
+	}
+}
+
+// write lists results: they are shown only once they last in the store. The
+// write is repeated unchanged until it is confirmed or the unit is lost, so
+// that one that takes effect late changes nothing.
+func (o *Owner) write(s *open, items []*item, number int) {
+	results := resultsOf(items)
+	value, err := proto.Marshal(&recordpb.Batch{Results: results})
+	if err != nil {
+		event.ResultsDelayed.Log(o.ctx, o.options.Logger, slog.String("submission", s.id), slog.String("cause", err.Error()))
+		return
+	}
+	began := time.Now()
+	if !o.confirm(s.id, resultKey(s.id, number), value) {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s.writing = false
+	s.show(results)
+	s.ready = slices.DeleteFunc(s.ready, func(i *item) bool { return slices.Contains(items, i) })
+	o.forget(s, items)
+	event.ResultsListed.Log(o.ctx, o.options.Logger, slog.String("submission", s.id), slog.Int("results", len(results)),
+		slog.Int("listed", len(s.listed)), slog.Int64("write_ms", time.Since(began).Milliseconds()))
+	o.Poke()
+}
+
+// confirm writes a batch until it surely stands; false when the unit is lost.
+func (o *Owner) confirm(id, key string, value []byte) bool {
+	pause := writePause
+	for o.ctx.Err() == nil {
+		err := o.commit(key, value)
+		if err == nil {
+			return true
+		}
+		if errorx.IsOfType(err, metastore.ErrConflict) {
+			stands, known := o.stands(key, value)
+			if known {
+				return stands
+			}
+		}
+		event.ResultsDelayed.Log(o.ctx, o.options.Logger, slog.String("submission", id), slog.String("cause", err.Error()))
+		wait.For(o.ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, writePauseMax)
+	}
+	return false
+}
+
+func (o *Owner) commit(key string, value []byte) error {
+	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
+	defer cancel()
+	_, err := o.options.Store.Commit(ctx, metastore.Txn{
+		Conditions: []metastore.Condition{o.options.Unit.Condition(), {Key: key}},
+		Puts:       []metastore.Put{{Key: key, Value: value}},
+	})
+	return err
+}
+
+// stands reports whether an earlier write of the same batch took effect. When
+// another value or none stands there, the unit was lost.
+func (o *Owner) stands(key string, value []byte) (stands, known bool) {
+	ctx, cancel := context.WithTimeout(o.ctx, writeTimeout)
+	defer cancel()
+	found, err := o.options.Store.Get(ctx, key)
+	switch {
+	case err == nil:
+		return bytes.Equal(found.Value, value), true
+	case errorx.IsOfType(err, metastore.ErrNotFound):
+		return false, true
+	}
+	return false, false
+}
