--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -23,8 +23,9 @@
 	Body   []byte
 	// Deadline is told to the endpoint as the time left; zero is none.
 	Deadline time.Time
-	// Once: the request must not be sent again by a transport.
-	Once bool
+	// FailureCounts: an endpoint's own failure is the answer, so that the caller
+	// can count them.
+	FailureCounts bool
 }
 
 // Answer is a whole answer of an endpoint.
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -33,6 +33,8 @@
 	ItemMoved            = define(8046, "item moved", slog.LevelInfo, "A run goes on at another endpoint with the text that it has.")
 	ItemAbandoned        = define(8047, "item abandoned", slog.LevelWarn, "The item is listed without a text.")
 	ReadFailed           = define(8048, "read failed", slog.LevelWarn, "A reader was told to come back: neither the owner nor the store answered.")
+	ItemWritten          = define(8049, "item written", slog.LevelDebug, "An item's text is whole; it is scored next.")
+	ItemScored           = define(8061, "item scored", slog.LevelDebug, "An item has its result, which is listed next.")
 	OrderSent            = define(8050, "weights ordered", slog.LevelInfo, "An endpoint was told to load a version of the weights.")
 	OrderFailed          = define(8051, "weights order failed", slog.LevelWarn, "An endpoint did not accept an order, or did not answer it.")
 	WeightsLoaded        = define(8052, "weights loaded", slog.LevelInfo, "An endpoint serves the named version.")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,7 +171,7 @@
 	if end.err == nil {
 		x.sent++
 		end.endpoint.Live.Succeed()
-		if end.answer.Status < 500 || !x.route.Repeatable() || x.sent >= x.route.MaxAttempts && x.open == 0 {
+		if end.answer.Status < 500 || x.request.FailureCounts || !x.route.Repeatable() || x.sent >= x.route.MaxAttempts && x.open == 0 {
 			return true
 		}
 		x.failure = end.answer
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -17,7 +17,7 @@
 	// DefaultWatchWait is how long one watch waits for a change.
 	DefaultWatchWait = 10 * time.Second
 	// watchSlack is the time beyond its wait after which a watch is given up.
-	watchSlack = 1500 * time.Millisecond
+	watchSlack  = 1500 * time.Millisecond
 	listTimeout = 2 * time.Second
 	// Failed calls are repeated after a random time of up to followBackoff,
 	// which doubles up to followBackoffMost.
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -50,7 +50,7 @@
 	owner := submission.NewOwner(ctx, submission.OwnerOptions{
 		Unit: unit, Service: service, Zone: n.chosen.FailureDomain,
 		Store: n.store, Directory: n.directory, Routes: n.routes,
-		Streamer: n.endpoints, Scorer: n.score, ScoreSlots: n.scoreSlots(service), Logger: n.logger,
+		Streamer: n.endpoints, Scorer: n.score, ScoreSlots: func() int { return n.scoreSlots(service) }, Logger: n.logger,
 	})
 	manager := weights.NewManager(weights.Options{
 		Service: service, Directory: n.directory, Engines: n.endpoints, Targets: n.targets,
@@ -130,7 +130,7 @@
 	until, _ := ctx.Deadline()
 	answer, err := n.forward.Do(ctx, matched, &call.Request{
 		ID: reward.GetId(), Method: http.MethodPost, URI: reward.GetPath(), Host: reward.GetHost(),
-		Header: http.Header{}, Body: reward.GetBody(), Deadline: until,
+		Header: http.Header{}, Body: reward.GetBody(), Deadline: until, FailureCounts: true,
 	})
 	return answer, matched.MaxAttempts, err
 }
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -55,6 +55,10 @@
 	state      state
 	text       text
 	score      string
+	// scoreOpen: a scoring call is under way.
+	scoreOpen bool
+	// scoreFailures counts the failures that endpoints reported of scoring calls.
+	scoreFailures int
 	// failures counts runs that an endpoint itself reported as failed.
 	failures int
 	// breaks counts broken runs in a row that brought no event.
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -29,7 +29,7 @@
 	Streamer  call.Streamer
 	Scorer    Scorer
 	// ScoreSlots bounds the scoring calls at once.
-	ScoreSlots int
+	ScoreSlots func() int
 	Logger     *slog.Logger
 }
 
@@ -39,12 +39,13 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	kick    chan struct{}
-	scores  chan struct{}
 
 	mu sync.Mutex
 	// submissions are those that this owner opened, ended ones included.
 	submissions map[string]*open
 	items       map[string]*item
+	// scoresOpen counts the scoring calls that are under way.
+	scoresOpen int
 }
 
 // NewOwner returns an owner; Run must run.
@@ -55,7 +56,6 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		kick:        make(chan struct{}, 1),
-		scores:      make(chan struct{}, max(options.ScoreSlots, 2)),
 		submissions: map[string]*open{},
 		items:       map[string]*item{},
 	}
@@ -104,6 +104,7 @@
 	engines := newEngines(o.options.Directory.Of(o.options.Service), o.options.Zone, now)
 	o.place(engines, now)
 	o.move(engines, now)
+	o.startScores(now)
 	o.list(now)
 }
 
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -11,7 +11,6 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
-	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Times of runs.
@@ -163,6 +162,8 @@
 	case err == nil:
 		r.endpoint.Live.Succeed()
 		i.text.complete = true
+		event.ItemWritten.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("endpoint", r.endpoint.ID),
+			slog.Int("events", len(i.text.events)), slog.Int64("expected_tokens", i.record.GetExpectedTokens()), slog.Int64("run_ms", now.Sub(r.startedAt).Milliseconds()))
 		if i.of != nil {
 			o.score(i)
 		}
@@ -269,82 +270,11 @@
 	return ""
 }
 
-// score makes the scoring call of a complete text; o.mu is held.
-func (o *Owner) score(i *item) {
-	if i.record.GetReward() == nil {
-		o.complete(i, "")
-		return
-	}
-	i.state = scoring
-	s := i.of
-	go o.scoreLoop(i, s)
-}
-
-// scorePause is the pause before a scoring call is made again.
-const scorePause = 30 * time.Millisecond
-
-func (o *Owner) scoreLoop(i *item, s *open) {
-	failures := 0
-	for o.scoringFor(i, s) {
-		select {
-		case o.scores <- struct{}{}:
-		case <-o.ctx.Done():
-			return
-		}
-		if !o.scoringFor(i, s) {
-			<-o.scores
-			return
-		}
-		answer, attempts, err := o.options.Scorer(o.ctx, i.record.GetReward())
-		<-o.scores
-		if err == nil && answer.Success() {
-			o.scored(i, s, answer.Stamp)
-			return
-		}
-		if err == nil {
-			failures++
-			if failures >= attempts {
-				o.unscored(i, s)
-				return
-			}
-		}
-		if !wait.For(o.ctx, scorePause) {
-			return
-		}
-	}
-}
-
-// scoringFor reports whether the item still waits for its score in s.
-func (o *Owner) scoringFor(i *item, s *open) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return i.of == s && i.state == scoring && o.ctx.Err() == nil
-}
-
-func (o *Owner) scored(i *item, s *open, score string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if i.of != s || i.state != scoring {
-		return
-	}
-	o.complete(i, score)
-	o.Poke()
-}
-
-func (o *Owner) unscored(i *item, s *open) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if i.of != s || i.state != scoring {
-		return
-	}
-	o.abandon(i, "the scoring call failed at each attempt")
-	o.Poke()
-}
-
 // complete gives an item its result; o.mu is held.
 func (o *Owner) complete(i *item, score string) {
 	i.score = score
 	i.settle(false, time.Now())
+	event.ItemScored.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("submission", i.of.id))
 	o.finish(i)
 }
 
@@ -385,4 +315,3 @@
 	}
 	return results
 }
-
