Let watches end after 2 s, so that dropped history is seen

Ruled out: reconciliation by revision (the new reading showed the version at once), the lease, the relay. Change: watches wait 2 s.

--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -14,8 +14,9 @@
 
 // Defaults of a Follower.
 const (
-	// DefaultWatchWait is how long one watch waits for a change.
-	DefaultWatchWait = 10 * time.Second
+	// watchWait is how long one watch waits for a change. When the store drops
+	// its history, a watch that waits may stay silent: only the next one is told.
+	watchWait = 2 * time.Second
 	// watchSlack is the time beyond its wait after which a watch is given up.
 	watchSlack  = 1500 * time.Millisecond
 	listTimeout = 2 * time.Second
@@ -73,6 +74,7 @@
 
 func (f *Follower) failed(ctx context.Context, err error) {
 	if errorx.IsOfType(err, ErrCompacted) {
+		event.HistoryGone.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.Int64("position", f.position))
 		f.position = 0
 		return
 	}
@@ -122,14 +124,15 @@
 		}
 	}
 	f.position = revision
+	event.KeysRead.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.Int("keys", len(items)), slog.Int64("revision", revision))
 	f.Settled()
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, f.watchWait()+watchSlack)
+	callCtx, cancel := context.WithTimeout(ctx, f.wait()+watchSlack)
 	defer cancel()
-	events, revision, err := f.Store.Watch(callCtx, f.Prefix, f.position, f.watchWait())
+	events, revision, err := f.Store.Watch(callCtx, f.Prefix, f.position, f.wait())
 	if err != nil {
 		return err
 	}
@@ -144,12 +147,12 @@
 	return nil
 }
 
-// watchWait is short while the store is failing, so that its return is seen.
-func (f *Follower) watchWait() time.Duration {
+// wait is short while the store is failing, so that its return is seen.
+func (f *Follower) wait() time.Duration {
 	if f.failing {
 		return time.Millisecond
 	}
-	return DefaultWatchWait
+	return watchWait
 }
 
 func (f *Follower) apply(e Event) {
