Make fewer store calls and connections; believe missed pings of a node without key

A power loss of the owner took 2.3 s to be believed. Change: watches gather for 300 and 40 ms, writes of groups for 250 ms until the trainer's target is reached, ended submissions are read from their owner, moves only in a step's last third and from engines slow for 250 ms.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -62,6 +62,8 @@
 	goneAt time.Time
 	// refused: nothing listens at its address any more.
 	refused bool
+	// missed counts the pings in a row that it did not answer.
+	missed int
 	// answeredAt is when it last answered a ping.
 	answeredAt time.Time
 }
--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -23,6 +23,9 @@
 	// dead, unless it answers: after an outage of the store it writes it again.
 	goneGrace   = 700 * time.Millisecond
 	pingTimeout = 400 * time.Millisecond
+	// missesToBelieve is how many pings in a row must miss for a node whose key
+	// is gone to count as dead at once.
+	missesToBelieve = 2
 	takeTimeout = time.Second
 )
 
@@ -118,6 +121,9 @@
 	if m.goneAt.IsZero() {
 		return false
 	}
+	if m.missed >= missesToBelieve {
+		return true
+	}
 	since := m.goneAt
 	if m.answeredAt.After(since) {
 		since = m.answeredAt
@@ -164,9 +170,10 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if err == nil && incarnation == m.node.Incarnation {
-			m.answeredAt = c.now()
+			m.answeredAt, m.missed = c.now(), 0
 			return
 		}
+		m.missed++
 		if (refused || err == nil) && !m.refused {
 			m.refused = true
 			event.PeerDead.Log(ctx, c.options.Logger, slog.String("node", m.node.Name), slog.Int64("incarnation", m.node.Incarnation))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -17,9 +17,12 @@
 	"github.com/comfreyfront/comfreyfront/platform"
 )
 
-// gatherEndpoints is how long changes of endpoints are gathered before the next
-// watch, which saves calls.
-const gatherEndpoints = 100 * time.Millisecond
+// How long changes are gathered before the next watch, which saves calls. Both
+// stay far under the bounds for draining endpoints and dead nodes.
+const (
+	gatherEndpoints = 300 * time.Millisecond
+	gatherCluster   = 40 * time.Millisecond
+)
 
 // followers returns what keeps the node up to date with the store.
 func (n *Node) followers() []*metastore.Follower {
@@ -28,7 +31,7 @@
 		{Store: n.store, Prefix: platform.KeyEndpoints, Logger: n.logger, Gather: gatherEndpoints,
 			Changed: n.endpointChanged, Settled: n.endpointsSettled,
 			Lost: func(error) { n.directory.StoreLost() }, Regained: n.directory.StoreRegained},
-		{Store: n.store, Prefix: cluster.Prefix, Logger: n.logger, Changed: n.cluster.Changed, Settled: n.cluster.Settled},
+		{Store: n.store, Prefix: cluster.Prefix, Logger: n.logger, Gather: gatherCluster, Changed: n.cluster.Changed, Settled: n.cluster.Settled},
 	}
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -29,7 +29,7 @@
 // Defaults and bounds of a node's settings.
 const (
 	defaultGrace      = 8 * time.Second
-	defaultLeaseTTL   = 1500 * time.Millisecond
+	defaultLeaseTTL   = 1200 * time.Millisecond
 	defaultStatusLife = 2 * time.Minute
 	defaultMemoryMB   = 256
 	leastMemoryMB     = 32
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -78,6 +78,8 @@
 	startedAt time.Time
 	lastEvent time.Time
 	events    int
+	// slowSince is when its engine was first found slow; zero when it is not.
+	slowSince time.Time
 	// moved: the owner ended it, so that it goes on elsewhere.
 	moved bool
 }
@@ -121,6 +123,8 @@
 	batch   int
 	ready   []*item
 	left    map[string]int // unfinished items by group
+	// completedAt is when groups became complete.
+	completedAt map[string]time.Time
 	writing bool
 	ended   bool
 	endedAt time.Time
@@ -135,18 +139,25 @@
 	return "item/" + record.GetId()
 }
 
-// flushAfter is how long results of an incomplete group may wait for the rest
-// of it before they are written.
-const flushAfter = time.Second
+// Times for which results may wait to share a write.
+const (
+	// flushAfter is for results of an incomplete group, which nobody waits for:
+	// they are written so that a new owner need not make them again.
+	flushAfter = 2 * time.Second
+	// gatherGroups is for complete groups while the trainer waits for more.
+	gatherGroups = 250 * time.Millisecond
+)
 
-// due returns the results to write now: those of complete groups, and all when
-// one has waited for long.
+// due returns the results to write now: those of complete groups once the
+// trainer's target is reached or they have waited, and all when one has waited
+// for long.
 func (o *open) due(now time.Time) []*item {
 	if o.ended || len(o.ready) == 0 {
 		return nil
 	}
 	all := now.Sub(o.ready[0].readyAt) >= flushAfter
 	var due []*item
+	var oldest time.Time
 	bytes := 0
 	for _, i := range o.ready {
 		if !all && o.left[groupOf(i.record)] > 0 {
@@ -157,10 +168,32 @@
 			break
 		}
 		due = append(due, i)
+		if at := o.completedAt[groupOf(i.record)]; !at.IsZero() && (oldest.IsZero() || at.Before(oldest)) {
+			oldest = at
+		}
+	}
+	if !all && !o.enough() && now.Sub(oldest) < gatherGroups {
+		return nil
 	}
 	return due
 }
 
+// enough reports whether the groups that the trainer waits for are complete.
+func (o *open) enough() bool {
+	return o.complete() >= int(o.record.GetTargetGroups())
+}
+
+// complete returns the number of complete groups.
+func (o *open) complete() int {
+	n := 0
+	for _, left := range o.left {
+		if left == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // show adds results that last in the store now.
 func (o *open) show(results []*recordpb.Result) {
 	o.listed = append(o.listed, results...)
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -67,7 +67,7 @@
 	// orphanLife is how long texts of an ended submission are kept for the next.
 	orphanLife = 8 * time.Second
 	// endedLife is how long the results of an ended submission stay in memory.
-	endedLife = 20 * time.Second
+	endedLife = 60 * time.Second
 )
 
 // Run places items, moves slow ones and lists results until ctx ends or the
@@ -116,7 +116,7 @@
 	if _, known := o.submissions[id]; known {
 		return
 	}
-	s := &open{id: id, head: h, record: record, listed: listed, batch: batches, left: map[string]int{}, changed: make(chan struct{})}
+	s := &open{id: id, head: h, record: record, listed: listed, batch: batches, left: map[string]int{}, completedAt: map[string]time.Time{}, changed: make(chan struct{})}
 	o.submissions[id] = s
 	done := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
@@ -125,6 +125,7 @@
 	carried := 0
 	for _, one := range record.GetItems() {
 		if _, is := done[one.GetId()]; is {
+			s.left[groupOf(one)] += 0 // the group counts, also when all of it is listed
 			continue
 		}
 		s.left[groupOf(one)]++
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -22,9 +22,12 @@
 	stallLeast = 350 * time.Millisecond
 	stallPaces = 8
 	firstStall = 800 * time.Millisecond
-	// settleTime is how long a run stays where it is before it may be moved for
-	// speed.
-	settleTime = 200 * time.Millisecond
+	// slowPatience is how long an engine must have been slow before runs leave
+	// it: a move costs a connection, and most neighbours slow it only briefly.
+	slowPatience = 250 * time.Millisecond
+	// tailShare is the share of a submission's items at which the rest decides
+	// when it is complete.
+	tailShare = 0.35
 	// breakPause is the pause after runs that broke without an event; it
 	// doubles with each.
 	breakPause  = 50 * time.Millisecond
@@ -261,7 +264,14 @@
 	if now.Sub(r.lastEvent) > limit {
 		return "stalled"
 	}
-	if now.Sub(r.startedAt) < settleTime || !engines.slow(r.endpoint) {
+	if !engines.slow(r.endpoint) {
+		r.slowSince = time.Time{}
+		return ""
+	}
+	if r.slowSince.IsZero() {
+		r.slowSince = now
+	}
+	if now.Sub(r.slowSince) < slowPatience || !o.tail(i.of) {
 		return ""
 	}
 	if _, ok := engines.better(r.endpoint, n); ok {
@@ -270,6 +280,16 @@
 	return ""
 }
 
+// tail reports whether the items that are left decide when their submission is
+// complete: then it is worth a move that one of them ends sooner.
+func (o *Owner) tail(s *open) bool {
+	left := 0
+	for _, n := range s.left {
+		left += n
+	}
+	return float64(left) <= tailShare*float64(s.head.Total)
+}
+
 // complete gives an item its result; o.mu is held.
 func (o *Owner) complete(i *item, score string) {
 	i.score = score
@@ -287,7 +307,11 @@
 
 // finish hands a result to be listed; o.mu is held.
 func (o *Owner) finish(i *item) {
-	i.of.left[groupOf(i.record)]--
+	group := groupOf(i.record)
+	i.of.left[group]--
+	if i.of.left[group] == 0 {
+		i.of.completedAt[group] = time.Now()
+	}
 	i.of.ready = append(i.of.ready, i)
 }
 
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -329,7 +329,7 @@
 	if results, known := s.readOwned(ctx, h, id, after, patience); known {
 		return h.Total, results, nil
 	}
-	results, _, err := s.results(ctx, id)
+	results, err := s.lasting(ctx, id, h)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -339,6 +339,16 @@
 	return h.Total, results[after:], nil
 }
 
+// lasting returns the results that last, from memory where none can come any
+// more.
+func (s *Service) lasting(ctx context.Context, id string, h head) ([]*recordpb.Result, error) {
+	if known := s.copyOf(id); len(known.results) == h.Total {
+		return known.results, nil
+	}
+	results, _, err := s.results(ctx, id)
+	return results, err
+}
+
 // readOwned reads from the submission's owner, here or on another node.
 func (s *Service) readOwned(ctx context.Context, h head, id string, after int, patience time.Duration) ([]*recordpb.Result, bool) {
 	s.mu.Lock()
@@ -351,7 +361,7 @@
 		return results, known
 	}
 	node, _, alive := s.options.Cluster.Owner(h.Unit)
-	if !alive || h.Ended {
+	if !alive {
 		return nil, false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, patience+readSlack)
