--- a/cmd/standin/endpoint.go
+++ b/cmd/standin/endpoint.go
@@ -9,7 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/standin/engine"
 	"github.com/comfreyfront/comfreyfront/internal/standin/service"
 	"github.com/comfreyfront/comfreyfront/internal/standin/weightstore"
@@ -40,7 +40,7 @@
 			return err
 		}
 		defer server.Close()
-		r.instance.Kind, r.instance.Serves, r.instance.ChecksFence = platform.KindEngine, options.Model, options.ChecksFence
+		r.instance.Kind, r.instance.Serves, r.instance.ChecksFence = keyvalue.KindEngine, options.Model, options.ChecksFence
 		return l.serve(ctx, standin{
 			handler:  server.Handler(),
 			control:  server.Control(),
@@ -102,7 +102,7 @@
 		if err != nil {
 			return err
 		}
-		r.instance.Kind = platform.KindService
+		r.instance.Kind = keyvalue.KindService
 		return l.serve(ctx, standin{
 			handler:  server.Handler(),
 			control:  server.Control(),
--- a/cmd/standin/register.go
+++ b/cmd/standin/register.go
@@ -10,7 +10,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/standin/list"
 )
 
@@ -22,7 +22,7 @@
 // registration keeps an endpoint on the instance list.
 type registration struct {
 	listControl string
-	instance    platform.Instance
+	instance    keyvalue.Instance
 }
 
 func (r *registration) flags(sub *flaggy.Subcommand) {
--- a/internal/claim/alternatives/percall.go
+++ b/internal/claim/alternatives/percall.go
@@ -11,13 +11,13 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/claim"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // PerCall writes one key of the platform's service for each claim and writes it
 // again for each ending.
 type PerCall struct {
-	Store platform.Store
+	Store keyvalue.Store
 }
 
 var _ claim.Claimer = PerCall{}
@@ -39,21 +39,21 @@
 	key := perCallPrefix + hex.EncodeToString(request.Key[:])
 	data := encode(claim.Running, request.Fingerprint, request.Claimant)
 	value, err := p.Store.CompareAndSwap(ctx, key, 0, data, 0)
-	if errorx.IsOfType(err, platform.ErrOutcomeUnknown) {
+	if errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown) {
 		value, err = p.Store.CompareAndSwap(ctx, key, 0, data, 0)
 	}
 	grant := claim.Grant{Key: request.Key, Claimant: request.Claimant}
 	switch {
-	case err == nil || errorx.IsOfType(err, platform.ErrConflict) && string(value.Data) == string(data):
+	case err == nil || errorx.IsOfType(err, keyvalue.ErrConflict) && string(value.Data) == string(data):
 		grant.Verdict, grant.Epoch = claim.Granted, value.Revision
 		return grant, nil
-	case errorx.IsOfType(err, platform.ErrConflict) && len(value.Data) >= headerSize:
+	case errorx.IsOfType(err, keyvalue.ErrConflict) && len(value.Data) >= headerSize:
 		return p.judge(ctx, request, value)
 	}
 	return claim.Grant{}, claim.ErrUnavailable.Wrap(err, "claim")
 }
 
-func (p PerCall) judge(ctx context.Context, request claim.Request, value platform.Value) (claim.Grant, error) {
+func (p PerCall) judge(ctx context.Context, request claim.Request, value keyvalue.Value) (claim.Grant, error) {
 	grant := claim.Grant{Key: request.Key, Claimant: request.Claimant}
 	state := claim.State(value.Data[0])
 	if claim.Fingerprint(binary.BigEndian.Uint64(value.Data[stateSize:headerSize])) != request.Fingerprint {
--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreyfront/comfreyfront/internal/claim/claimpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 func numberedKey(n uint64) Key {
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -11,7 +11,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/claim/claimpb"
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // commitBurst is the number of writes that may follow each other at once after
@@ -141,7 +141,7 @@
 // soon as it is in doubt, all that wait are told that they did not get a claim.
 func (p *partition) writeThrough(ctx context.Context, encoded []byte) error {
 	err := p.tryWrite(ctx, encoded)
-	if errorx.IsOfType(err, platform.ErrOutcomeUnknown) {
+	if errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown) {
 		err = p.tryWrite(ctx, encoded)
 	}
 	for err != nil {
--- a/internal/claim/fencing_test.go
+++ b/internal/claim/fencing_test.go
@@ -10,12 +10,12 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // opened starts a partition against a store and returns it with its end.
-func opened(t *testing.T, store platform.Store, epoch int64, options Options) (*partition, func()) {
+func opened(t *testing.T, store keyvalue.Store, epoch int64, options Options) (*partition, func()) {
 	t.Helper()
 	p, err := openPartition(context.Background(), store, 0, epoch, options.withDefaults(), quiet, nil)
 	require.NoError(t, err)
@@ -117,4 +117,4 @@
 	})
 }
 
-func storedValue(data []byte) platform.Value { return platform.Value{Key: "stored", Data: data} }
+func storedValue(data []byte) keyvalue.Value { return keyvalue.Value{Key: "stored", Data: data} }
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // fleet is a few entries that share a store and call each other over links on
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreyfront/comfreyfront/internal/claim/claimpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 const (
@@ -33,7 +33,7 @@
 // so an owner that has been replaced cannot commit. It is not safe for
 // concurrent use.
 type commitLog struct {
-	store       platform.Store
+	store       keyvalue.Store
 	partition   uint32
 	epoch       int64
 	writer      uint64
@@ -58,7 +58,7 @@
 	defer cancel()
 	slot := l.next % ringSlots
 	value, err := l.store.CompareAndSwap(ctx, l.slotKey(l.next), l.revisions[slot], encoded, 0)
-	if errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, keyvalue.ErrConflict) {
 		err = l.recognise(value)
 	}
 	if err != nil {
@@ -71,7 +71,7 @@
 
 // recognise finds out whether the value that was in the way is an earlier try
 // of the same write.
-func (l *commitLog) recognise(value platform.Value) error {
+func (l *commitLog) recognise(value keyvalue.Value) error {
 	group, err := decodeGroup(value)
 	if err != nil {
 		return err
@@ -161,7 +161,7 @@
 	}
 	l.next = seal.GetSequence()
 	err = l.write(ctx, encoded)
-	if errorx.IsOfType(err, platform.ErrOutcomeUnknown) {
+	if errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown) {
 		err = l.write(ctx, encoded)
 	}
 	if errorx.IsOfType(err, ErrFenced) {
@@ -194,7 +194,7 @@
 	return groups, nil
 }
 
-func decodeGroup(value platform.Value) (*claimpb.Group, error) {
+func decodeGroup(value keyvalue.Value) (*claimpb.Group, error) {
 	group := &claimpb.Group{}
 	if err := proto.Unmarshal(value.Data, group); err != nil {
 		return nil, ErrCorrupt.Wrap(err, "group in %q", value.Key)
--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -12,7 +12,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/claim/claimpb"
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // withdrawnLimit is the number of claimants remembered that gave their claim
@@ -69,7 +69,7 @@
 }
 
 // openPartition takes a partition's log over and reads the window back.
-func openPartition(ctx context.Context, store platform.Store, number uint32, epoch int64, options Options, logger *slog.Logger, m *metrics) (*partition, error) {
+func openPartition(ctx context.Context, store keyvalue.Store, number uint32, epoch int64, options Options, logger *slog.Logger, m *metrics) (*partition, error) {
 	started := time.Now()
 	p := &partition{
 		number: number, epoch: epoch, options: options, logger: logger, metrics: m,
--- a/internal/claim/router_test.go
+++ b/internal/claim/router_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // scriptedOwner answers from a script and notes what it was asked.
--- a/internal/claim/segment.go
+++ b/internal/claim/segment.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreyfront/comfreyfront/internal/claim/claimpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // segmentsPerBlock is the number of segments that are read in one call.
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.callTimeout)
 	defer cancel()
 	_, err = l.store.CompareAndSwap(ctx, l.segmentKey(segment.GetIndex()), 0, encoded, 0)
-	if errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, keyvalue.ErrConflict) {
 		return nil
 	}
 	return err
@@ -130,14 +130,14 @@
 	ctx, cancel := context.WithTimeout(ctx, l.callTimeout)
 	defer cancel()
 	value, err := l.store.Get(ctx, l.segmentKey(index))
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	err = l.store.Delete(ctx, value.Key, value.Revision)
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return nil
 	}
 	return err
@@ -167,7 +167,7 @@
 	return nil
 }
 
-func (l *commitLog) listBlock(ctx context.Context, index uint64) ([]platform.Value, error) {
+func (l *commitLog) listBlock(ctx context.Context, index uint64) ([]keyvalue.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.callTimeout)
 	defer cancel()
 	values, _, err := l.store.List(ctx, l.blockPrefix(index))
--- a/internal/claim/server.go
+++ b/internal/claim/server.go
@@ -12,13 +12,13 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Server decides on the claims of the partitions that its entry owns. Claim
 // and Settle are the methods of peerpb.Peer. It is safe for concurrent use.
 type Server struct {
-	store   platform.Store
+	store   keyvalue.Store
 	owner   ownership.Owner
 	options Options
 	logger  *slog.Logger
@@ -48,7 +48,7 @@
 }
 
 // NewServer returns a Server. Run must run; registerer may be nil.
-func NewServer(store platform.Store, owner ownership.Owner, options Options, logger *slog.Logger, registerer prometheus.Registerer) *Server {
+func NewServer(store keyvalue.Store, owner ownership.Owner, options Options, logger *slog.Logger, registerer prometheus.Registerer) *Server {
 	life, end := context.WithCancel(context.Background())
 	s := &Server{
 		store: store, owner: owner, options: options.withDefaults(), logger: logger,
--- a/internal/claim/window_test.go
+++ b/internal/claim/window_test.go
@@ -10,8 +10,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // claimEach claims keys one group at a time.
@@ -93,7 +93,7 @@
 		p, end := opened(t, store, 1, Options{})
 		store.Intercept(func(_ context.Context, op memstore.Operation, key string) error {
 			if op == memstore.OpCompareAndSwap && strings.Contains(key, "/segment/") {
-				return platform.ErrUnavailable.New("no segments")
+				return keyvalue.ErrUnavailable.New("no segments")
 			}
 			return nil
 		})
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -7,7 +7,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/joomcode/errorx"
 )
 
@@ -44,13 +44,13 @@
 
 // Store reads and changes the class document.
 type Store struct {
-	platform platform.Store
+	platform keyvalue.Store
 	options  Options
 	logger   *slog.Logger
 }
 
 // NewStore returns a Store on the platform's service.
-func NewStore(store platform.Store, options Options, logger *slog.Logger) *Store {
+func NewStore(store keyvalue.Store, options Options, logger *slog.Logger) *Store {
 	return &Store{platform: store, options: options.withDefaults(), logger: logger}
 }
 
@@ -62,8 +62,8 @@
 }
 
 func (s *Store) read(ctx context.Context) (*Record, int64, error) {
-	value, err := s.platform.Get(ctx, Key)
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	value, err := s.keyvalue.Get(ctx, Key)
+	if errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return &Record{Document: &class.Document{}}, 0, nil
 	}
 	if err != nil {
@@ -160,13 +160,13 @@
 
 func (a *application) write(ctx context.Context, record *Record, storeRevision int64) (Result, bool, error) {
 	next := record.with(a.change, a.store.options.Now())
-	_, err := a.store.platform.CompareAndSwap(ctx, Key, storeRevision, Encode(next), 0)
+	_, err := a.store.keyvalue.CompareAndSwap(ctx, Key, storeRevision, Encode(next), 0)
 	switch {
 	case err == nil:
 		return Result{Record: next, Entry: next.History[len(next.History)-1]}, true, nil
-	case errorx.IsOfType(err, platform.ErrConflict):
+	case errorx.IsOfType(err, keyvalue.ErrConflict):
 		return Result{}, false, err // the next attempt reads who won
-	case errorx.IsOfType(err, platform.ErrUnavailable):
+	case errorx.IsOfType(err, keyvalue.ErrUnavailable):
 		return Result{}, !a.sent, ErrUnavailable.New("write the class document: %v", err)
 	default:
 		a.sent = true
--- a/internal/config/apply_test.go
+++ b/internal/config/apply_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/class"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -127,7 +127,7 @@
 
 // faultyStore loses, drops and delays writes by a drawn plan.
 type faultyStore struct {
-	platform.Store
+	keyvalue.Store
 	mu      sync.Mutex
 	plan    []int
 	delayed []func()
@@ -144,23 +144,23 @@
 	return fault
 }
 
-func (f *faultyStore) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, lease platform.LeaseID) (platform.Value, error) {
-	write := func() (platform.Value, error) {
+func (f *faultyStore) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, lease keyvalue.LeaseID) (keyvalue.Value, error) {
+	write := func() (keyvalue.Value, error) {
 		return f.Store.CompareAndSwap(context.Background(), key, expect, data, lease)
 	}
 	switch f.next() {
 	case 1: // the reply is lost
 		_, _ = write()
-		return platform.Value{}, platform.ErrOutcomeUnknown.New("lost")
+		return keyvalue.Value{}, keyvalue.ErrOutcomeUnknown.New("lost")
 	case 2: // the write is lost
-		return platform.Value{}, platform.ErrOutcomeUnknown.New("dropped")
+		return keyvalue.Value{}, keyvalue.ErrOutcomeUnknown.New("dropped")
 	case 3: // the write arrives later
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.delayed = append(f.delayed, func() { _, _ = write() })
-		return platform.Value{}, platform.ErrOutcomeUnknown.New("delayed")
+		return keyvalue.Value{}, keyvalue.ErrOutcomeUnknown.New("delayed")
 	case 4:
-		return platform.Value{}, platform.ErrUnavailable.New("down")
+		return keyvalue.Value{}, keyvalue.ErrUnavailable.New("down")
 	}
 	return write()
 }
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // fleetShape is a size of the fleet as one entry meets it.
@@ -40,11 +40,11 @@
 	return m
 }
 
-func benchInstances(count int) []platform.Instance {
-	instances := make([]platform.Instance, count)
+func benchInstances(count int) []keyvalue.Instance {
+	instances := make([]keyvalue.Instance, count)
 	for i := range instances {
 		id := fmt.Sprintf("replica-%05d", i)
-		instances[i] = platform.Instance{ID: id, Kind: platform.KindEngine, Address: fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250), FailureDomain: fmt.Sprint("domain-", i%benchDomains), Region: "greece", Serves: fmt.Sprint("model-", i%benchModels)}
+		instances[i] = keyvalue.Instance{ID: id, Kind: keyvalue.KindEngine, Address: fmt.Sprintf("10.%d.%d.1:8000", i/250, i%250), FailureDomain: fmt.Sprint("domain-", i%benchDomains), Region: "greece", Serves: fmt.Sprint("model-", i%benchModels)}
 	}
 	return instances
 }
--- a/internal/control/endpoint_test.go
+++ b/internal/control/endpoint_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
@@ -18,9 +18,9 @@
 // leaveTime is the time within which a leaving endpoint gets no new work.
 const leaveTime = 3 * time.Second
 
-func replica(i int) platform.Instance {
+func replica(i int) keyvalue.Instance {
 	id := fmt.Sprint("replica", i)
-	return platform.Instance{ID: id, Kind: platform.KindEngine, Address: id, FailureDomain: "larissa", Region: "greece", Serves: "drafts"}
+	return keyvalue.Instance{ID: id, Kind: keyvalue.KindEngine, Address: id, FailureDomain: "larissa", Region: "greece", Serves: "drafts"}
 }
 
 func (f *fleet) replicas(n int) {
@@ -33,7 +33,7 @@
 
 func (f *fleet) unlist(id string) {
 	f.with(func() {
-		var kept []platform.Instance
+		var kept []keyvalue.Instance
 		for _, instance := range f.instances {
 			if instance.ID != id {
 				kept = append(kept, instance)
@@ -134,7 +134,7 @@
 		m := f.start("entry0", f.memory)
 		elapse(3 * time.Second)
 		live := find(m, "replica0").Live
-		f.with(func() { f.listErr = platform.ErrUnavailable.New("down") })
+		f.with(func() { f.listErr = keyvalue.ErrUnavailable.New("down") })
 		elapse(time.Minute)
 		require.Len(t, m.Snapshots().Load().Endpoints["drafts"], 3)
 		f.with(func() { f.listErr = nil })
@@ -283,7 +283,7 @@
 	}
 	groups := newEntryGroups(names)
 	for i := range domains * endpointsOfDomain {
-		instance := platform.Instance{ID: fmt.Sprint("replica", i), FailureDomain: fmt.Sprint("domain", i%domains)}
+		instance := keyvalue.Instance{ID: fmt.Sprint("replica", i), FailureDomain: fmt.Sprint("domain", i%domains)}
 		followed := 0
 		for _, name := range names {
 			if groups.among(name.id, instance, followers) {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -14,8 +14,8 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
@@ -34,7 +34,7 @@
 	managers  map[string]*Manager // by address
 	stops     map[string]context.CancelFunc
 	cut       map[string]bool // addresses nobody reaches, and links "a-b"
-	instances []platform.Instance
+	instances []keyvalue.Instance
 	listErr   error
 	reports   map[string]engine.LoadReport // by address
 	silent    map[string]bool
@@ -55,10 +55,10 @@
 	change()
 }
 
-func (f *fleet) Instances(context.Context) ([]platform.Instance, error) {
+func (f *fleet) Instances(context.Context) ([]keyvalue.Instance, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]platform.Instance(nil), f.instances...), f.listErr
+	return append([]keyvalue.Instance(nil), f.instances...), f.listErr
 }
 
 func (f *fleet) Load(_ context.Context, address string) (engine.LoadReport, error) {
@@ -91,7 +91,7 @@
 	return proto.Clone(reply).(*peerpb.News), nil
 }
 
-func (f *fleet) options(id string, store platform.Store) Options {
+func (f *fleet) options(id string, store keyvalue.Store) Options {
 	return Options{
 		ID: id, Address: id, FailureDomain: "larissa", Region: "greece",
 		Config: config.NewStore(store, config.Options{}, slog.New(slog.DiscardHandler)),
@@ -100,7 +100,7 @@
 }
 
 // start runs an entry with the usual options.
-func (f *fleet) start(id string, store platform.Store) *Manager {
+func (f *fleet) start(id string, store keyvalue.Store) *Manager {
 	return f.run(New(f.options(id, store), slog.New(slog.DiscardHandler), nil))
 }
 
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.mu.Lock()
 	f.managers[id], f.stops[id] = m, cancel
-	f.instances = append(f.instances, platform.Instance{ID: id, Kind: platform.KindEntry, Address: id})
+	f.instances = append(f.instances, keyvalue.Instance{ID: id, Kind: keyvalue.KindEntry, Address: id})
 	f.mu.Unlock()
 	f.group.Go(func() { _ = m.Run(ctx) })
 	return m
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // hashOf is the hash of a name.
@@ -89,7 +89,7 @@
 }
 
 // among reports whether an entry is one of the first by weight for an endpoint.
-func (g entryGroups) among(id string, instance platform.Instance, first int) bool {
+func (g entryGroups) among(id string, instance keyvalue.Instance, first int) bool {
 	candidates := g.byDomain[instance.FailureDomain]
 	if len(candidates) < first {
 		candidates = g.all
--- a/internal/control/judge.go
+++ b/internal/control/judge.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 )
 
@@ -48,7 +48,7 @@
 
 // nanosOf is the time per token of an engine, per call of a service.
 func nanosOf(t *tracked) int64 {
-	if t.instance.Kind == platform.KindService {
+	if t.instance.Kind == keyvalue.KindService {
 		return t.live.CallNanos.Load()
 	}
 	return t.live.TokenNanos.Load()
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -8,14 +8,14 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // tracked is what the control goroutine knows of one endpoint.
 type tracked struct {
-	instance platform.Instance
+	instance keyvalue.Instance
 	live     *endpoint.Live
 	followed bool
 	// listed: the last list held it.
@@ -62,7 +62,7 @@
 
 // listed is one reading of the list of instances.
 type listed struct {
-	instances []platform.Instance
+	instances []keyvalue.Instance
 	err       error
 }
 
@@ -95,8 +95,8 @@
 	}
 }
 
-func (m *Manager) takeInstance(now time.Time, instance platform.Instance) {
-	if instance.Kind == platform.KindEntry {
+func (m *Manager) takeInstance(now time.Time, instance keyvalue.Instance) {
+	if instance.Kind == keyvalue.KindEntry {
 		if instance.ID != m.options.ID && !instance.Leaving {
 			m.entries[instance.ID] = instance
 		}
--- a/internal/control/loopback_bench_test.go
+++ b/internal/control/loopback_bench_test.go
@@ -18,17 +18,17 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // loopback is a number of entries in one process that talk over loopback.
 type loopback struct {
-	instances []platform.Instance
+	instances []keyvalue.Instance
 	bytes     atomic.Int64 // sent and received by the entries' clients
 }
 
-func (l *loopback) Instances(context.Context) ([]platform.Instance, error) {
+func (l *loopback) Instances(context.Context) ([]keyvalue.Instance, error) {
 	return l.instances, nil
 }
 
@@ -69,7 +69,7 @@
 }
 
 // entry starts one entry; the server's address is its own.
-func (l *loopback) entry(ctx context.Context, b *testing.B, i int, store platform.Store, loads LoadReader, group *sync.WaitGroup) {
+func (l *loopback) entry(ctx context.Context, b *testing.B, i int, store keyvalue.Store, loads LoadReader, group *sync.WaitGroup) {
 	server := httptest.NewUnstartedServer(nil)
 	address := server.Listener.Addr().String()
 	id := fmt.Sprintf("entry-%03d", i)
@@ -81,7 +81,7 @@
 	server.Config.Handler = peerpb.NewPeerServer(peerHandler{manager: m})
 	server.Start()
 	b.Cleanup(server.Close)
-	l.instances = append(l.instances, platform.Instance{ID: id, Kind: platform.KindEntry, Address: address})
+	l.instances = append(l.instances, keyvalue.Instance{ID: id, Kind: keyvalue.KindEntry, Address: address})
 	group.Go(func() { _ = m.Run(ctx) })
 }
 
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -9,7 +9,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 )
@@ -35,7 +35,7 @@
 	classes    *class.Document
 	endpoints  map[string]*tracked
 	following  []*tracked                   // the followed endpoints by ID
-	entries    map[string]platform.Instance // entries of the list, but this one
+	entries    map[string]keyvalue.Instance // entries of the list, but this one
 	judges     map[string]Judge
 	random     *rand.Rand
 	lastWake   time.Time
@@ -85,7 +85,7 @@
 		stopped:      make(chan struct{}),
 		classes:      &class.Document{},
 		endpoints:    map[string]*tracked{},
-		entries:      map[string]platform.Instance{},
+		entries:      map[string]keyvalue.Instance{},
 		judges:       map[string]Judge{},
 		random:       rand.New(rand.NewPCG(uint64(options.Incarnation), hashOf(options.ID))),
 		running:      map[string]bool{},
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -7,7 +7,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/config"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 )
 
@@ -35,7 +35,7 @@
 	// Config keeps the class document.
 	Config *config.Store
 	// List is the platform's list of instances.
-	List platform.InstanceList
+	List keyvalue.InstanceList
 	// Peers calls other entries.
 	Peers exchange.Caller
 	// Loads reads load reports.
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -9,7 +9,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // publish makes a snapshot of the control state. Parts that did not change are
@@ -149,8 +149,8 @@
 	}
 }
 
-func kindOf(kind platform.InstanceKind) endpoint.Kind {
-	if kind == platform.KindService {
+func kindOf(kind keyvalue.InstanceKind) endpoint.Kind {
+	if kind == keyvalue.KindService {
 		return endpoint.Service
 	}
 	return endpoint.Engine
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -21,9 +21,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/kvclient"
-	"github.com/comfreyfront/comfreyfront/internal/platform/listclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/listclient"
 	"github.com/comfreyfront/comfreyfront/internal/policy"
 	"github.com/comfreyfront/comfreyfront/internal/policy/adaptive"
 	"github.com/comfreyfront/comfreyfront/internal/policy/naive"
@@ -56,7 +56,7 @@
 	logger     *slog.Logger
 	registry   *prometheus.Registry
 	snapshots  *control.Snapshots
-	store      platform.Store
+	store      keyvalue.Store
 	dialer     *dialer
 	peerClient *http.Client
 	metrics    *metrics.Traffic
--- a/internal/platform/platform.go
+++ b/internal/keyvalue/keyvalue.go
@@ -1,6 +1,6 @@
-// Package platform holds the ports to the platform's services: the key-value
+// Package keyvalue holds the ports to the platform's services: the key-value
 // service and the instance list. Adapters live in sub-packages.
-package platform
+package keyvalue
 
 import (
 	"context"
@@ -88,7 +88,7 @@
 
 // Errors of the platform layer.
 var (
-	Errors = errorx.NewNamespace("platform")
+	Errors = errorx.NewNamespace("keyvalue")
 	// ErrNotFound: the key does not exist.
 	ErrNotFound = Errors.NewType("not_found", errorx.NotFound())
 	// ErrConflict: the compare-and-swap found another revision.
--- a/internal/platform/kvclient/client.go
+++ b/internal/keyvalue/kvclient/client.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Defaults of Options.
@@ -39,13 +39,13 @@
 	Transport http.RoundTripper
 }
 
-// Client is a platform.Store over HTTP. It repeats no call by itself.
+// Client is a keyvalue.Store over HTTP. It repeats no call by itself.
 type Client struct {
 	options Options
 	http    *http.Client
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ keyvalue.Store = (*Client)(nil)
 
 // New returns a client.
 func New(options Options) *Client {
@@ -87,7 +87,7 @@
 func (c *Client) do(ctx context.Context, call call) (Failure, error) {
 	encoded, err := json.Marshal(call.body)
 	if err != nil {
-		return Failure{}, platform.ErrUnavailable.Wrap(err, "encode")
+		return Failure{}, keyvalue.ErrUnavailable.Wrap(err, "encode")
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
@@ -95,7 +95,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+c.options.Address+call.path, bytes.NewReader(encoded))
 	if err != nil {
-		return Failure{}, platform.ErrUnavailable.Wrap(err, "address")
+		return Failure{}, keyvalue.ErrUnavailable.Wrap(err, "address")
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderClientID, c.options.ClientID)
@@ -110,9 +110,9 @@
 // lost returns the error of a call that got no whole reply.
 func lost(effect effect, sent bool, err error) error {
 	if effect == write && sent {
-		return platform.ErrOutcomeUnknown.Wrap(err, "no reply to a write")
+		return keyvalue.ErrOutcomeUnknown.Wrap(err, "no reply to a write")
 	}
-	return platform.ErrUnavailable.Wrap(err, "call failed")
+	return keyvalue.ErrUnavailable.Wrap(err, "call failed")
 }
 
 func readReply(resp *http.Response, call call) (Failure, error) {
@@ -132,22 +132,22 @@
 func failureOf(status int, body []byte, effect effect) (Failure, error) {
 	var failure Failure
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		return failure, platform.ErrUnavailable.New("service answered %d", status)
+		return failure, keyvalue.ErrUnavailable.New("service answered %d", status)
 	}
 	if err := json.Unmarshal(body, &failure); err != nil {
 		return failure, lost(effect, true, err)
 	}
 	switch failure.Code {
 	case CodeNotFound:
-		return failure, platform.ErrNotFound.New("%s", failure.Detail)
+		return failure, keyvalue.ErrNotFound.New("%s", failure.Detail)
 	case CodeConflict:
-		return failure, platform.ErrConflict.New("%s", failure.Detail)
+		return failure, keyvalue.ErrConflict.New("%s", failure.Detail)
 	case CodeLeaseLapsed:
-		return failure, platform.ErrLeaseLapsed.New("%s", failure.Detail)
+		return failure, keyvalue.ErrLeaseLapsed.New("%s", failure.Detail)
 	case CodeCompacted:
-		return failure, platform.ErrCompacted.New("%s", failure.Detail)
+		return failure, keyvalue.ErrCompacted.New("%s", failure.Detail)
 	case CodeTooLarge, CodeInvalid:
-		return failure, platform.ErrUnavailable.New("service refused the call as %s: %s", failure.Code, failure.Detail)
+		return failure, keyvalue.ErrUnavailable.New("service refused the call as %s: %s", failure.Code, failure.Detail)
 	}
-	return failure, lost(effect, true, platform.ErrUnavailable.New("service answered %d", status))
+	return failure, lost(effect, true, keyvalue.ErrUnavailable.New("service answered %d", status))
 }
--- a/internal/platform/kvclient/client_test.go
+++ b/internal/keyvalue/kvclient/client_test.go
@@ -12,8 +12,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/kv"
 )
@@ -43,19 +43,19 @@
 	_, client := start(t, kv.Options{})
 	ctx := t.Context()
 	_, err := client.Get(ctx, "k")
-	requireType(t, err, platform.ErrNotFound)
+	requireType(t, err, keyvalue.ErrNotFound)
 	first, err := client.CompareAndSwap(ctx, "k", 0, []byte("one"), 0)
 	require.NoError(t, err)
 	current, err := client.CompareAndSwap(ctx, "k", 0, []byte("two"), 0)
-	requireType(t, err, platform.ErrConflict)
+	requireType(t, err, keyvalue.ErrConflict)
 	require.Equal(t, first, current)
 	second, err := client.CompareAndSwap(ctx, "k", first.Revision, []byte("two"), 0)
 	require.NoError(t, err)
 	require.Equal(t, first.CreateRevision, second.CreateRevision)
 	require.Greater(t, second.Revision, first.Revision)
-	requireType(t, client.Delete(ctx, "k", first.Revision), platform.ErrConflict)
+	requireType(t, client.Delete(ctx, "k", first.Revision), keyvalue.ErrConflict)
 	require.NoError(t, client.Delete(ctx, "k", second.Revision))
-	requireType(t, client.Delete(ctx, "k", second.Revision), platform.ErrNotFound)
+	requireType(t, client.Delete(ctx, "k", second.Revision), keyvalue.ErrNotFound)
 	again, err := client.CompareAndSwap(ctx, "k", 0, nil, 0)
 	require.NoError(t, err)
 	require.Greater(t, again.CreateRevision, second.CreateRevision)
@@ -66,7 +66,7 @@
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, kvclient.MaxValue), 0)
 	require.NoError(t, err)
 	_, err = client.CompareAndSwap(t.Context(), "l", 0, make([]byte, kvclient.MaxValue+1), 0)
-	requireType(t, err, platform.ErrUnavailable)
+	requireType(t, err, keyvalue.ErrUnavailable)
 }
 
 func TestListIsOrderedAndPrefixed(t *testing.T) {
@@ -98,10 +98,10 @@
 	require.NoError(t, err)
 	now = now.Add(time.Second)
 	_, err = client.Get(ctx, "k")
-	requireType(t, err, platform.ErrNotFound)
-	requireType(t, client.KeepAlive(ctx, lease), platform.ErrLeaseLapsed)
+	requireType(t, err, keyvalue.ErrNotFound)
+	requireType(t, client.KeepAlive(ctx, lease), keyvalue.ErrLeaseLapsed)
 	_, err = client.CompareAndSwap(ctx, "l", 0, nil, lease)
-	requireType(t, err, platform.ErrLeaseLapsed)
+	requireType(t, err, keyvalue.ErrLeaseLapsed)
 	changes, _, err := client.Watch(ctx, "k", held.Revision, time.Second)
 	require.NoError(t, err)
 	require.Len(t, changes, 1)
@@ -116,13 +116,13 @@
 	require.NoError(t, err)
 	require.NoError(t, client.Revoke(t.Context(), lease))
 	_, err = client.Get(t.Context(), "k")
-	requireType(t, err, platform.ErrNotFound)
+	requireType(t, err, keyvalue.ErrNotFound)
 }
 
 func TestWatchWaitsForAChange(t *testing.T) {
 	server, client := start(t, kv.Options{})
 	type result struct {
-		changes []platform.Change
+		changes []keyvalue.Change
 		err     error
 	}
 	done := make(chan result, 1)
@@ -149,20 +149,20 @@
 		require.NoError(t, err)
 	}
 	_, _, err := client.Watch(t.Context(), "", 0, time.Second)
-	requireType(t, err, platform.ErrCompacted)
+	requireType(t, err, keyvalue.ErrCompacted)
 	changes, next, err := client.Watch(t.Context(), "", 1, time.Second)
 	require.NoError(t, err)
 	require.Len(t, changes, 2)
 	require.EqualValues(t, 3, next)
 	_, _, err = client.Watch(t.Context(), "", 99, time.Second)
-	requireType(t, err, platform.ErrCompacted)
+	requireType(t, err, keyvalue.ErrCompacted)
 }
 
 func TestLostReplyOfAWriteIsOutcomeUnknownAndTookEffect(t *testing.T) {
 	server, client := start(t, kv.Options{})
 	server.Gate.Set(fault.Fault{LoseReplies: 1})
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, []byte("x"), 0)
-	requireType(t, err, platform.ErrOutcomeUnknown)
+	requireType(t, err, keyvalue.ErrOutcomeUnknown)
 	value, err := client.Get(t.Context(), "k")
 	require.NoError(t, err)
 	require.Equal(t, "x", string(value.Data))
@@ -173,19 +173,19 @@
 	server, client := start(t, kv.Options{})
 	server.Gate.Set(fault.Fault{Down: true})
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-	requireType(t, err, platform.ErrUnavailable)
+	requireType(t, err, keyvalue.ErrUnavailable)
 	server.Gate.Clear()
 	_, err = client.Get(t.Context(), "k")
-	requireType(t, err, platform.ErrNotFound)
+	requireType(t, err, keyvalue.ErrNotFound)
 }
 
 func TestDroppedWriteIsUnknownAndDroppedReadUnavailable(t *testing.T) {
 	server, client := start(t, kv.Options{})
 	server.Gate.Set(fault.Fault{Drop: true})
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-	requireType(t, err, platform.ErrOutcomeUnknown)
+	requireType(t, err, keyvalue.ErrOutcomeUnknown)
 	_, err = client.Get(t.Context(), "k")
-	requireType(t, err, platform.ErrUnavailable)
+	requireType(t, err, keyvalue.ErrUnavailable)
 }
 
 func TestTimeoutOfASentWriteIsUnknown(t *testing.T) {
@@ -199,7 +199,7 @@
 		cancel()
 	}()
 	_, err := client.CompareAndSwap(ctx, "k", 0, nil, 0)
-	requireType(t, err, platform.ErrOutcomeUnknown)
+	requireType(t, err, keyvalue.ErrOutcomeUnknown)
 	server.Gate.Clear()
 }
 
@@ -210,7 +210,7 @@
 	require.NoError(t, listener.Close())
 	client := kvclient.New(kvclient.Options{Address: address})
 	_, err = client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
-	requireType(t, err, platform.ErrUnavailable)
+	requireType(t, err, keyvalue.ErrUnavailable)
 }
 
 func TestGarbledAnswerToAWriteIsUnknown(t *testing.T) {
@@ -219,7 +219,7 @@
 	}))
 	defer listener.Close()
 	_, err := newClient(listener, "a").CompareAndSwap(t.Context(), "k", 0, nil, 0)
-	requireType(t, err, platform.ErrOutcomeUnknown)
+	requireType(t, err, keyvalue.ErrOutcomeUnknown)
 }
 
 func TestFaultOfOneClientSparesOthers(t *testing.T) {
@@ -228,7 +228,7 @@
 	defer listener.Close()
 	server.Gate.Set(fault.Fault{Client: "a", Drop: true})
 	_, err := newClient(listener, "a").Get(t.Context(), "k")
-	requireType(t, err, platform.ErrUnavailable)
+	requireType(t, err, keyvalue.ErrUnavailable)
 	_, err = newClient(listener, "b").Get(t.Context(), "k")
-	requireType(t, err, platform.ErrNotFound)
+	requireType(t, err, keyvalue.ErrNotFound)
 }
--- a/internal/platform/kvclient/protocol.go
+++ b/internal/keyvalue/kvclient/protocol.go
@@ -1,7 +1,7 @@
 package kvclient
 
 import (
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Paths of the key-value service. All calls are POST with a JSON body.
@@ -41,7 +41,7 @@
 	Data           []byte           `json:"data,omitempty"`
 	CreateRevision int64            `json:"create_revision"`
 	Revision       int64            `json:"revision"`
-	Lease          platform.LeaseID `json:"lease,omitempty"`
+	Lease          keyvalue.LeaseID `json:"lease,omitempty"`
 }
 
 // Change is one watched change.
@@ -72,7 +72,7 @@
 	// Expect is the revision that the key must have; zero: it must not exist.
 	Expect int64            `json:"expect"`
 	Data   []byte           `json:"data"`
-	Lease  platform.LeaseID `json:"lease,omitempty"`
+	Lease  keyvalue.LeaseID `json:"lease,omitempty"`
 }
 
 // DeleteRequest is the body of PathDelete.
@@ -88,12 +88,12 @@
 
 // LeaseRequest is the body of PathKeepAlive and PathRevoke.
 type LeaseRequest struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease keyvalue.LeaseID `json:"lease"`
 }
 
 // LeaseReply answers PathGrant.
 type LeaseReply struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease keyvalue.LeaseID `json:"lease"`
 }
 
 // WatchRequest is the body of PathWatch: a long poll.
--- a/internal/platform/kvclient/store.go
+++ b/internal/keyvalue/kvclient/store.go
@@ -4,73 +4,73 @@
 	"context"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 type none struct{}
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Value, error) {
+// Get implements keyvalue.Store.
+func (c *Client) Get(ctx context.Context, key string) (keyvalue.Value, error) {
 	var reply Value
 	_, err := c.do(ctx, c.read(PathGet, KeyRequest{Key: key}, &reply))
-	return platform.Value(reply), err
+	return keyvalue.Value(reply), err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Value, int64, error) {
+// List implements keyvalue.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]keyvalue.Value, int64, error) {
 	var reply ListReply
 	if _, err := c.do(ctx, c.read(PathList, ListRequest{Prefix: prefix}, &reply)); err != nil {
 		return nil, 0, err
 	}
-	values := make([]platform.Value, 0, len(reply.Values))
+	values := make([]keyvalue.Value, 0, len(reply.Values))
 	for _, value := range reply.Values {
-		values = append(values, platform.Value(value))
+		values = append(values, keyvalue.Value(value))
 	}
 	return values, reply.Revision, nil
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, lease platform.LeaseID) (platform.Value, error) {
+// CompareAndSwap implements keyvalue.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, lease keyvalue.LeaseID) (keyvalue.Value, error) {
 	var reply Value
 	request := SwapRequest{Key: key, Expect: expect, Data: data, Lease: lease}
 	failure, err := c.do(ctx, c.write(PathSwap, request, &reply))
 	if err == nil {
-		return platform.Value(reply), nil
+		return keyvalue.Value(reply), nil
 	}
 	if failure.Current != nil {
-		return platform.Value(*failure.Current), err
+		return keyvalue.Value(*failure.Current), err
 	}
-	return platform.Value{}, err
+	return keyvalue.Value{}, err
 }
 
-// Delete implements platform.Store. ErrNotFound when the key does not exist,
+// Delete implements keyvalue.Store. ErrNotFound when the key does not exist,
 // ErrConflict when it has another revision.
 func (c *Client) Delete(ctx context.Context, key string, expect int64) error {
 	_, err := c.do(ctx, c.write(PathDelete, DeleteRequest{Key: key, Expect: expect}, &none{}))
 	return err
 }
 
-// Grant implements platform.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements keyvalue.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
 	var reply LeaseReply
 	_, err := c.do(ctx, c.write(PathGrant, GrantRequest{TTLMillis: ttl.Milliseconds()}, &reply))
 	return reply.Lease, err
 }
 
-// KeepAlive implements platform.Store.
-func (c *Client) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements keyvalue.Store.
+func (c *Client) KeepAlive(ctx context.Context, lease keyvalue.LeaseID) error {
 	_, err := c.do(ctx, c.write(PathKeepAlive, LeaseRequest{Lease: lease}, &none{}))
 	return err
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements keyvalue.Store.
+func (c *Client) Revoke(ctx context.Context, lease keyvalue.LeaseID) error {
 	_, err := c.do(ctx, c.write(PathRevoke, LeaseRequest{Lease: lease}, &none{}))
 	return err
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]platform.Change, int64, error) {
+// Watch implements keyvalue.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]keyvalue.Change, int64, error) {
 	var reply WatchReply
 	request := WatchRequest{Prefix: prefix, From: from, WaitMillis: wait.Milliseconds()}
 	watch := c.read(PathWatch, request, &reply)
@@ -78,9 +78,9 @@
 	if _, err := c.do(ctx, watch); err != nil {
 		return nil, from, err
 	}
-	changes := make([]platform.Change, 0, len(reply.Changes))
+	changes := make([]keyvalue.Change, 0, len(reply.Changes))
 	for _, change := range reply.Changes {
-		changes = append(changes, platform.Change{Value: platform.Value(change.Value), Deleted: change.Deleted})
+		changes = append(changes, keyvalue.Change{Value: keyvalue.Value(change.Value), Deleted: change.Deleted})
 	}
 	return changes, reply.Revision, nil
 }
--- a/internal/platform/listclient/client.go
+++ b/internal/keyvalue/listclient/client.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // PathInstances is the path of the list.
@@ -37,7 +37,7 @@
 type Reply struct {
 	// Instances is the whole list or, with Partial, those that were added or
 	// changed.
-	Instances []platform.Instance `json:"instances"`
+	Instances []keyvalue.Instance `json:"instances"`
 	// Cursor is opaque; empty when the list knows none.
 	Cursor string `json:"cursor,omitempty"`
 	// Partial: the reply tells only what changed since the cursor of the call.
@@ -58,19 +58,19 @@
 	Transport http.RoundTripper
 }
 
-// Client is a platform.InstanceList over HTTP.
+// Client is a keyvalue.InstanceList over HTTP.
 type Client struct {
 	options Options
 	http    *http.Client
 
 	mu     sync.Mutex
 	cursor string
-	known  map[string]platform.Instance
+	known  map[string]keyvalue.Instance
 	// all are the known ones in order of ID; it is never changed.
-	all []platform.Instance
+	all []keyvalue.Instance
 }
 
-var _ platform.InstanceList = (*Client)(nil)
+var _ keyvalue.InstanceList = (*Client)(nil)
 
 // New returns a client.
 func New(options Options) *Client {
@@ -89,8 +89,8 @@
 }
 
 // Instances reads the list, in order of ID; the slice must not be changed. All
-// failures are platform.ErrUnavailable.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
+// failures are keyvalue.ErrUnavailable.
+func (c *Client) Instances(ctx context.Context) ([]keyvalue.Instance, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply, err := c.read(ctx)
@@ -108,7 +108,7 @@
 		return
 	}
 	if !reply.Partial {
-		c.known = make(map[string]platform.Instance, len(reply.Instances))
+		c.known = make(map[string]keyvalue.Instance, len(reply.Instances))
 	}
 	for _, instance := range reply.Instances {
 		c.known[instance.ID] = instance
@@ -116,7 +116,7 @@
 	for _, id := range reply.Removed {
 		delete(c.known, id)
 	}
-	c.all = slices.SortedFunc(maps.Values(c.known), func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	c.all = slices.SortedFunc(maps.Values(c.known), func(a, b keyvalue.Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func (c *Client) url() string {
@@ -130,23 +130,23 @@
 func (c *Client) read(ctx context.Context) (*Reply, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(), nil)
 	if err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "address")
+		return nil, keyvalue.ErrUnavailable.Wrap(err, "address")
 	}
 	req.Header.Set(HeaderClientID, c.options.ClientID)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "read the instance list")
+		return nil, keyvalue.ErrUnavailable.Wrap(err, "read the instance list")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, platform.ErrUnavailable.New("instance list answered %d", resp.StatusCode)
+		return nil, keyvalue.ErrUnavailable.New("instance list answered %d", resp.StatusCode)
 	}
 	var reply Reply
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&reply); err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "decode the instance list")
+		return nil, keyvalue.ErrUnavailable.Wrap(err, "decode the instance list")
 	}
 	if reply.Partial && c.cursor == "" {
-		return nil, platform.ErrUnavailable.New("instance list answered a part to a call for the whole")
+		return nil, keyvalue.ErrUnavailable.New("instance list answered a part to a call for the whole")
 	}
 	return &reply, nil
 }
--- a/internal/platform/listclient/client_test.go
+++ b/internal/keyvalue/listclient/client_test.go
@@ -12,8 +12,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/listclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/listclient"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/list"
 )
@@ -25,16 +25,16 @@
 	defer listener.Close()
 	client := listclient.New(listclient.Options{Address: strings.TrimPrefix(listener.URL, "http://")})
 	defer client.Close()
-	instances := func() []platform.Instance {
+	instances := func() []keyvalue.Instance {
 		all, err := client.Instances(t.Context())
 		require.NoError(t, err)
 		return all
 	}
-	engine := platform.Instance{ID: "e1", Kind: platform.KindEngine, Address: "127.0.0.1:1", Serves: "m"}
+	engine := keyvalue.Instance{ID: "e1", Kind: keyvalue.KindEngine, Address: "127.0.0.1:1", Serves: "m"}
 	server.Register(engine)
 	require.Empty(t, instances())
 	now = now.Add(2 * time.Second)
-	require.Equal(t, []platform.Instance{engine}, instances())
+	require.Equal(t, []keyvalue.Instance{engine}, instances())
 	server.MarkLeaving("e1")
 	require.False(t, instances()[0].Leaving)
 	now = now.Add(2 * time.Second)
@@ -67,7 +67,7 @@
 			id := fmt.Sprint("e", random.IntN(20))
 			switch random.IntN(3) {
 			case 0:
-				server.Register(platform.Instance{ID: id, Address: fmt.Sprint("10.0.0.1:", random.IntN(1000))})
+				server.Register(keyvalue.Instance{ID: id, Address: fmt.Sprint("10.0.0.1:", random.IntN(1000))})
 			case 1:
 				server.MarkLeaving(id)
 			case 2:
@@ -96,5 +96,5 @@
 	client := listclient.New(listclient.Options{Address: strings.TrimPrefix(listener.URL, "http://")})
 	server.Gate.Set(fault.Fault{Down: true})
 	_, err := client.Instances(t.Context())
-	require.True(t, errorx.IsOfType(err, platform.ErrUnavailable))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrUnavailable))
 }
--- a/internal/platform/memstore/faults.go
+++ b/internal/keyvalue/memstore/faults.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Operation names a method of the store.
@@ -91,10 +91,10 @@
 		}
 	}
 	if s.faults.isDown() {
-		return platform.ErrUnavailable.New("service is down")
+		return keyvalue.ErrUnavailable.New("service is down")
 	}
 	if err := ctx.Err(); err != nil {
-		return platform.ErrUnavailable.Wrap(err, "%s not sent", string(op))
+		return keyvalue.ErrUnavailable.Wrap(err, "%s not sent", string(op))
 	}
 	return nil
 }
--- a/internal/platform/memstore/lease.go
+++ b/internal/keyvalue/memstore/lease.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Grant creates a lease.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
 	if err := s.begin(ctx, OpGrant, ""); err != nil {
 		return 0, err
 	}
@@ -21,7 +21,7 @@
 }
 
 // KeepAlive renews a lease.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) KeepAlive(ctx context.Context, id keyvalue.LeaseID) error {
 	if err := s.begin(ctx, OpKeepAlive, ""); err != nil {
 		return err
 	}
@@ -31,14 +31,14 @@
 	d.expire()
 	l, alive := d.leases[id]
 	if !alive {
-		return platform.ErrLeaseLapsed.New("lease %d", id)
+		return keyvalue.ErrLeaseLapsed.New("lease %d", id)
 	}
 	l.expires = d.now().Add(l.ttl)
 	return nil
 }
 
 // Revoke ends a lease and deletes its keys.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) Revoke(ctx context.Context, id keyvalue.LeaseID) error {
 	if err := s.begin(ctx, OpRevoke, ""); err != nil {
 		return err
 	}
@@ -47,7 +47,7 @@
 	defer d.mu.Unlock()
 	d.expire()
 	if _, alive := d.leases[id]; !alive {
-		return platform.ErrLeaseLapsed.New("lease %d", id)
+		return keyvalue.ErrLeaseLapsed.New("lease %d", id)
 	}
 	d.end(id)
 	return nil
@@ -70,7 +70,7 @@
 	}
 }
 
-func (d *data) end(id platform.LeaseID) {
+func (d *data) end(id keyvalue.LeaseID) {
 	delete(d.leases, id)
 	for key, value := range d.values {
 		if value.Lease == id {
@@ -82,5 +82,5 @@
 func (d *data) remove(key string) {
 	delete(d.values, key)
 	d.revision++
-	d.record(platform.Change{Value: platform.Value{Key: key, Revision: d.revision}, Deleted: true})
+	d.record(keyvalue.Change{Value: keyvalue.Value{Key: key, Revision: d.revision}, Deleted: true})
 }
--- a/internal/platform/memstore/memstore.go
+++ b/internal/keyvalue/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is an in-memory platform.Store for tests. It counts calls
+// Package memstore is an in-memory keyvalue.Store for tests. It counts calls
 // and brings about the faults that the platform's service is known for.
 package memstore
 
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // historyLimit is the number of changes that a watch can go back.
@@ -30,10 +30,10 @@
 	now       func() time.Time
 	revision  int64
 	compacted int64
-	nextLease platform.LeaseID
-	values    map[string]platform.Value
-	leases    map[platform.LeaseID]*lease
-	history   []platform.Change
+	nextLease keyvalue.LeaseID
+	values    map[string]keyvalue.Value
+	leases    map[keyvalue.LeaseID]*lease
+	history   []keyvalue.Change
 	changed   chan struct{}
 }
 
@@ -42,7 +42,7 @@
 	expires time.Time
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ keyvalue.Store = (*Store)(nil)
 
 // New returns an empty store whose leases run by now; nil means time.Now.
 func New(now func() time.Time) *Store {
@@ -51,8 +51,8 @@
 	}
 	return &Store{shared: &data{
 		now:     now,
-		values:  map[string]platform.Value{},
-		leases:  map[platform.LeaseID]*lease{},
+		values:  map[string]keyvalue.Value{},
+		leases:  map[keyvalue.LeaseID]*lease{},
 		changed: make(chan struct{}),
 	}}
 }
@@ -63,9 +63,9 @@
 }
 
 // Get reads one key.
-func (s *Store) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s *Store) Get(ctx context.Context, key string) (keyvalue.Value, error) {
 	if err := s.begin(ctx, OpGet, key); err != nil {
-		return platform.Value{}, err
+		return keyvalue.Value{}, err
 	}
 	d := s.shared
 	d.mu.Lock()
@@ -73,13 +73,13 @@
 	d.expire()
 	value, ok := d.values[key]
 	if !ok {
-		return platform.Value{}, platform.ErrNotFound.New("key %q", key)
+		return keyvalue.Value{}, keyvalue.ErrNotFound.New("key %q", key)
 	}
 	return value, nil
 }
 
 // List reads all keys with a prefix, in key order.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Value, int64, error) {
+func (s *Store) List(ctx context.Context, prefix string) ([]keyvalue.Value, int64, error) {
 	if err := s.begin(ctx, OpList, prefix); err != nil {
 		return nil, 0, err
 	}
@@ -87,7 +87,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire()
-	var found []platform.Value
+	var found []keyvalue.Value
 	for key, value := range d.values {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, value)
@@ -98,38 +98,38 @@
 }
 
 // CompareAndSwap writes data if the key's revision equals expect.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, id platform.LeaseID) (platform.Value, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expect int64, data []byte, id keyvalue.LeaseID) (keyvalue.Value, error) {
 	if err := s.begin(ctx, OpCompareAndSwap, key); err != nil {
-		return platform.Value{}, err
+		return keyvalue.Value{}, err
 	}
 	if s.faults.takeDropped() {
-		return platform.Value{}, platform.ErrOutcomeUnknown.New("write of %q timed out", key)
+		return keyvalue.Value{}, keyvalue.ErrOutcomeUnknown.New("write of %q timed out", key)
 	}
 	value, err := s.shared.compareAndSwap(key, expect, data, id)
 	if s.faults.takeLost() {
-		return platform.Value{}, platform.ErrOutcomeUnknown.New("reply to the write of %q was lost", key)
+		return keyvalue.Value{}, keyvalue.ErrOutcomeUnknown.New("reply to the write of %q was lost", key)
 	}
 	return value, err
 }
 
-func (d *data) compareAndSwap(key string, expect int64, data []byte, id platform.LeaseID) (platform.Value, error) {
+func (d *data) compareAndSwap(key string, expect int64, data []byte, id keyvalue.LeaseID) (keyvalue.Value, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire()
 	if _, alive := d.leases[id]; id != 0 && !alive {
-		return platform.Value{}, platform.ErrLeaseLapsed.New("lease %d", id)
+		return keyvalue.Value{}, keyvalue.ErrLeaseLapsed.New("lease %d", id)
 	}
 	current, exists := d.values[key]
 	if current.Revision != expect {
-		return current, platform.ErrConflict.New("key %q is at revision %d, not %d", key, current.Revision, expect)
+		return current, keyvalue.ErrConflict.New("key %q is at revision %d, not %d", key, current.Revision, expect)
 	}
 	d.revision++
-	next := platform.Value{Key: key, Data: bytes.Clone(data), CreateRevision: current.CreateRevision, Revision: d.revision, Lease: id}
+	next := keyvalue.Value{Key: key, Data: bytes.Clone(data), CreateRevision: current.CreateRevision, Revision: d.revision, Lease: id}
 	if !exists {
 		next.CreateRevision = d.revision
 	}
 	d.values[key] = next
-	d.record(platform.Change{Value: next})
+	d.record(keyvalue.Change{Value: next})
 	return next, nil
 }
 
@@ -139,11 +139,11 @@
 		return err
 	}
 	if s.faults.takeDropped() {
-		return platform.ErrOutcomeUnknown.New("delete of %q timed out", key)
+		return keyvalue.ErrOutcomeUnknown.New("delete of %q timed out", key)
 	}
 	err := s.shared.delete(key, expect)
 	if s.faults.takeLost() {
-		return platform.ErrOutcomeUnknown.New("reply to the delete of %q was lost", key)
+		return keyvalue.ErrOutcomeUnknown.New("reply to the delete of %q was lost", key)
 	}
 	return err
 }
@@ -154,10 +154,10 @@
 	d.expire()
 	current, exists := d.values[key]
 	if !exists {
-		return platform.ErrNotFound.New("key %q", key)
+		return keyvalue.ErrNotFound.New("key %q", key)
 	}
 	if current.Revision != expect {
-		return platform.ErrConflict.New("key %q is at revision %d, not %d", key, current.Revision, expect)
+		return keyvalue.ErrConflict.New("key %q is at revision %d, not %d", key, current.Revision, expect)
 	}
 	d.remove(key)
 	return nil
--- a/internal/platform/memstore/memstore_test.go
+++ b/internal/keyvalue/memstore/memstore_test.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 func TestCompareAndSwapKeepsRevisions(t *testing.T) {
@@ -16,16 +16,16 @@
 	first, err := s.CompareAndSwap(ctx, "a", 0, []byte("1"), 0)
 	require.NoError(t, err)
 	current, err := s.CompareAndSwap(ctx, "a", 0, []byte("2"), 0)
-	require.True(t, errorx.IsOfType(err, platform.ErrConflict))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrConflict))
 	require.Equal(t, first, current)
 	second, err := s.CompareAndSwap(ctx, "a", first.Revision, []byte("2"), 0)
 	require.NoError(t, err)
 	require.Equal(t, first.CreateRevision, second.CreateRevision)
 	require.Greater(t, second.Revision, first.Revision)
-	require.True(t, errorx.IsOfType(s.Delete(ctx, "a", first.Revision), platform.ErrConflict))
+	require.True(t, errorx.IsOfType(s.Delete(ctx, "a", first.Revision), keyvalue.ErrConflict))
 	require.NoError(t, s.Delete(ctx, "a", second.Revision))
 	_, err = s.Get(ctx, "a")
-	require.True(t, errorx.IsOfType(err, platform.ErrNotFound))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrNotFound))
 }
 
 func TestLeaseLapsesByItsClock(t *testing.T) {
@@ -38,9 +38,9 @@
 	now = now.Add(900 * time.Millisecond)
 	require.NoError(t, s.KeepAlive(ctx, id))
 	now = now.Add(time.Second)
-	require.True(t, errorx.IsOfType(s.KeepAlive(ctx, id), platform.ErrLeaseLapsed))
+	require.True(t, errorx.IsOfType(s.KeepAlive(ctx, id), keyvalue.ErrLeaseLapsed))
 	_, err = s.Get(ctx, "a")
-	require.True(t, errorx.IsOfType(err, platform.ErrNotFound))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrNotFound))
 }
 
 func TestFaultsOfOneView(t *testing.T) {
@@ -48,17 +48,17 @@
 	other := s.View()
 	s.LoseReplies(1)
 	_, err := s.CompareAndSwap(ctx, "a", 0, nil, 0)
-	require.True(t, errorx.IsOfType(err, platform.ErrOutcomeUnknown))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown))
 	s.DropWrites(1)
 	_, err = s.CompareAndSwap(ctx, "b", 0, nil, 0)
-	require.True(t, errorx.IsOfType(err, platform.ErrOutcomeUnknown))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown))
 	s.SetDown(true)
 	_, err = s.Get(ctx, "a")
-	require.True(t, errorx.IsOfType(err, platform.ErrUnavailable))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrUnavailable))
 	_, err = other.Get(ctx, "a")
 	require.NoError(t, err)
 	_, err = other.Get(ctx, "b")
-	require.True(t, errorx.IsOfType(err, platform.ErrNotFound))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrNotFound))
 	require.Equal(t, Calls{Reads: 1, Writes: 2}, s.Calls())
 }
 
@@ -77,5 +77,5 @@
 	require.Equal(t, next, again)
 	s.Compact()
 	_, _, err = s.Watch(ctx, "p/", 0, time.Minute)
-	require.True(t, errorx.IsOfType(err, platform.ErrCompacted))
+	require.True(t, errorx.IsOfType(err, keyvalue.ErrCompacted))
 }
--- a/internal/platform/memstore/watch.go
+++ b/internal/keyvalue/memstore/watch.go
@@ -5,12 +5,12 @@
 	"strings"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Watch waits until keys with the prefix change after revision from, or until
 // wait has passed.
-func (s *Store) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]platform.Change, int64, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) ([]keyvalue.Change, int64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	if err := s.begin(ctx, OpWatch, prefix); err != nil {
@@ -23,25 +23,25 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, platform.ErrUnavailable.Wrap(ctx.Err(), "watch of %q", prefix)
+			return nil, 0, keyvalue.ErrUnavailable.Wrap(ctx.Err(), "watch of %q", prefix)
 		case <-timer.C:
 			return nil, next, nil
 		case <-changed:
 		}
 		if s.faults.isDown() {
-			return nil, 0, platform.ErrUnavailable.New("service is down")
+			return nil, 0, keyvalue.ErrUnavailable.New("service is down")
 		}
 	}
 }
 
-func (d *data) since(prefix string, from int64) ([]platform.Change, int64, <-chan struct{}, error) {
+func (d *data) since(prefix string, from int64) ([]keyvalue.Change, int64, <-chan struct{}, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire()
 	if from < d.compacted {
-		return nil, 0, nil, platform.ErrCompacted.New("revision %d is before %d", from, d.compacted)
+		return nil, 0, nil, keyvalue.ErrCompacted.New("revision %d is before %d", from, d.compacted)
 	}
-	var changes []platform.Change
+	var changes []keyvalue.Change
 	for _, change := range d.history {
 		if change.Value.Revision > from && strings.HasPrefix(change.Value.Key, prefix) {
 			changes = append(changes, change)
@@ -58,7 +58,7 @@
 	d.history, d.compacted = nil, d.revision
 }
 
-func (d *data) record(change platform.Change) {
+func (d *data) record(change keyvalue.Change) {
 	d.history = append(d.history, change)
 	if len(d.history) > historyLimit {
 		d.compacted = d.history[0].Value.Revision
--- a/internal/ownership/bench_test.go
+++ b/internal/ownership/bench_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // BenchmarkUnitsHeld reports the cost of holding units: the check before each
--- a/internal/ownership/depose.go
+++ b/internal/ownership/depose.go
@@ -7,7 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Depose takes a unit from a holder that is believed to be dead, before the
@@ -26,7 +26,7 @@
 func (m *Manager) remove(ctx context.Context, unit, holder string) error {
 	value, err := m.readBack(ctx, unit)
 	switch {
-	case errorx.IsOfType(err, platform.ErrNotFound):
+	case errorx.IsOfType(err, keyvalue.ErrNotFound):
 		return nil
 	case err != nil:
 		return ErrUnavailable.Wrap(err, "unit %q not read", unit)
@@ -36,7 +36,7 @@
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	err = m.store.Delete(ctx, keyPrefix+unit, value.Revision)
-	if err != nil && !errorx.IsOfType(err, platform.ErrNotFound) && !errorx.IsOfType(err, platform.ErrConflict) {
+	if err != nil && !errorx.IsOfType(err, keyvalue.ErrNotFound) && !errorx.IsOfType(err, keyvalue.ErrConflict) {
 		return ErrUnavailable.Wrap(err, "unit %q not deposed", unit)
 	}
 	event.HolderDeposed.Log(ctx, m.logger, slog.String("unit", unit), slog.String("holder", holder))
--- a/internal/ownership/depose_test.go
+++ b/internal/ownership/depose_test.go
@@ -7,7 +7,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 func TestDeposedHolderNeitherKeepsNorHarmsItsSuccessor(t *testing.T) {
--- a/internal/ownership/hold.go
+++ b/internal/ownership/hold.go
@@ -7,7 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // holdAttempts bounds the tries of one Hold when leases lapse or replies are
@@ -33,7 +33,7 @@
 		if err == nil || errorx.IsOfType(err, ErrHeldElsewhere) {
 			return tenure, err
 		}
-		if !errorx.IsOfType(errorx.Cast(err).Cause(), platform.ErrLeaseLapsed) && !m.isUncertain(unit) {
+		if !errorx.IsOfType(errorx.Cast(err).Cause(), keyvalue.ErrLeaseLapsed) && !m.isUncertain(unit) {
 			return Tenure{}, err
 		}
 	}
@@ -61,14 +61,14 @@
 		return tenure, nil
 	}
 	value, err := m.create(ctx, unit, lease)
-	if errorx.IsOfType(err, platform.ErrOutcomeUnknown) {
+	if errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown) {
 		m.markUncertain(unit)
 		value, err = m.readBack(ctx, unit)
 	}
 	switch {
-	case err == nil || errorx.IsOfType(err, platform.ErrConflict):
+	case err == nil || errorx.IsOfType(err, keyvalue.ErrConflict):
 		return m.judge(ctx, unit, value, lease)
-	case errorx.IsOfType(err, platform.ErrLeaseLapsed):
+	case errorx.IsOfType(err, keyvalue.ErrLeaseLapsed):
 		m.forget(ctx, lease)
 	}
 	return Tenure{}, ErrUnavailable.Wrap(err, "unit %q not confirmed", unit)
@@ -84,26 +84,26 @@
 	switch {
 	case err == nil:
 		return HeldElsewhere(unit, string(value.Data))
-	case errorx.IsOfType(err, platform.ErrNotFound):
+	case errorx.IsOfType(err, keyvalue.ErrNotFound):
 		return nil
 	}
 	return ErrUnavailable.Wrap(err, "unit %q not confirmed", unit)
 }
 
-func (m *Manager) create(ctx context.Context, unit string, lease platform.LeaseID) (platform.Value, error) {
+func (m *Manager) create(ctx context.Context, unit string, lease keyvalue.LeaseID) (keyvalue.Value, error) {
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	return m.store.CompareAndSwap(ctx, keyPrefix+unit, 0, []byte(m.self), lease)
 }
 
-func (m *Manager) readBack(ctx context.Context, unit string) (platform.Value, error) {
+func (m *Manager) readBack(ctx context.Context, unit string) (keyvalue.Value, error) {
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	return m.store.Get(ctx, keyPrefix+unit)
 }
 
 // judge turns what stands in the unit's key into a tenure or a refusal.
-func (m *Manager) judge(ctx context.Context, unit string, value platform.Value, lease platform.LeaseID) (Tenure, error) {
+func (m *Manager) judge(ctx context.Context, unit string, value keyvalue.Value, lease keyvalue.LeaseID) (Tenure, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if value.Lease != lease {
@@ -111,7 +111,7 @@
 		return Tenure{}, HeldElsewhere(unit, string(value.Data))
 	}
 	if m.lease.id != lease || !m.believes() {
-		return Tenure{}, ErrUnavailable.Wrap(platform.ErrLeaseLapsed.New("lease %d", lease), "unit %q not confirmed", unit)
+		return Tenure{}, ErrUnavailable.Wrap(keyvalue.ErrLeaseLapsed.New("lease %d", lease), "unit %q not confirmed", unit)
 	}
 	delete(m.uncertain, unit)
 	tenure := Tenure{Unit: unit, Epoch: value.CreateRevision}
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -5,12 +5,12 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // renewed returns a lease that is within its bound. It renews a standing one
 // when force is set, and grants one when there is none.
-func (m *Manager) renewed(ctx context.Context, force bool) (platform.LeaseID, error) {
+func (m *Manager) renewed(ctx context.Context, force bool) (keyvalue.LeaseID, error) {
 	select {
 	case m.calling <- struct{}{}:
 		defer func() { <-m.calling }()
@@ -31,7 +31,7 @@
 	return id, m.keepAlive(ctx, id)
 }
 
-func (m *Manager) standing() (platform.LeaseID, bool) {
+func (m *Manager) standing() (keyvalue.LeaseID, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.lease.id, m.believes()
@@ -39,14 +39,14 @@
 
 // abandon gives up a lease whose bound has passed: a tenure that was found
 // invalid once must not come back.
-func (m *Manager) abandon(ctx context.Context, id platform.LeaseID) {
+func (m *Manager) abandon(ctx context.Context, id keyvalue.LeaseID) {
 	m.forget(ctx, id)
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	_ = m.store.Revoke(ctx, id) // it lapses by itself when this fails
 }
 
-func (m *Manager) grant(ctx context.Context) (platform.LeaseID, error) {
+func (m *Manager) grant(ctx context.Context) (keyvalue.LeaseID, error) {
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	sent := m.options.Now()
@@ -60,13 +60,13 @@
 	return id, nil
 }
 
-func (m *Manager) keepAlive(ctx context.Context, id platform.LeaseID) error {
+func (m *Manager) keepAlive(ctx context.Context, id keyvalue.LeaseID) error {
 	callCtx, cancel := m.callContext(ctx)
 	defer cancel()
 	sent := m.options.Now()
 	err := m.store.KeepAlive(callCtx, id)
 	switch {
-	case errorx.IsOfType(err, platform.ErrLeaseLapsed):
+	case errorx.IsOfType(err, keyvalue.ErrLeaseLapsed):
 		m.forget(ctx, id)
 		return ErrUnavailable.Wrap(err, "lease not renewed")
 	case err != nil:
@@ -90,7 +90,7 @@
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	err := m.store.Revoke(ctx, id)
-	if err != nil && !errorx.IsOfType(err, platform.ErrLeaseLapsed) {
+	if err != nil && !errorx.IsOfType(err, keyvalue.ErrLeaseLapsed) {
 		return ErrUnavailable.Wrap(err, "lease not ended")
 	}
 	return nil
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // keyPrefix starts the keys of units in the platform's service.
@@ -19,7 +19,7 @@
 // lease, which exists only while the entry holds a unit. It is safe for
 // concurrent use.
 type Manager struct {
-	store   platform.Store
+	store   keyvalue.Store
 	self    string
 	options Options
 	logger  *slog.Logger
@@ -37,7 +37,7 @@
 
 // leaseBound is a lease and the instant up to which the entry believes in it.
 type leaseBound struct {
-	id    platform.LeaseID
+	id    keyvalue.LeaseID
 	until time.Time
 }
 
@@ -50,7 +50,7 @@
 
 // New returns a Manager for the entry self. Run must run for it to keep what
 // it holds.
-func New(store platform.Store, self string, options Options, logger *slog.Logger) *Manager {
+func New(store keyvalue.Store, self string, options Options, logger *slog.Logger) *Manager {
 	return &Manager{
 		store:     store,
 		self:      self,
@@ -135,7 +135,7 @@
 }
 
 // forget drops the lease and all tenures under it.
-func (m *Manager) forget(ctx context.Context, id platform.LeaseID) {
+func (m *Manager) forget(ctx context.Context, id keyvalue.LeaseID) {
 	m.mu.Lock()
 	if m.lease.id != id {
 		m.mu.Unlock()
--- a/internal/ownership/manager_test.go
+++ b/internal/ownership/manager_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // clock is a clock that tests move by hand.
@@ -22,7 +22,7 @@
 
 func newClock() *clock { return &clock{now: time.Unix(1000, 0)} }
 
-func newManager(store platform.Store, self string, c *clock) *Manager {
+func newManager(store keyvalue.Store, self string, c *clock) *Manager {
 	return New(store, self, Options{Now: c.Now}, quiet)
 }
 
--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // fleet runs several entries against one store. The oracle: at no instant do
--- a/internal/ownership/release.go
+++ b/internal/ownership/release.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Release gives a unit up. Its tenure is invalid from the start of the call;
@@ -68,7 +68,7 @@
 
 func (m *Manager) deleteKey(ctx context.Context, unit string) error {
 	value, err := m.readBack(ctx, unit)
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -80,7 +80,7 @@
 	ctx, cancel := m.callContext(ctx)
 	defer cancel()
 	err = m.store.Delete(ctx, keyPrefix+unit, value.Revision)
-	if errorx.IsOfType(err, platform.ErrNotFound) || errorx.IsOfType(err, platform.ErrConflict) {
+	if errorx.IsOfType(err, keyvalue.ErrNotFound) || errorx.IsOfType(err, keyvalue.ErrConflict) {
 		return nil
 	}
 	return err
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/standin/balancer"
 	"github.com/comfreyfront/comfreyfront/internal/standin/list"
 )
@@ -142,15 +142,15 @@
 }
 
 func (c *Cluster) announce(entry *Entry, failureDomain string) error {
-	instance := platform.Instance{
-		ID: entry.ID, Kind: platform.KindEntry, Address: entry.Internal(),
+	instance := keyvalue.Instance{
+		ID: entry.ID, Kind: keyvalue.KindEntry, Address: entry.Internal(),
 		FailureDomain: failureDomain, Region: region,
 	}
 	return errors.Join(c.keepListed(entry.Process, instance), c.updateBalancer())
 }
 
 // keepListed registers a process and renews it while it lives.
-func (c *Cluster) keepListed(process *Process, instance platform.Instance) error {
+func (c *Cluster) keepListed(process *Process, instance keyvalue.Instance) error {
 	if err := c.ListControl().Post("/register", instance); err != nil {
 		return err
 	}
--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/service"
@@ -54,7 +54,7 @@
 	_, err = cluster.StartEngine("e1", "fd2", "m")
 	require.NoError(t, err)
 	listed := func() int {
-		var reply struct{ Instances []platform.Instance }
+		var reply struct{ Instances []keyvalue.Instance }
 		require.NoError(t, cluster.ListControl().Get("/instances", &reply))
 		return len(reply.Instances)
 	}
@@ -177,10 +177,10 @@
 	cluster := newCluster(t)
 	endpoint, err := cluster.StartServiceBehindLink("s1", "fd1", "register")
 	require.NoError(t, err)
-	var reply struct{ Instances []platform.Instance }
+	var reply struct{ Instances []keyvalue.Instance }
 	require.NoError(t, cluster.ListControl().Get("/instances", &reply))
-	require.Equal(t, []platform.Instance{{
-		ID: "s1", Kind: platform.KindService, Address: endpoint.Link.Address(),
+	require.Equal(t, []keyvalue.Instance{{
+		ID: "s1", Kind: keyvalue.KindService, Address: endpoint.Link.Address(),
 		FailureDomain: "fd1", Region: "r1", Serves: "register",
 	}}, reply.Instances)
 	get := func() error {
--- a/internal/rollout/accept.go
+++ b/internal/rollout/accept.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // acceptAttempts bounds the compare-and-swaps of one call, against racing
@@ -26,7 +26,7 @@
 
 // Desk takes rollouts in. All fields but Spread are required.
 type Desk struct {
-	Store   platform.Store
+	Store   keyvalue.Store
 	Control Control
 	Logger  *slog.Logger
 	// Spread tells all live entries of an accepted rollout and returns when
@@ -75,8 +75,8 @@
 		if err == nil {
 			return merged, nil
 		}
-		uncertain = uncertain || errorx.IsOfType(err, platform.ErrOutcomeUnknown)
-		if errorx.IsOfType(err, platform.ErrUnavailable) {
+		uncertain = uncertain || errorx.IsOfType(err, keyvalue.ErrOutcomeUnknown)
+		if errorx.IsOfType(err, keyvalue.ErrUnavailable) {
 			break
 		}
 	}
@@ -91,9 +91,9 @@
 	return readRecord(ctx, d.Store, model)
 }
 
-func readRecord(ctx context.Context, store platform.Store, model string) (Record, int64, error) {
+func readRecord(ctx context.Context, store keyvalue.Store, model string) (Record, int64, error) {
 	value, err := store.Get(ctx, recordPrefix+model)
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return Record{Model: model}, 0, nil
 	}
 	if err != nil {
--- a/internal/rollout/barrier.go
+++ b/internal/rollout/barrier.go
@@ -9,7 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
@@ -58,13 +58,13 @@
 	marks := map[string]int64{}
 	noteMarks(marks, prefix, values)
 	for !p.allReady(marks) {
-		var changes []platform.Change
+		var changes []keyvalue.Change
 		changes, revision, err = p.options.Store.Watch(ctx, prefix, revision, readyWait)
 		if err != nil {
 			return err
 		}
 		for _, change := range changes {
-			noteMarks(marks, prefix, []platform.Value{change.Value})
+			noteMarks(marks, prefix, []keyvalue.Value{change.Value})
 		}
 	}
 	return nil
@@ -74,7 +74,7 @@
 func (p *pass) writeMark(ctx context.Context) error {
 	key := readyPrefix + p.unit.model + "/" + p.unit.domain
 	value, err := p.options.Store.Get(ctx, key)
-	if err != nil && !errorx.IsOfType(err, platform.ErrNotFound) {
+	if err != nil && !errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return err
 	}
 	var standing mark
@@ -91,7 +91,7 @@
 }
 
 // noteMarks takes the versions that domains hold ready out of values.
-func noteMarks(marks map[string]int64, prefix string, values []platform.Value) {
+func noteMarks(marks map[string]int64, prefix string, values []keyvalue.Value) {
 	for _, value := range values {
 		var m mark
 		if json.Unmarshal(value.Data, &m) == nil {
--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // benchEngine is an engine over HTTP that carries orders out at once.
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
--- a/internal/rollout/options.go
+++ b/internal/rollout/options.go
@@ -9,7 +9,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
-	"github.com/comfreyfront/comfreyfront/internal/platform"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Orders gives weight orders to engines at host:port and reads them back.
@@ -31,7 +31,7 @@
 
 // Options configure a Carrier. Those up to Rank are required.
 type Options struct {
-	Store   platform.Store
+	Store   keyvalue.Store
 	Owner   ownership.Owner
 	Orders  Orders
 	Control Control
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/jsonhttp"
 )
--- a/internal/standin/kv/store.go
+++ b/internal/standin/kv/store.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
 )
 
 // DefaultHistory is the number of changes that a watch can go back.
@@ -21,9 +21,9 @@
 
 	mu        sync.Mutex
 	revision  int64
-	lastLease platform.LeaseID
+	lastLease keyvalue.LeaseID
 	keys      map[string]kvclient.Value
-	leases    map[platform.LeaseID]*lease
+	leases    map[keyvalue.LeaseID]*lease
 	changes   []kvclient.Change // in order of revision
 	compacted int64             // the newest revision that is out of the history
 	wake      chan struct{}     // closed at the next change
@@ -50,7 +50,7 @@
 		now:     now,
 		history: history,
 		keys:    map[string]kvclient.Value{},
-		leases:  map[platform.LeaseID]*lease{},
+		leases:  map[keyvalue.LeaseID]*lease{},
 		wake:    make(chan struct{}),
 	}
 }
@@ -161,7 +161,7 @@
 	s.wake = make(chan struct{})
 }
 
-func (s *store) grant(ttl time.Duration) (platform.LeaseID, *failure) {
+func (s *store) grant(ttl time.Duration) (keyvalue.LeaseID, *failure) {
 	if ttl <= 0 {
 		return 0, fail(400, kvclient.CodeInvalid, "lease time must be positive")
 	}
@@ -173,7 +173,7 @@
 	return s.lastLease, nil
 }
 
-func (s *store) keepAlive(id platform.LeaseID) *failure {
+func (s *store) keepAlive(id keyvalue.LeaseID) *failure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapseLocked()
@@ -185,7 +185,7 @@
 	return nil
 }
 
-func (s *store) revoke(id platform.LeaseID) *failure {
+func (s *store) revoke(id keyvalue.LeaseID) *failure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapseLocked()
@@ -199,7 +199,7 @@
 // lapseLocked ends all leases whose time is over, in order of their lapse.
 func (s *store) lapseLocked() {
 	now := s.now()
-	var due []platform.LeaseID
+	var due []keyvalue.LeaseID
 	for id, l := range s.leases {
 		if !l.expires.After(now) {
 			due = append(due, id)
@@ -211,7 +211,7 @@
 	}
 }
 
-func (s *store) endLocked(id platform.LeaseID) {
+func (s *store) endLocked(id keyvalue.LeaseID) {
 	var keys []string
 	for key := range s.leases[id].keys {
 		keys = append(keys, key)
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -2,7 +2,7 @@
 //
 // Protocol: GET /v1/instances answers a listclient.Reply as the list was Lag
 // ago; with ?since=CURSOR it tells only what changed since that reply, as long
-// as it remembers. Control: POST /register with a platform.Instance adds, renews or
+// as it remembers. Control: POST /register with a keyvalue.Instance adds, renews or
 // replaces one; POST /deregister and POST /leaving with {"id": ID} remove one or
 // mark it; GET /instances shows the truth without lag; and the faults of
 // package fault. A registration that is not renewed within the time to live is
@@ -15,8 +15,8 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform"
-	"github.com/comfreyfront/comfreyfront/internal/platform/listclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/listclient"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/jsonhttp"
 )
@@ -40,18 +40,18 @@
 	mu      sync.Mutex
 	rows    map[string]row
 	changes []change // those that do not show yet, in order of time
-	visible map[string]platform.Instance
+	visible map[string]keyvalue.Instance
 	shown   history
 }
 
 type row struct {
-	instance platform.Instance
+	instance keyvalue.Instance
 	renewed  time.Time
 }
 
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance keyvalue.Instance
 	removed  bool
 }
 
@@ -65,12 +65,12 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Server{options: options, rows: map[string]row{}, visible: map[string]platform.Instance{}, shown: newHistory()}
+	return &Server{options: options, rows: map[string]row{}, visible: map[string]keyvalue.Instance{}, shown: newHistory()}
 }
 
 // Register adds, renews or replaces an instance. A renewal does not take back
 // that it is leaving.
-func (s *Server) Register(instance platform.Instance) {
+func (s *Server) Register(instance keyvalue.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, exists := s.rows[instance.ID]
@@ -102,11 +102,11 @@
 }
 
 // Truth returns the instances without lag, in order of ID.
-func (s *Server) Truth() []platform.Instance {
+func (s *Server) Truth() []keyvalue.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
-	all := []platform.Instance{}
+	all := []keyvalue.Instance{}
 	for _, r := range s.rows {
 		all = append(all, r.instance)
 	}
@@ -114,12 +114,12 @@
 }
 
 // Visible returns the instances as callers see them, in order of ID.
-func (s *Server) Visible() []platform.Instance {
+func (s *Server) Visible() []keyvalue.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	s.showLocked()
-	all := []platform.Instance{}
+	all := []keyvalue.Instance{}
 	for _, instance := range s.visible {
 		all = append(all, instance)
 	}
@@ -143,7 +143,7 @@
 	for _, c := range changes {
 		last[c.instance.ID] = c
 	}
-	reply := listclient.Reply{Instances: []platform.Instance{}, Cursor: cursor, Partial: true}
+	reply := listclient.Reply{Instances: []keyvalue.Instance{}, Cursor: cursor, Partial: true}
 	for id, c := range last {
 		if c.removed {
 			reply.Removed = append(reply.Removed, id)
@@ -154,7 +154,7 @@
 	return reply
 }
 
-func ordered(all []platform.Instance) []platform.Instance {
+func ordered(all []keyvalue.Instance) []keyvalue.Instance {
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
 }
@@ -213,7 +213,7 @@
 	mux := http.NewServeMux()
 	s.Gate.Register(mux)
 	mux.HandleFunc("POST /register", func(w http.ResponseWriter, r *http.Request) {
-		var instance platform.Instance
+		var instance keyvalue.Instance
 		if jsonhttp.Read(w, r, &instance) {
 			s.Register(instance)
 			w.WriteHeader(http.StatusNoContent)
--- a/trainer/rollout_test.go
+++ b/trainer/rollout_test.go
@@ -9,7 +9,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyfront/comfreyfront/internal/platform/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/comfreyfront/comfreyfront/internal/rollout"
 	"github.com/comfreyfront/comfreyfront/trainer"
 )
