--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -44,14 +44,14 @@
 
 // Store reads and changes the class document.
 type Store struct {
-	platform keyvalue.Store
-	options  Options
-	logger   *slog.Logger
+	keys    keyvalue.Store
+	options Options
+	logger  *slog.Logger
 }
 
 // NewStore returns a Store on the platform's service.
 func NewStore(store keyvalue.Store, options Options, logger *slog.Logger) *Store {
-	return &Store{platform: store, options: options.withDefaults(), logger: logger}
+	return &Store{keys: store, options: options.withDefaults(), logger: logger}
 }
 
 // Load reads the record. An empty service gives the empty document. It fails
@@ -62,7 +62,7 @@
 }
 
 func (s *Store) read(ctx context.Context) (*Record, int64, error) {
-	value, err := s.keyvalue.Get(ctx, Key)
+	value, err := s.keys.Get(ctx, Key)
 	if errorx.IsOfType(err, keyvalue.ErrNotFound) {
 		return &Record{Document: &class.Document{}}, 0, nil
 	}
@@ -160,7 +160,7 @@
 
 func (a *application) write(ctx context.Context, record *Record, storeRevision int64) (Result, bool, error) {
 	next := record.with(a.change, a.store.options.Now())
-	_, err := a.store.keyvalue.CompareAndSwap(ctx, Key, storeRevision, Encode(next), 0)
+	_, err := a.store.keys.CompareAndSwap(ctx, Key, storeRevision, Encode(next), 0)
 	switch {
 	case err == nil:
 		return Result{Record: next, Entry: next.History[len(next.History)-1]}, true, nil
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -57,7 +57,7 @@
 // list reads the record and the revision to watch from.
 func (w *watch) list(ctx context.Context) error {
 	start := w.store.options.Now()
-	values, revision, err := w.store.keyvalue.List(ctx, Key)
+	values, revision, err := w.store.keys.List(ctx, Key)
 	if err != nil {
 		return err
 	}
@@ -78,7 +78,7 @@
 // have been frozen meanwhile.
 func (w *watch) await(ctx context.Context) error {
 	start, wait := w.store.options.Now(), w.nextWait()
-	changes, revision, err := w.store.keyvalue.Watch(ctx, Key, w.from, wait)
+	changes, revision, err := w.store.keys.Watch(ctx, Key, w.from, wait)
 	if errorx.IsOfType(err, keyvalue.ErrCompacted) {
 		w.listed = false
 		return nil
