--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -52,6 +52,7 @@
 	// Unix nanoseconds.
 	loadsTill atomic.Int64
 	pace      atomic.Int64 // nanoseconds an event
+	paceAt    atomic.Int64 // Unix nanoseconds
 
 	mu       sync.Mutex
 	versions map[string]int64
@@ -116,7 +117,8 @@
 const paceWeight = 6
 
 // ObservePace records the time between two events of a stream.
-func (l *Live) ObservePace(gap time.Duration) {
+func (l *Live) ObservePace(gap time.Duration, now time.Time) {
+	l.paceAt.Store(now.UnixNano())
 	old := l.pace.Load()
 	if old == 0 {
 		l.pace.Store(int64(gap))
@@ -125,12 +127,11 @@
 	l.pace.Store(old + (int64(gap)-old)/paceWeight)
 }
 
-// Pace returns the moving average of the time between two events; zero is not
-// known.
-func (l *Live) Pace() time.Duration { return time.Duration(l.pace.Load()) }
-
-// ForgetPace drops what is known of the pace, so that the endpoint is tried again.
-func (l *Live) ForgetPace() { l.pace.Store(0) }
+// Pace returns the moving average of the time between two events, and when it
+// was last measured; zero is not known.
+func (l *Live) Pace() (time.Duration, time.Time) {
+	return time.Duration(l.pace.Load()), time.Unix(0, l.paceAt.Load())
+}
 
 // SawVersion records a version that the endpoint itself told.
 func (l *Live) SawVersion(model string, version int64) {
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -40,6 +40,8 @@
 	// answers again. Both may be nil.
 	Lost     func(error)
 	Regained func()
+	// Wait is how long one watch waits for a change; zero takes the default.
+	Wait time.Duration
 	// Gather is how long changes are gathered before the next watch; zero is not.
 	Gather time.Duration
 	Logger *slog.Logger
@@ -152,6 +154,9 @@
 	if f.failing {
 		return time.Millisecond
 	}
+	if f.Wait > 0 {
+		return f.Wait
+	}
 	return watchWait
 }
 
--- /dev/null
+++ b/internal/metastore/follow_test.go
@@ -0,0 +1,121 @@
+package metastore_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+)
+
+// seen is what a follower was told.
+type seen struct {
+	mu     sync.Mutex
+	values map[string]string
+	lost   int
+}
+
+func (s *seen) changed(e metastore.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.Deleted {
+		delete(s.values, e.Key)
+		return
+	}
+	s.values[e.Key] = string(e.Value)
+}
+
+func (s *seen) copy() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.values)
+}
+
+// follow starts a follower of the prefix and returns what it is told.
+func follow(ctx context.Context, store metastore.Store, prefix string) (*seen, func()) {
+	s := &seen{values: map[string]string{}}
+	f := &metastore.Follower{
+		Store: store, Prefix: prefix, Changed: s.changed, Settled: func() {}, Logger: slog.New(slog.DiscardHandler),
+		Wait: 5 * time.Millisecond,
+		Lost: func(error) { s.mu.Lock(); s.lost++; s.mu.Unlock() },
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	return s, func() { cancel(); <-done }
+}
+
+const (
+	patience = 20 * time.Second
+	pause    = time.Millisecond
+)
+
+// TestFollowerAgreesWithStore plays random changes with outages, dropped history
+// and deaf watches; the follower must end with exactly the store's keys.
+func TestFollowerAgreesWithStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := memory.New(nil)
+		s, stop := follow(context.Background(), store, "a/")
+		defer stop()
+		want := map[string]string{}
+		for i := range rapid.IntRange(1, 25).Draw(t, "actions") {
+			key := fmt.Sprintf("a/%d", rapid.IntRange(0, 5).Draw(t, "key"))
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0, 1, 2:
+				want[key] = fmt.Sprint(i)
+				store.Write(key, []byte(want[key]))
+			case 3:
+				delete(want, key)
+				store.Remove(key)
+			case 4:
+				store.DropHistory()
+			case 5:
+				store.SetFaults(memory.Faults{Deaf: true})
+				want[key] = fmt.Sprint("deaf", i)
+				store.Write(key, []byte(want[key]))
+				store.DropHistory()
+				store.SetFaults(memory.Faults{})
+			case 6:
+				store.SetFaults(memory.Faults{Down: true})
+				store.SetFaults(memory.Faults{})
+			}
+			store.Write("b/other", []byte(fmt.Sprint(i)))
+		}
+		require.Eventually(t, func() bool { return maps.Equal(want, s.copy()) }, patience, pause, "the follower must end with the store's keys")
+	})
+}
+
+// TestFollowerHearsOfDroppedHistory is the case in which the store leaves a
+// waiting watch silent: the next watch is told.
+func TestFollowerHearsOfDroppedHistory(t *testing.T) {
+	store := memory.New(nil)
+	store.Write("op/config", []byte("1"))
+	s, stop := follow(context.Background(), store, "op/")
+	defer stop()
+	require.Eventually(t, func() bool { return s.copy()["op/config"] == "1" }, patience, pause)
+	store.SetFaults(memory.Faults{Deaf: true})
+	store.Write("op/config", []byte("2"))
+	store.DropHistory()
+	store.SetFaults(memory.Faults{})
+	require.Eventually(t, func() bool { return s.copy()["op/config"] == "2" }, patience, pause)
+}
+
+// TestFollowerTellsLossAndReturn checks that an outage is told once.
+func TestFollowerTellsLossAndReturn(t *testing.T) {
+	store := memory.New(nil)
+	s, stop := follow(context.Background(), store, "a/")
+	defer stop()
+	store.SetFaults(memory.Faults{Down: true})
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.lost == 1 }, patience, pause)
+	store.SetFaults(memory.Faults{})
+	store.Write("a/1", []byte("x"))
+	require.Eventually(t, func() bool { return s.copy()["a/1"] == "x" }, patience, pause)
+}
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -38,7 +38,7 @@
 	var paces []time.Duration
 	for _, e := range all {
 		p.taken[e.ID] = int(e.Live.InFlight())
-		if pace := e.Live.Pace(); pace > 0 && !e.Draining {
+		if pace, at := e.Live.Pace(); pace > 0 && !e.Draining && now.Sub(at) < paceFresh {
 			paces = append(paces, pace)
 		}
 	}
@@ -51,8 +51,8 @@
 
 // factor returns how many times the median an engine takes for an event.
 func (p *engines) factor(e *fleet.Endpoint) float64 {
-	pace := e.Live.Pace()
-	if pace <= 0 || p.median <= 0 {
+	pace, at := e.Live.Pace()
+	if pace <= 0 || p.median <= 0 || p.now.Sub(at) > paceFresh {
 		return 1
 	}
 	return max(float64(pace)/float64(p.median), 0.5)
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -142,7 +142,7 @@
 		return call.ErrEnded.New("the run was ended")
 	}
 	if gap := now.Sub(r.lastEvent); r.events > 0 && gap < paceGapMost {
-		r.endpoint.Live.ObservePace(gap)
+		r.endpoint.Live.ObservePace(gap, now)
 	}
 	r.events++
 	r.lastEvent = now
--- /dev/null
+++ b/internal/submission/world_test.go
@@ -0,0 +1,203 @@
+package submission
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+)
+
+const (
+	patience = 30 * time.Second
+	pause    = 2 * time.Millisecond
+	testUnit = "engines/s"
+)
+
+// world is one owner's surroundings: a store, engines that write "ID-N" as the
+// N-th event, and scoring calls. Its faults are set by tests.
+type world struct {
+	store     *memory.Store
+	directory *fleet.Directory
+	routes    *route.Holder
+
+	mu sync.Mutex
+	// breakAfter breaks each run after so many events; zero does not.
+	breakAfter int
+	// hold keeps streams open without an event until it is closed.
+	hold chan struct{}
+	// fails are the items whose runs fail, with the error.
+	fails map[string]error
+	// version is what engines generate under, by endpoint.
+	version map[string]int64
+	runs    map[string]int
+	begun   []string
+	scored  map[string]int
+	// scoredEarly are items whose scoring call came before their last event.
+	scoredEarly []string
+	written     map[string]int
+	events      int
+}
+
+func newWorld(endpoints int) *world {
+	logger := slog.New(slog.DiscardHandler)
+	w := &world{
+		store: memory.New(nil), directory: fleet.NewDirectory(logger), routes: &route.Holder{},
+		fails: map[string]error{}, version: map[string]int64{}, runs: map[string]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
+	}
+	for i := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		w.version[id] = 1
+		w.directory.Set(&fleet.Endpoint{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
+	}
+	w.directory.Publish()
+	r := &route.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: route.Batch, MaxAttempts: 3, Services: []route.Target{{Service: "s", Weight: 1}}}
+	w.routes.Offer(route.New(1, []*route.Route{r}, nil, route.Limits{}))
+	return w
+}
+
+// Stream implements call.Streamer.
+func (w *world) Stream(ctx context.Context, e *fleet.Endpoint, request *call.Request, after int, receiver call.Receiver) error {
+	w.mu.Lock()
+	w.runs[request.ID]++
+	w.begun = append(w.begun, request.ID)
+	failure, breakAfter, hold, version, events := w.fails[request.ID], w.breakAfter, w.hold, w.version[e.ID], w.events
+	w.mu.Unlock()
+	if failure != nil {
+		return failure
+	}
+	if err := receiver.Start(call.Start{Header: http.Header{}, Version: version}); err != nil {
+		return err
+	}
+	for n := after + 1; n <= events; n++ {
+		if hold != nil {
+			select {
+			case <-hold:
+			case <-ctx.Done():
+				return call.ErrEnded.New("cancelled")
+			}
+		}
+		if breakAfter > 0 && n > after+breakAfter {
+			return call.ErrBroken.New("reset")
+		}
+		if err := receiver.Event(call.Event{ID: n, Data: fmt.Sprintf("%s-%d", request.ID, n)}); err != nil {
+			return err
+		}
+	}
+	w.mu.Lock()
+	w.written[request.ID]++
+	w.mu.Unlock()
+	return nil
+}
+
+// score is the scoring call.
+func (w *world) score(_ context.Context, reward *recordpb.Reward) (*call.Answer, int, error) {
+	id := strings.TrimPrefix(reward.GetId(), "score-")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.scored[id]++
+	if w.written[id] == 0 {
+		w.scoredEarly = append(w.scoredEarly, id)
+	}
+	return &call.Answer{Status: http.StatusOK, Stamp: "stamp-" + id}, 3, nil
+}
+
+// owner takes the unit and returns its owner.
+func (w *world) owner(t *testing.T, node string) *Owner {
+	t.Helper()
+	unit := w.takeUnit(t, node)
+	o := NewOwner(context.Background(), OwnerOptions{
+		Unit: unit, Service: "s", Zone: "z", Store: w.store, Directory: w.directory, Routes: w.routes,
+		Streamer: w, Scorer: w.score, ScoreSlots: func() int { return 8 }, Logger: slog.New(slog.DiscardHandler),
+	})
+	t.Cleanup(o.Stop)
+	return o
+}
+
+// takeUnit writes the unit's key as the cluster does.
+func (w *world) takeUnit(t *testing.T, node string) cluster.Unit {
+	t.Helper()
+	unit := cluster.Unit{Name: testUnit, Owner: node}
+	unit.Epoch = w.store.Write(unit.Condition().Key, []byte(fmt.Sprintf(`{"owner":%q}`, node)))
+	return unit
+}
+
+// service returns a service on the world's store whose cluster knows nobody.
+func (w *world) service() *Service {
+	logger := slog.New(slog.DiscardHandler)
+	var s *Service
+	c := cluster.New(cluster.Options{Self: cluster.Node{Name: "self"}, Store: w.store, Logger: logger, Open: func(e metastore.Event) { s.Changed(e) }})
+	s = NewService(Options{Store: w.store, Cluster: c, Status: time.Minute, Logger: logger})
+	return s
+}
+
+// submissionOf makes a submission of groups of items.
+func submissionOf(id string, groups, size int, minVersion int64) *recordpb.Submission {
+	s := &recordpb.Submission{Id: id, Host: "h", Path: "/b/" + id, Model: "m", MinVersion: minVersion, TargetGroups: int32(groups)}
+	for g := range groups {
+		for i := range size {
+			item := fmt.Sprintf("i%d-%d", g, i)
+			s.Items = append(s.Items, &recordpb.Item{
+				Id: item, Path: "/b/x", Group: fmt.Sprint("g", g), Tokens: 10,
+				Reward: &recordpb.Reward{Id: "score-" + item, Host: "h", Path: "/score"},
+			})
+		}
+	}
+	return s
+}
+
+// allResults waits until all results are listed and returns them.
+func allResults(t *testing.T, s *Service, id string, total int) []*recordpb.Result {
+	t.Helper()
+	var results []*recordpb.Result
+	require.Eventually(t, func() bool {
+		_, found, err := s.Read(context.Background(), id, 0, 0)
+		results = found
+		return err == nil && len(found) >= total
+	}, patience, pause)
+	return results
+}
+
+// requireWhole checks that each item stands once with its whole text and score.
+func requireWhole(t *testing.T, w *world, submission *recordpb.Submission, results []*recordpb.Result) {
+	t.Helper()
+	var got, want []string
+	for _, item := range submission.GetItems() {
+		want = append(want, item.GetId())
+	}
+	for _, result := range results {
+		got = append(got, result.GetId())
+		var events []string
+		for n := 1; n <= w.events; n++ {
+			events = append(events, fmt.Sprintf("%s-%d", result.GetId(), n))
+		}
+		require.Equal(t, strings.Join(events, "\n"), result.GetOutput())
+		require.Equal(t, "stamp-"+result.GetId(), result.GetScore())
+		require.False(t, result.GetAbandoned())
+		require.NotEmpty(t, result.GetVersions())
+	}
+	slices.Sort(got)
+	slices.Sort(want)
+	require.Equal(t, want, got)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.Empty(t, w.scoredEarly)
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func noonNow() time.Time { return time.Unix(1_700_000_000, 0) }
--- /dev/null
+++ b/internal/weights/weights_test.go
@@ -0,0 +1,216 @@
+package weights
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
+)
+
+// TestHomesAreSharedAlikeAndKept: each endpoint has one home, models differ by one
+// at most, and who stays keeps its home unless the shares ask for a move.
+func TestHomesAreSharedAlikeAndKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h homes
+		models := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "models")]
+		var before map[string]string
+		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			var live []*fleet.Endpoint
+			for _, id := range rapid.SliceOfNDistinct(rapid.IntRange(0, 14), 1, 12, rapid.ID).Draw(t, "ids") {
+				live = append(live, &fleet.Endpoint{ID: fmt.Sprint(id), Live: &fleet.Live{}})
+			}
+			byModel := h.assign(live, models)
+			total, least, most := 0, len(live), 0
+			for _, model := range models {
+				n := len(byModel[model])
+				total, least, most = total+n, min(least, n), max(most, n)
+			}
+			if total != len(live) || most-least > 1 {
+				t.Fatalf("%d endpoints have homes %v", len(live), byModel)
+			}
+			moved := 0
+			for id, model := range h.model {
+				if was, had := before[id]; had && was != model {
+					moved++
+				}
+			}
+			if moved > len(live)/2+1 {
+				t.Fatalf("%d of %d homes moved", moved, len(live))
+			}
+			before = map[string]string{}
+			for id, model := range h.model {
+				before[id] = model
+			}
+		}
+	})
+}
+
+// engines is a stand-in for endpoints that take orders.
+type engines struct {
+	mu       sync.Mutex
+	state    map[string]*engineState
+	loading  int
+	mostOnce int
+	// unanswered are orders that get no answer and are carried out later.
+	unanswered int
+	late       []func()
+	oldFence   int
+}
+
+type engineState struct {
+	version, accepted, fence int64
+	busy                     bool
+}
+
+func (s *engines) take(e *fleet.Endpoint, order Order) Verdict {
+	st := s.state[e.ID]
+	switch {
+	case order.Epoch < st.fence:
+		s.oldFence++
+		return Fenced
+	case st.version == order.Version:
+		return Holds
+	case st.busy || order.Accepted != st.accepted:
+		return Busy
+	}
+	st.fence = order.Epoch
+	st.accepted++
+	st.busy = true
+	s.loading++
+	s.mostOnce = max(s.mostOnce, s.loading)
+	time.AfterFunc(2*time.Millisecond, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		st.version, st.busy = order.Version, false
+		s.loading--
+	})
+	return Accepted
+}
+
+func (s *engines) Order(_ context.Context, e *fleet.Endpoint, order Order) (Verdict, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unanswered > 0 {
+		s.unanswered--
+		s.late = append(s.late, func() { s.take(e, order) })
+		return Unknown, call.ErrBroken.New("no answer")
+	}
+	return s.take(e, order), nil
+}
+
+func (s *engines) Report(_ context.Context, e *fleet.Endpoint) (Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.state[e.ID]
+	return Report{Busy: st.busy, Accepted: st.accepted, Versions: map[string]int64{"m": st.version}}, nil
+}
+
+func (s *engines) versions() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []int64
+	for _, st := range s.state {
+		all = append(all, st.version)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func world(t *testing.T, n int, epoch int64) (*engines, *Manager, *Targets) {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	directory := fleet.NewDirectory(logger)
+	s := &engines{state: map[string]*engineState{}}
+	for i := range n {
+		id := fmt.Sprintf("e%d", i)
+		s.state[id] = &engineState{version: 1}
+		directory.Set(&fleet.Endpoint{ID: id, Service: "s", Versions: map[string]int64{"m": 1}})
+	}
+	directory.Publish()
+	targets := &Targets{}
+	m := NewManager(Options{
+		Service: "s", Directory: directory, Engines: s, Targets: targets,
+		Models: func() []string { return []string{"m"} }, Mode: func(string) Mode { return Continue },
+		Confirmed: func() bool { return true }, Changed: func() {}, Holder: "node", Epoch: epoch, Logger: logger,
+	})
+	return s, m, targets
+}
+
+func run(t *testing.T, m *Manager) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = m.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+const patience = 30 * time.Second
+
+// TestAllReachTheNamedVersion: every endpoint is loaded, and no more at once than
+// their share.
+func TestAllReachTheNamedVersion(t *testing.T) {
+	s, m, targets := world(t, 9, 5)
+	targets.Name("m", 2)
+	run(t, m)
+	require.Eventually(t, func() bool { return s.versions()[0] == 2 }, patience, time.Millisecond)
+	require.LessOrEqual(t, s.mostOnce, atOnce(9))
+}
+
+// TestLateOrderChangesNothing: an order without an answer that is carried out
+// after a newer one finds another count of orders.
+func TestLateOrderChangesNothing(t *testing.T) {
+	s, m, targets := world(t, 1, 5)
+	s.unanswered = 1
+	targets.Name("m", 2)
+	run(t, m)
+	require.Eventually(t, func() bool { return s.versions()[0] == 2 }, patience, time.Millisecond)
+	targets.Name("m", 3)
+	require.Eventually(t, func() bool { return s.versions()[0] == 3 }, patience, time.Millisecond)
+	s.mu.Lock()
+	for _, late := range s.late {
+		late()
+	}
+	s.mu.Unlock()
+	require.Equal(t, []int64{3}, s.versions())
+}
+
+// TestFencedOwnerStops: an owner that was refused for a higher epoch does not
+// order again.
+func TestFencedOwnerStops(t *testing.T) {
+	s, m, targets := world(t, 1, 5)
+	s.state["e0"].fence = 9
+	targets.Name("m", 2)
+	m.pass(context.Background(), time.Now())
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.oldFence == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.tracks["e0"].fenced }, patience, time.Millisecond)
+	for range 20 {
+		m.pass(context.Background(), time.Now().Add(time.Minute))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Equal(t, 1, s.oldFence)
+}
+
+func TestTargetsOnlyRise(t *testing.T) {
+	var targets Targets
+	require.True(t, targets.Name("m", 3))
+	require.False(t, targets.Name("m", 2))
+	require.False(t, targets.Name("m", 3))
+	require.EqualValues(t, 3, targets.Of("m"))
+	require.Zero(t, targets.Of("other"))
+}
+
+func TestAtOnceIsAShare(t *testing.T) {
+	for _, row := range []struct{ endpoints, want int }{{1, 1}, {4, 1}, {9, 2}, {35, 7}, {38, 8}} {
+		require.Equal(t, row.want, atOnce(row.endpoints), "%d endpoints", row.endpoints)
+	}
+}
