Test the wire's folder against a stand-in of the published calls, and whole nodes

Found: a request for which no endpoint was left hung to its deadline and was answered 504 though it had not run; it is offered for 150 ms and then refused with 503 (TestNoEndpointIsNotRun failed before).

--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // fleet is a few entries that share a store and call each other over links on
--- a/internal/claim/router_test.go
+++ b/internal/claim/router_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/twitchtv/twirp"
 
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 )
 
 // scriptedOwner answers from a script and notes what it was asked.
--- a/internal/claim/server.go
+++ b/internal/claim/server.go
@@ -10,9 +10,9 @@
 	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 )
 
 // Server decides on the claims of the partitions that its entry owns. Claim
--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -26,7 +26,7 @@
 	// missesToBelieve is how many pings in a row must miss for a node whose key
 	// is gone to count as dead at once.
 	missesToBelieve = 2
-	takeTimeout = time.Second
+	takeTimeout     = time.Second
 )
 
 // Run keeps the node's key and the units that fall to it until ctx ends.
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
-	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 )
 
 // fleetShape is a size of the fleet as one entry meets it.
--- a/internal/control/loopback_bench_test.go
+++ b/internal/control/loopback_bench_test.go
@@ -17,9 +17,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/config"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
-	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 )
 
 // loopback is a number of entries in one process that talk over loopback.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -82,6 +82,9 @@
 			if done {
 				return x.failure, err
 			}
+			if x.open == 0 {
+				continue // no endpoint takes it yet
+			}
 		}
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,199 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/route"
+)
+
+// script is what the n-th send gets.
+type step struct {
+	err    error
+	status int
+	// silent: the answer comes only when the context ends.
+	silent bool
+}
+
+// fakeCaller plays a script and counts what may have run.
+type fakeCaller struct {
+	mu     sync.Mutex
+	script []step
+	sends  int
+	ran    int
+	where  []string
+}
+
+func (f *fakeCaller) next(e *fleet.Endpoint) step {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := step{status: http.StatusOK}
+	if f.sends < len(f.script) {
+		s = f.script[f.sends]
+	}
+	f.sends++
+	f.where = append(f.where, e.ID)
+	if !call.NotRun(s.err) {
+		f.ran++
+	}
+	return s
+}
+
+// Call implements call.Caller.
+func (f *fakeCaller) Call(ctx context.Context, e *fleet.Endpoint, _ *call.Request) (*call.Answer, error) {
+	s := f.next(e)
+	if s.silent {
+		<-ctx.Done()
+		return nil, call.ErrEnded.Wrap(ctx.Err(), "silent")
+	}
+	if s.err != nil {
+		return nil, s.err
+	}
+	return &call.Answer{Status: s.status, Stamp: "stamp"}, nil
+}
+
+// Stream implements call.Streamer: a run breaks after one event, or ends whole
+// after event 3.
+func (f *fakeCaller) Stream(_ context.Context, e *fleet.Endpoint, _ *call.Request, after int, receiver call.Receiver) error {
+	s := f.next(e)
+	if s.err != nil && after == 0 && !call.Is(s.err, call.ErrBroken) {
+		return s.err
+	}
+	if err := receiver.Start(call.Start{Header: http.Header{"X-First": {e.ID}}}); err != nil {
+		return err
+	}
+	for n := after + 1; n <= 3; n++ {
+		if err := receiver.Event(call.Event{ID: n}); err != nil {
+			return err
+		}
+		if s.err != nil {
+			return s.err
+		}
+	}
+	return nil
+}
+
+func serviceOf(f *fakeCaller, endpoints int) *Service {
+	logger := slog.New(slog.DiscardHandler)
+	d := fleet.NewDirectory(logger)
+	for i := range endpoints {
+		d.Set(&fleet.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Slots: 4})
+	}
+	d.Publish()
+	return &Service{Directory: d, Caller: f, Streamer: f, Crashes: &Crashes{}, Logger: logger}
+}
+
+func routeOf(kind route.Kind, attempts int) *route.Route {
+	return &route.Route{Name: "r", Kind: kind, MaxAttempts: attempts, Services: []route.Target{{Service: "s", Weight: 1}}}
+}
+
+// TestAttemptsKeepWhatTheKindAllows plays random failures: a request that is not
+// idempotent never runs twice, others run at most as often as the route allows,
+// and an answer that says "not run" is given only when nothing ran.
+func TestAttemptsKeepWhatTheKindAllows(t *testing.T) {
+	steps := []step{
+		{err: call.ErrFull.New("full")}, {err: call.ErrNotSent.New("refused")}, {err: call.ErrMisdirected.New("other")},
+		{err: call.ErrBroken.New("reset")}, {err: call.ErrForeign.New("foreign")}, {status: 500}, {status: 200}, {status: 404},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fakeCaller{script: rapid.SliceOfN(rapid.SampledFrom(steps), 0, 6).Draw(t, "script")}
+		kind := rapid.SampledFrom([]route.Kind{route.Idempotent, route.NonIdempotent}).Draw(t, "kind")
+		r := routeOf(kind, rapid.IntRange(1, 4).Draw(t, "attempts"))
+		answer, err := serviceOf(f, 5).Do(context.Background(), r, &call.Request{ID: "x", URI: "/"})
+		limit := 1
+		if kind == route.Idempotent {
+			limit = r.MaxAttempts
+		}
+		if f.ran > limit {
+			t.Fatalf("%d runs, %d allowed", f.ran, limit)
+		}
+		if call.NotRun(err) && f.ran > 0 {
+			t.Fatalf("said not to have run, though it did: %v", err)
+		}
+		if err == nil && answer == nil {
+			t.Fatal("neither answer nor error")
+		}
+	})
+}
+
+func TestRepeatableRequestOutrunsSilence(t *testing.T) {
+	f := &fakeCaller{script: []step{{silent: true}}}
+	r := routeOf(route.Idempotent, 2)
+	r.Target = 10 * time.Millisecond
+	answer, err := serviceOf(f, 3).Do(context.Background(), r, &call.Request{ID: "x", URI: "/"})
+	require.NoError(t, err)
+	require.Equal(t, 200, answer.Status)
+	require.NotEqual(t, f.where[0], f.where[1])
+}
+
+func TestFailureCountsIsTheAnswer(t *testing.T) {
+	f := &fakeCaller{script: []step{{status: 500}}}
+	answer, err := serviceOf(f, 3).Do(context.Background(), routeOf(route.Idempotent, 4), &call.Request{ID: "x", URI: "/", FailureCounts: true})
+	require.NoError(t, err)
+	require.Equal(t, 500, answer.Status)
+	require.Equal(t, 1, f.sends)
+}
+
+// TestCrashingRequestIsHeldBack: a request at which connections break is not sent
+// again, whoever repeats it.
+func TestCrashingRequestIsHeldBack(t *testing.T) {
+	broken := step{err: call.ErrBroken.New("reset")}
+	f := &fakeCaller{script: []step{broken, broken, broken, broken, broken, broken, broken, broken}}
+	s := serviceOf(f, 8)
+	told := 0
+	s.Crashes.Tell = func(uint64, time.Duration) { told++ }
+	for i := range 4 {
+		_, err := s.Do(context.Background(), routeOf(route.Idempotent, 4), &call.Request{ID: fmt.Sprint(i), URI: "/same", Body: []byte("same")})
+		require.Error(t, err)
+	}
+	require.Equal(t, crashesToHold, f.ran)
+	require.Equal(t, 1, told)
+	other := serviceOf(&fakeCaller{}, 2)
+	other.Crashes.Hold(Fingerprint(&call.Request{URI: "/same", Body: []byte("same")}), time.Minute)
+	_, err := other.Do(context.Background(), routeOf(route.Idempotent, 4), &call.Request{URI: "/same", Body: []byte("same")})
+	require.True(t, call.Is(err, call.ErrRejected))
+}
+
+func TestNoEndpointIsNotRun(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := serviceOf(&fakeCaller{}, 0).Do(ctx, routeOf(route.Idempotent, 2), &call.Request{ID: "x", URI: "/"})
+	require.True(t, call.NotRun(err))
+}
+
+// TestStreamGoesOnWhereItBroke: the caller sees each event once, and one head.
+func TestStreamGoesOnWhereItBroke(t *testing.T) {
+	broken := step{err: call.ErrBroken.New("reset")}
+	for _, row := range []struct {
+		name      string
+		resumable bool
+		want      []int
+		ok        bool
+	}{{"resumable", true, []int{1, 2, 3}, true}, {"not resumable", false, []int{1}, false}} {
+		t.Run(row.name, func(t *testing.T) {
+			f := &fakeCaller{script: []step{{err: call.ErrFull.New("full")}, broken, broken}}
+			r := routeOf(route.Stream, 4)
+			r.Resumable = row.resumable
+			var ids []int
+			heads := 0
+			started, err := serviceOf(f, 5).Stream(context.Background(), r, &call.Request{ID: "x", URI: "/"}, 0, call.Receiver{
+				Start: func(call.Start) error { heads++; return nil },
+				Event: func(e call.Event) error { ids = append(ids, e.ID); return nil },
+			})
+			require.True(t, started)
+			require.Equal(t, row.ok, err == nil)
+			require.Equal(t, row.want, ids)
+			require.Equal(t, 1, heads)
+		})
+	}
+}
--- a/internal/measure/processes.go
+++ b/internal/measure/processes.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreyfront/comfreyfront/internal/config"
-	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 	"github.com/comfreyfront/comfreyfront/internal/step"
 	trainerclient "github.com/comfreyfront/comfreyfront/trainer"
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -97,15 +97,15 @@
 // waiting watch silent: the next watch is told.
 func TestFollowerHearsOfDroppedHistory(t *testing.T) {
 	store := memory.New(nil)
-	store.Write("op/config", []byte("1"))
-	s, stop := follow(context.Background(), store, "op/")
+	store.Write("c/config", []byte("1"))
+	s, stop := follow(context.Background(), store, "c/")
 	defer stop()
-	require.Eventually(t, func() bool { return s.copy()["op/config"] == "1" }, patience, pause)
+	require.Eventually(t, func() bool { return s.copy()["c/config"] == "1" }, patience, pause)
 	store.SetFaults(memory.Faults{Deaf: true})
-	store.Write("op/config", []byte("2"))
+	store.Write("c/config", []byte("2"))
 	store.DropHistory()
 	store.SetFaults(memory.Faults{})
-	require.Eventually(t, func() bool { return s.copy()["op/config"] == "2" }, patience, pause)
+	require.Eventually(t, func() bool { return s.copy()["c/config"] == "2" }, patience, pause)
 }
 
 // TestFollowerTellsLossAndReturn checks that an outage is told once.
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,285 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+	"github.com/comfreyfront/comfreyfront/internal/settings"
+	"github.com/comfreyfront/comfreyfront/platform/platformtest"
+)
+
+const (
+	patience = 60 * time.Second
+	pause    = 5 * time.Millisecond
+)
+
+// system is a store, endpoints and nodes on loopback.
+type system struct {
+	t       *testing.T
+	store   *platformtest.Store
+	engines []*platformtest.Endpoint
+	plain   *platformtest.Endpoint
+	nodes   map[string]*testNode
+	client  *http.Client
+}
+
+type testNode struct {
+	node    *Node
+	address string
+	ready   string
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, store: platformtest.NewStore(), nodes: map[string]*testNode{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	t.Cleanup(s.store.Close)
+	for i := range 3 {
+		e := platformtest.NewEndpoint(&platformtest.Endpoint{ID: fmt.Sprintf("lm-%d", i), Service: "lm", Zone: "z", Model: "m", Events: 5, Gap: time.Millisecond})
+		t.Cleanup(e.Close)
+		s.engines = append(s.engines, e)
+		s.store.Write(e.Key(), e.Record("ready"))
+	}
+	s.plain = platformtest.NewEndpoint(&platformtest.Endpoint{ID: "app-0", Service: "app", Zone: "z"})
+	t.Cleanup(s.plain.Close)
+	s.store.Write(s.plain.Key(), s.plain.Record("ready"))
+	s.store.WriteForeign()
+	s.store.Configure(1, "")
+	return s
+}
+
+// freeAddress returns an address on loopback that was free just now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (s *system) start(name string) *testNode {
+	s.t.Helper()
+	chosen := settings.DefaultNode()
+	chosen.Name, chosen.FailureDomain = name, "z"
+	chosen.Listen, chosen.ReadyListen, chosen.PeerListen = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	chosen.StoreAddress = s.store.Address()
+	chosen.Grace = 5 * time.Second
+	require.NoError(s.t, chosen.Check())
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &testNode{node: build(chosen, slog.New(slog.DiscardHandler)), address: chosen.Listen, ready: chosen.ReadyListen, cancel: cancel, done: make(chan struct{})}
+	go func() { defer close(n.done); _ = n.node.run(ctx) }()
+	s.nodes[name] = n
+	s.t.Cleanup(func() { cancel(); <-n.done })
+	require.Eventually(s.t, func() bool {
+		response, err := s.client.Get("http://" + n.ready + "/ready")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, patience, pause)
+	return n
+}
+
+func (s *system) call(n *testNode, method, path, id string, body []byte) (int, []byte) {
+	s.t.Helper()
+	request, err := platformtest.Request(method, n.address, path, id, body)
+	require.NoError(s.t, err)
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	require.NoError(s.t, err)
+	return response.StatusCode, content
+}
+
+func (s *system) submit(n *testNode, id string, items int) {
+	s.t.Helper()
+	body := platformtest.Submission(id, items)
+	require.Eventually(s.t, func() bool {
+		status, _ := s.call(n, "POST", "/draft/"+id, id, body)
+		return status == http.StatusAccepted
+	}, patience, pause)
+}
+
+func (s *system) results(n *testNode, id string, want int) platformtest.Page {
+	s.t.Helper()
+	var p platformtest.Page
+	require.Eventually(s.t, func() bool {
+		status, content := s.call(n, "GET", platformtest.ResultsPath(id)+"?after=0", "", nil)
+		var err error
+		p, err = platformtest.DecodePage(content)
+		return status == http.StatusOK && err == nil && p.Next >= want
+	}, patience, pause)
+	return p
+}
+
+func (s *system) requireWhole(p platformtest.Page, id string, items int) {
+	s.t.Helper()
+	seen := map[string]bool{}
+	for _, result := range p.Results {
+		require.False(s.t, seen[result.ID])
+		seen[result.ID] = true
+		require.Equal(s.t, "completed", result.State)
+		var events []string
+		for n := 1; n <= 5; n++ {
+			events = append(events, fmt.Sprintf("%s-%d", result.ID, n))
+		}
+		require.Equal(s.t, strings.Join(events, "\n"), result.Output)
+		require.Equal(s.t, "stamp-s-"+result.ID, result.Score)
+	}
+	require.Len(s.t, seen, items, id)
+}
+
+// owner returns the node that owns the engines.
+func (s *system) owner() (string, *testNode) {
+	s.t.Helper()
+	var name string
+	require.Eventually(s.t, func() bool {
+		for candidate, n := range s.nodes {
+			if n.node.owns() {
+				name = candidate
+				return true
+			}
+		}
+		return false
+	}, patience, pause)
+	return name, s.nodes[name]
+}
+
+func TestWholePathThroughAnyNode(t *testing.T) {
+	s := newSystem(t)
+	one, two := s.start("n1"), s.start("n2")
+	status, content := s.call(two, "POST", "/lookup/x", "req-1", []byte("b"))
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "answer of req-1", string(content))
+	status, _ = s.call(two, "POST", "/none/x", "req-2", nil)
+	require.Equal(t, http.StatusNotFound, status)
+	s.engines[0].BreakStreams(3)
+	s.submit(one, "a", 8)
+	s.submit(two, "b", 8)
+	for _, n := range []*testNode{one, two} {
+		s.requireWhole(s.results(n, "a", 8), "a", 8)
+		s.requireWhole(s.results(n, "b", 8), "b", 8)
+	}
+	status, _ = s.call(two, "GET", platformtest.ResultsPath("never"), "", nil)
+	require.Equal(t, http.StatusNotFound, status)
+	status, content = s.call(two, "GET", platformtest.BodyPath("a", "a-0"), "", nil)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, []byte{1, 2}, content)
+	status, _ = s.call(one, "DELETE", platformtest.ResultsPath("a"), "", nil)
+	require.Equal(t, http.StatusOK, status)
+	s.requireWhole(s.results(two, "a", 8), "a", 8)
+}
+
+func TestConfigurationAndDrainingTakeEffect(t *testing.T) {
+	s := newSystem(t)
+	n := s.start("n1")
+	s.store.Configure(2, platformtest.Extra)
+	require.Eventually(t, func() bool { status, _ := s.call(n, "POST", "/new/x", "r", nil); return status == http.StatusOK }, patience, pause)
+	s.store.Configure(1, "")
+	second := platformtest.NewEndpoint(&platformtest.Endpoint{ID: "app-1", Service: "app", Zone: "z"})
+	t.Cleanup(second.Close)
+	s.store.Write(second.Key(), second.Record("ready"))
+	s.store.Write(s.plain.Key(), s.plain.Record("draining"))
+	require.Eventually(t, func() bool {
+		e, known := n.node.directory.Find("app-0")
+		_, also := n.node.directory.Find("app-1")
+		return known && also && e.Draining
+	}, patience, pause)
+	for i := range 20 {
+		id := fmt.Sprintf("after-%d", i)
+		status, _ := s.call(n, "POST", "/new/x", id, nil)
+		require.Equal(t, http.StatusOK, status, "an older configuration does not come back")
+		require.Equal(t, 0, s.plain.Runs(id), "a draining endpoint gets no new work")
+	}
+}
+
+// TestLeavingOwnerLosesNothing: the owner leaves in the middle of a submission;
+// another node finishes it.
+func TestLeavingOwnerLosesNothing(t *testing.T) {
+	s := newSystem(t)
+	s.start("n1")
+	s.start("n2")
+	name, owner := s.owner()
+	other := s.nodes["n1"]
+	if name == "n1" {
+		other = s.nodes["n2"]
+	}
+	s.submit(owner, "a", 12)
+	owner.cancel()
+	s.requireWhole(s.results(other, "a", 12), "a", 12)
+	<-owner.done
+	s.requireWhole(s.results(other, "a", 12), "a", 12)
+}
+
+// TestOutageOfTheStore: what the store acknowledged is read back after an outage,
+// plain requests go on during it, and submissions are refused truthfully.
+func TestOutageOfTheStore(t *testing.T) {
+	s := newSystem(t)
+	n := s.start("n1")
+	s.owner()
+	s.submit(n, "a", 8)
+	s.results(n, "a", 8)
+	s.store.SetFaults(memory.Faults{Down: true})
+	status, _ := s.call(n, "POST", "/lookup/x", "during", nil)
+	require.Equal(t, http.StatusOK, status)
+	status, _ = s.call(n, "POST", "/draft/b", "b", platformtest.Submission("b", 2))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	status, _ = s.call(n, "GET", platformtest.ResultsPath("unheard"), "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, status, "never a false 404")
+	s.store.SetFaults(memory.Faults{})
+	s.requireWhole(s.results(n, "a", 8), "a", 8)
+	s.submit(n, "c", 4)
+	s.requireWhole(s.results(n, "c", 4), "c", 4)
+}
+
+// TestAllNodesAtOnce: all processes end and start again; nothing that was
+// acknowledged is lost.
+func TestAllNodesAtOnce(t *testing.T) {
+	s := newSystem(t)
+	one, two := s.start("n1"), s.start("n2")
+	s.submit(one, "a", 8)
+	one.cancel()
+	two.cancel()
+	<-one.done
+	<-two.done
+	again := s.start("n1")
+	s.requireWhole(s.results(again, "a", 8), "a", 8)
+}
+
+// TestNamedVersionReachesAllEngines loads the weights that a trainer named.
+func TestNamedVersionReachesAllEngines(t *testing.T) {
+	s := newSystem(t)
+	n := s.start("n1")
+	s.store.NameVersion("m", 2)
+	require.Eventually(t, func() bool {
+		for _, e := range n.node.directory.Of("lm") {
+			if e.Version("m") < 2 {
+				return false
+			}
+		}
+		return true
+	}, patience, pause)
+}
+
+// TestInstanceIsEmptiedAtOnce: nothing that must last stands on instances.
+func TestInstanceIsEmptiedAtOnce(t *testing.T) {
+	s := newSystem(t)
+	s.start("n1")
+	s.store.AskToEmpty("storage-1")
+	require.Eventually(t, func() bool { return s.store.IsEmptied("storage-1") }, patience, pause)
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+)
+
+// refusing is a way to the store on which nothing is done.
+type refusing struct {
+	metastore.Store
+	off     bool
+	unknown bool
+	calls   int
+	// watching, when set, is told of each watch that waits.
+	watching chan struct{}
+}
+
+func (r *refusing) Commit(ctx context.Context, txn metastore.Txn) (int64, error) {
+	r.calls++
+	if r.unknown {
+		return 0, metastore.ErrUnknown.New("no answer")
+	}
+	if r.off {
+		return 0, metastore.ErrUnavailable.New("status 503")
+	}
+	return r.Store.Commit(ctx, txn)
+}
+
+func (r *refusing) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	if r.off {
+		if r.watching != nil {
+			r.watching <- struct{}{}
+		}
+		<-ctx.Done()
+		return nil, 0, metastore.ErrUnknown.Wrap(ctx.Err(), "silent")
+	}
+	return r.Store.Watch(ctx, prefix, after, wait)
+}
+
+func put(key string) metastore.Txn {
+	return metastore.Txn{Conditions: []metastore.Condition{{Key: key}}, Puts: []metastore.Put{{Key: key, Value: []byte("x")}}}
+}
+
+func TestCallsGoThroughAPeerWhileTurnedAway(t *testing.T) {
+	store := memory.New(nil)
+	direct := &refusing{Store: store, off: true}
+	s := New(direct, func() []metastore.Store { return []metastore.Store{store} })
+	now := time.Unix(1_700_000_000, 0)
+	s.now = func() time.Time { return now }
+	for _, key := range []string{"a", "b", "c", "d"} {
+		_, err := s.Commit(context.Background(), put(key))
+		require.NoError(t, err)
+	}
+	require.False(t, s.InTouch())
+	require.Equal(t, failuresToTurn, direct.calls, "a store that turns this node away is not asked with each call")
+	direct.off = false
+	now = now.Add(2 * probeEvery)
+	_, err := s.Commit(context.Background(), put("e"))
+	require.NoError(t, err)
+	require.True(t, s.InTouch())
+}
+
+// TestUnknownWriteIsNotRepeated: a write that may have been applied is the
+// caller's to judge.
+func TestUnknownWriteIsNotRepeated(t *testing.T) {
+	store := memory.New(nil)
+	s := New(&refusing{Store: store, unknown: true}, func() []metastore.Store { return []metastore.Store{store} })
+	_, err := s.Commit(context.Background(), put("a"))
+	require.ErrorContains(t, err, "no answer")
+	_, err = store.Get(context.Background(), "a")
+	require.Error(t, err)
+}
+
+// TestWaitingWatchTurns: a watch that waits on a silent way is given up when other
+// calls fail.
+func TestWaitingWatchTurns(t *testing.T) {
+	store := memory.New(nil)
+	direct := &refusing{Store: store, off: true, watching: make(chan struct{})}
+	s := New(direct, func() []metastore.Store { return []metastore.Store{store} })
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := s.Watch(context.Background(), "a", 1, time.Hour)
+		ended <- err
+	}()
+	<-direct.watching
+	for _, key := range []string{"a1", "a2"} {
+		_, err := s.Commit(context.Background(), put(key))
+		require.NoError(t, err)
+	}
+	require.Error(t, <-ended)
+	events, _, err := s.Watch(context.Background(), "a", 1, time.Hour)
+	require.NoError(t, err)
+	require.Len(t, events, 2)
+}
+
+func TestNoWayIsUnavailable(t *testing.T) {
+	s := New(&refusing{Store: memory.New(nil), off: true}, func() []metastore.Store { return nil })
+	_, err := s.Commit(context.Background(), put("a"))
+	require.Error(t, err)
+	_, err = s.Commit(context.Background(), put("a"))
+	require.ErrorContains(t, err, "unavailable")
+}
--- a/internal/rollout/bench_test.go
+++ b/internal/rollout/bench_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
 )
 
 // benchEngine is an engine over HTTP that carries orders out at once.
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
--- a/internal/rollout/options.go
+++ b/internal/rollout/options.go
@@ -8,8 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/comfreyfront/comfreyfront/internal/engine"
-	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
+	"github.com/comfreyfront/comfreyfront/internal/ownership"
 )
 
 // Orders gives weight orders to engines at host:port and reads them back.
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -120,14 +120,14 @@
 	// listed are the results that last in the store, in their order.
 	listed []*recordpb.Result
 	// batch is the number of the next write of results.
-	batch   int
-	ready   []*item
-	left    map[string]int // unfinished items by group
+	batch int
+	ready []*item
+	left  map[string]int // unfinished items by group
 	// completedAt is when groups became complete.
 	completedAt map[string]time.Time
-	writing bool
-	ended   bool
-	endedAt time.Time
+	writing     bool
+	ended       bool
+	endedAt     time.Time
 	// changed is closed when results were listed.
 	changed chan struct{}
 }
@@ -180,7 +180,7 @@
 
 // enough reports whether the groups that the trainer waits for are complete.
 func (o *open) enough() bool {
-	return o.complete() >= int(o.record.GetTargetGroups())
+	return o.complete() >= int(o.record.GetWantedGroups())
 }
 
 // complete returns the number of complete groups.
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -147,7 +147,7 @@
 
 // submissionOf makes a submission of groups of items.
 func submissionOf(id string, groups, size int, minVersion int64) *recordpb.Submission {
-	s := &recordpb.Submission{Id: id, Host: "h", Path: "/b/" + id, Model: "m", MinVersion: minVersion, TargetGroups: int32(groups)}
+	s := &recordpb.Submission{Id: id, Host: "h", Path: "/b/" + id, Model: "m", MinVersion: minVersion, WantedGroups: int32(groups)}
 	for g := range groups {
 		for i := range size {
 			item := fmt.Sprintf("i%d-%d", g, i)
--- a/trainer/takeover_bench_test.go
+++ b/trainer/takeover_bench_test.go
@@ -16,9 +16,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/control"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/memstore"
 	"github.com/comfreyfront/comfreyfront/internal/step"
 	"github.com/comfreyfront/comfreyfront/trainer"
 )
