Let a few nodes watch the store for the others

Ruled out: fewer, longer watches (a store that dropped its history leaves them silent). Change: two nodes, or one in 16, watch the store with watches of 1 s; the others watch their caches, which answer only while the store itself confirmed them in the last 1.7 s, and go to the store when a hub does not answer.

--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -36,6 +36,9 @@
 	// Settled is called after each round of changes; the first call tells that
 	// the whole range was read.
 	Settled func()
+	// Confirmed is called after each answer of the store with the revision up to
+	// which all changes are known; it may be nil.
+	Confirmed func(position int64)
 	// Lost is called when the store is first not reached, and Regained when it
 	// answers again. Both may be nil.
 	Lost     func(error)
@@ -47,11 +50,12 @@
 	Logger *slog.Logger
 
 	known map[string]int64
-	// position is the revision up to which changes were seen; zero asks for a
-	// new reading of the range.
+	// position is the revision up to which changes were seen.
 	position int64
-	failing  bool
-	backoff  time.Duration
+	// reread asks for a new reading of the range.
+	reread  bool
+	failing bool
+	backoff time.Duration
 }
 
 // Run follows until ctx ends.
@@ -68,7 +72,7 @@
 }
 
 func (f *Follower) round(ctx context.Context) error {
-	if f.position == 0 {
+	if f.position == 0 || f.reread {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
@@ -77,7 +81,7 @@
 func (f *Follower) failed(ctx context.Context, err error) {
 	if errorx.IsOfType(err, ErrCompacted) {
 		event.HistoryGone.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.Int64("position", f.position))
-		f.position = 0
+		f.reread = true
 		return
 	}
 	if ctx.Err() != nil {
@@ -96,6 +100,9 @@
 
 func (f *Follower) answered(ctx context.Context) {
 	f.backoff = 0
+	if f.Confirmed != nil {
+		f.Confirmed(f.position)
+	}
 	if !f.failing {
 		return
 	}
@@ -115,6 +122,9 @@
 	if err != nil {
 		return err
 	}
+	if revision < f.position {
+		return ErrUnavailable.New("keys as of revision %d, known up to %d", revision, f.position)
+	}
 	present := make(map[string]struct{}, len(items))
 	for _, item := range items {
 		present[item.Key] = struct{}{}
@@ -125,7 +135,7 @@
 			f.apply(Event{Item: Item{Key: key, Revision: revision}, Deleted: true})
 		}
 	}
-	f.position = revision
+	f.position, f.reread = revision, false
 	event.KeysRead.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.Int("keys", len(items)), slog.Int64("revision", revision))
 	f.Settled()
 	return nil
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -27,14 +27,32 @@
 // followers returns what keeps the node up to date with the store.
 func (n *Node) followers() []*metastore.Follower {
 	return []*metastore.Follower{
-		{Store: n.store, Prefix: platform.KeyOperator, Logger: n.logger, Changed: n.operatorChanged, Settled: func() {}},
-		{Store: n.store, Prefix: platform.KeyEndpoints, Logger: n.logger, Gather: gatherEndpoints,
-			Changed: n.endpointChanged, Settled: n.endpointsSettled,
-			Lost: func(error) { n.directory.StoreLost() }, Regained: n.directory.StoreRegained},
-		{Store: n.store, Prefix: cluster.Prefix, Logger: n.logger, Gather: gatherCluster, Changed: n.cluster.Changed, Settled: n.cluster.Settled},
+		n.follower(platform.KeyOperator, 0, n.operatorChanged, func() {}),
+		n.follower(platform.KeyEndpoints, gatherEndpoints, n.endpointChanged, n.endpointsSettled),
+		n.follower(cluster.Prefix, gatherCluster, n.cluster.Changed, n.cluster.Settled),
 	}
 }
 
+// follower returns what keeps a consumer of one prefix up to date, and this
+// node's cache of it.
+func (n *Node) follower(prefix string, gather time.Duration, changed func(metastore.Event), settled func()) *metastore.Follower {
+	cache := n.caches[prefix]
+	source := &followed{Store: n.store, hubs: n.hubs}
+	f := &metastore.Follower{
+		Store: source, Prefix: prefix, Gather: gather, Logger: n.logger, Settled: settled,
+		Changed: func(e metastore.Event) {
+			cache.Changed(e)
+			changed(e)
+		},
+		Confirmed: func(position int64) { cache.Confirmed(position, source.direct) },
+	}
+	if prefix == platform.KeyEndpoints {
+		f.Lost = func(error) { n.directory.StoreLost() }
+		f.Regained = n.directory.StoreRegained
+	}
+	return f
+}
+
 func (n *Node) operatorChanged(e metastore.Event) {
 	ctx := context.Background()
 	switch platform.RecordOf(e.Key) {
--- /dev/null
+++ b/internal/node/hubs.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/watchcache"
+)
+
+// A few nodes, the hubs, watch the store; the others watch a hub. Watches of the
+// store would else grow with the fleet.
+const (
+	// leastHubs and nodesPerHub give the number of hubs.
+	leastHubs   = 2
+	nodesPerHub = 16
+	// hubWait is how long a hub's watch of the store waits: short, since many
+	// depend on it and a store that dropped its history leaves watches silent.
+	hubWait = time.Second
+	// hubFresh is how long a hub answers after the store last confirmed what it
+	// knows.
+	hubFresh = hubWait + 700*time.Millisecond
+	// followWait is how long a watch of a hub waits, and followSlack what the
+	// answer may take beyond: a hub that falls silent is left well within the
+	// bound for a new configuration.
+	followWait  = 800 * time.Millisecond
+	followSlack = 300 * time.Millisecond
+	// hubPause is how long a hub that failed is not asked again.
+	hubPause = 3 * time.Second
+)
+
+// hubs chooses whom this node watches. It is safe for concurrent use.
+type hubs struct {
+	cluster *cluster.Cluster
+	peers   *peers
+
+	mu     sync.Mutex
+	failed map[string]time.Time // until when a hub is not asked, by node
+}
+
+// hubRank orders the nodes; the first are hubs.
+func hubRank(node string) uint32 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte("hub\x00" + node)) // never fails
+	return hash.Sum32()
+}
+
+// choose returns the hub that this node watches; false when it watches the store
+// itself.
+func (h *hubs) choose() (cluster.Node, bool) {
+	self := h.cluster.Self()
+	all := append(h.cluster.Nodes(), self)
+	slices.SortFunc(all, func(a, b cluster.Node) int {
+		return cmp.Or(cmp.Compare(hubRank(a.Name), hubRank(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	chosen := all[:min(len(all), max(leastHubs, len(all)/nodesPerHub))]
+	if !h.cluster.Listed() || slices.ContainsFunc(chosen, func(n cluster.Node) bool { return n.Name == self.Name }) {
+		return cluster.Node{}, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var usable []cluster.Node
+	for _, node := range chosen {
+		if !node.Leaving && time.Now().After(h.failed[node.Name]) {
+			usable = append(usable, node)
+		}
+	}
+	if len(usable) == 0 {
+		return cluster.Node{}, false
+	}
+	// The same node keeps to the same hub; near ones first.
+	slices.SortFunc(usable, func(a, b cluster.Node) int {
+		return cmp.Or(cmp.Compare(far(a, self.Zone), far(b, self.Zone)),
+			cmp.Compare(hubRank(self.Name+a.Name), hubRank(self.Name+b.Name)))
+	})
+	return usable[0], true
+}
+
+func (h *hubs) fail(node cluster.Node) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failed == nil {
+		h.failed = map[string]time.Time{}
+	}
+	h.failed[node.Name] = time.Now().Add(hubPause)
+}
+
+// followed is the store as the follower of one prefix reads it: through a hub, or
+// directly. It remembers which way the last answer came.
+type followed struct {
+	metastore.Store
+	hubs *hubs
+	// direct is read and written by the follower's goroutine only.
+	direct bool
+}
+
+// Range implements metastore.Store.
+func (f *followed) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	if hub, ok := f.hubs.choose(); ok {
+		callCtx, cancel := context.WithTimeout(ctx, followWait)
+		page, err := f.hubs.peers.cached(hub).Range(callCtx, prefix, after)
+		cancel()
+		if err == nil {
+			f.direct = false
+			return page, nil
+		}
+		f.hubs.fail(hub)
+	}
+	f.direct = true
+	return f.Store.Range(ctx, prefix, after)
+}
+
+// Watch implements metastore.Store.
+func (f *followed) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	if hub, ok := f.hubs.choose(); ok {
+		callCtx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+		events, revision, err := f.hubs.peers.cached(hub).Watch(callCtx, prefix, after, min(wait, followWait))
+		cancel()
+		if err == nil || errorx.IsOfType(err, metastore.ErrCompacted) {
+			f.direct = false
+			return events, revision, err
+		}
+		f.hubs.fail(hub)
+	}
+	f.direct = true
+	return f.Store.Watch(ctx, prefix, after, min(wait, hubWait))
+}
+
+// cached returns what another node follows of the store.
+func (p *peers) cached(node cluster.Node) metastore.Store {
+	return &peerStore{client: p.dial(node.Address), cached: true}
+}
+
+// caches are a node's own by prefix.
+type caches map[string]*watchcache.Cache
+
+// serve answers another node from what this one follows.
+func (c caches) serve(ctx context.Context, request *nodepb.StoreRequest) *nodepb.StoreReply {
+	for prefix, cache := range c {
+		if strings.HasPrefix(request.GetKey(), prefix) {
+			return serveStore(ctx, cachedStore{cache: cache}, request)
+		}
+	}
+	return &nodepb.StoreReply{Failure: nodepb.StoreReply_UNAVAILABLE, Detail: "the prefix is not followed"}
+}
+
+// cachedStore shows a cache as a store of which only ranges and watches are asked.
+type cachedStore struct {
+	metastore.Store
+	cache *watchcache.Cache
+}
+
+// Range implements metastore.Store.
+func (s cachedStore) Range(_ context.Context, prefix, after string) (metastore.Page, error) {
+	return s.cache.Range(prefix, after)
+}
+
+// Watch implements metastore.Store.
+func (s cachedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	return s.cache.Watch(ctx, prefix, after, wait)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
+	"github.com/comfreyfront/comfreyfront/internal/watchcache"
 	"github.com/comfreyfront/comfreyfront/internal/weights"
 	"github.com/comfreyfront/comfreyfront/platform"
 )
@@ -67,6 +68,8 @@
 	metrics     *nodeMetrics
 	registry    *prometheus.Registry
 	retire      retiring
+	hubs        *hubs
+	caches      caches
 
 	listed   atomic.Bool // the directory was read once
 	draining atomic.Bool
@@ -128,6 +131,12 @@
 		Directory: n.directory, Caller: n.endpoints, Streamer: n.endpoints, Crashes: n.crashes,
 		Zone: chosen.FailureDomain, Logger: logger,
 	}
+	n.hubs = &hubs{cluster: n.cluster, peers: n.peers}
+	n.caches = caches{
+		platform.KeyOperator:  watchcache.New(hubFresh),
+		platform.KeyEndpoints: watchcache.New(hubFresh),
+		cluster.Prefix:        watchcache.New(hubFresh),
+	}
 	n.crashes.Tell = n.tellCrash
 	n.directory.Changed = n.fleetChanged
 	n.retire = retiring{node: n, seen: map[string]struct{}{}}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -283,3 +283,35 @@
 	s.store.AskToEmpty("storage-1")
 	require.Eventually(t, func() bool { return s.store.IsEmptied("storage-1") }, patience, pause)
 }
+
+// TestWatchesDoNotGrowWithTheNodes: beyond the hubs, nodes follow other nodes and
+// learn of a new configuration all the same; when the hubs die they go on.
+func TestWatchesDoNotGrowWithTheNodes(t *testing.T) {
+	s := newSystem(t)
+	for i := range 5 {
+		s.start(fmt.Sprintf("n%d", i))
+	}
+	following := func() (hubs, others []*testNode) {
+		for _, n := range s.nodes {
+			if _, follows := n.node.hubs.choose(); follows {
+				others = append(others, n)
+			} else {
+				hubs = append(hubs, n)
+			}
+		}
+		return hubs, others
+	}
+	require.Eventually(t, func() bool { hubs, _ := following(); return len(hubs) == leastHubs }, patience, pause)
+	s.store.Configure(2, platformtest.Extra)
+	for _, n := range s.nodes {
+		require.Eventually(t, func() bool { return n.node.routes.Load().Version == 2 }, patience, pause)
+	}
+	hubs, others := following()
+	for _, hub := range hubs {
+		hub.cancel()
+	}
+	s.store.Configure(3, platformtest.Extra)
+	for _, n := range others {
+		require.Eventually(t, func() bool { return n.node.routes.Load().Version == 3 }, patience, pause)
+	}
+}
--- a/internal/node/peerstore.go
+++ b/internal/node/peerstore.go
@@ -37,11 +37,14 @@
 // peerStore is the metadata store as another node reaches it.
 type peerStore struct {
 	client nodepb.Node
+	// cached asks for what the node itself follows.
+	cached bool
 }
 
 var _ metastore.Store = (*peerStore)(nil)
 
 func (s *peerStore) call(ctx context.Context, request *nodepb.StoreRequest) (*nodepb.StoreReply, error) {
+	request.Cached = s.cached
 	reply, err := s.client.Store(ctx, request)
 	if err != nil {
 		return nil, metastore.ErrUnknown.Wrap(err, "no answer of the peer")
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -48,6 +48,10 @@
 
 // Store implements nodepb.Node.
 func (s *peerServer) Store(ctx context.Context, request *nodepb.StoreRequest) (*nodepb.StoreReply, error) {
+	method := request.GetMethod()
+	if request.GetCached() && (method == nodepb.StoreRequest_RANGE || method == nodepb.StoreRequest_WATCH) {
+		return s.node.caches.serve(ctx, request), nil
+	}
 	return serveStore(ctx, s.direct, request), nil
 }
 
--- /dev/null
+++ b/internal/watchcache/cache_test.go
@@ -0,0 +1,127 @@
+package watchcache
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+)
+
+const (
+	patience = 20 * time.Second
+	pause    = time.Millisecond
+)
+
+// throughCache is a store whose ranges and watches are answered by a cache, and
+// directly while that does not answer.
+type throughCache struct {
+	metastore.Store
+	cache *Cache
+}
+
+func (s throughCache) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	page, err := s.cache.Range(prefix, after)
+	if err != nil {
+		return s.Store.Range(ctx, prefix, after)
+	}
+	return page, nil
+}
+
+func (s throughCache) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	return s.cache.Watch(ctx, prefix, after, wait)
+}
+
+// TestFollowersOfAFollowerAgreeWithTheStore: a node that watches a hub ends with
+// the store's keys, whatever the store forgets and however it fails.
+func TestFollowersOfAFollowerAgreeWithTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := memory.New(nil)
+		cache := New(time.Minute)
+		logger := slog.New(slog.DiscardHandler)
+		hub := &metastore.Follower{
+			Store: store, Prefix: "a/", Wait: 3 * time.Millisecond, Logger: logger, Settled: func() {},
+			Changed: cache.Changed, Confirmed: func(position int64) { cache.Confirmed(position, true) },
+		}
+		var mu sync.Mutex
+		got := map[string]string{}
+		node := &metastore.Follower{
+			Store: throughCache{Store: store, cache: cache}, Prefix: "a/", Wait: 3 * time.Millisecond, Logger: logger, Settled: func() {},
+			Changed: func(e metastore.Event) {
+				mu.Lock()
+				defer mu.Unlock()
+				if e.Deleted {
+					delete(got, e.Key)
+					return
+				}
+				got[e.Key] = string(e.Value)
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { _ = hub.Run(ctx) })
+		group.Go(func() { _ = node.Run(ctx) })
+		defer group.Wait()
+		defer cancel()
+		want := map[string]string{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "actions") {
+			key := fmt.Sprintf("a/%d", rapid.IntRange(0, 4).Draw(t, "key"))
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1, 2:
+				want[key] = fmt.Sprint(i)
+				store.Write(key, []byte(want[key]))
+			case 3:
+				delete(want, key)
+				store.Remove(key)
+			case 4:
+				store.DropHistory()
+			case 5:
+				store.SetFaults(memory.Faults{Down: true})
+				store.SetFaults(memory.Faults{})
+			}
+		}
+		require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return maps.Equal(want, got) }, patience, pause)
+	})
+}
+
+func TestUnconfirmedCacheDoesNotAnswer(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := New(time.Second)
+	c.now = func() time.Time { return now }
+	_, err := c.Range("a/", "")
+	require.Error(t, err, "nothing is known yet")
+	c.Changed(metastore.Event{Item: metastore.Item{Key: "a/1", Revision: 5}})
+	c.Confirmed(5, false)
+	_, err = c.Range("a/", "")
+	require.Error(t, err, "what another node told is not passed on")
+	c.Confirmed(5, true)
+	page, err := c.Range("a/", "")
+	require.NoError(t, err)
+	require.Len(t, page.Items, 1)
+	now = now.Add(2 * time.Second)
+	_, _, err = c.Watch(context.Background(), "a/", 5, time.Second)
+	require.Error(t, err, "the store has not confirmed it lately")
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	c := New(time.Minute)
+	c.Confirmed(1, true)
+	for i := range 3 * historyMost {
+		c.Changed(metastore.Event{Item: metastore.Item{Key: "a/1", Revision: int64(i + 2)}})
+	}
+	c.Confirmed(3*historyMost+1, true)
+	require.LessOrEqual(t, len(c.history), 2*historyMost)
+	_, _, err := c.Watch(context.Background(), "a/", 1, 0)
+	require.ErrorContains(t, err, "compacted")
+	events, _, err := c.Watch(context.Background(), "a/", 3*historyMost, 0)
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+}
