Keep logs within a budget and off the path; explain an id; check and reread settings

Cause: log lines were written by the goroutines that serve, without a bound; from a failed request's id there was no way but grep; SIGHUP did nothing. Change: a queue of 2,048 lines to the writer, 40 lines an event and second (200 of failures), the rest counted and said; comfreyfront explain ID [FILE...]; comfreyfront settings check FILE; the file is read again on SIGHUP and each 5 s, the log level takes effect, other differences are named.

--- a/Makefile
+++ b/Makefile
@@ -10,16 +10,18 @@
 	$(GO) test -count=1 -timeout 20m -skip '$(shell sh .ci/known-red)' ./...
 
 race:
-	$(GO) test -count=1 -race -short -timeout 20m -skip '$(shell sh .ci/known-red)' ./internal/... ./trainer/...
+	$(GO) test -count=1 -race -short -timeout 20m -skip '$(shell sh .ci/known-red)' ./internal/... ./platform/... ./trainer/...
 
 lint:
-	@test -z "$$(gofmt -l cmd docs internal e2e trainer)" || { gofmt -l cmd docs internal e2e trainer; echo "run gofmt -w"; exit 1; }
+	@test -z "$$(gofmt -l cmd docs internal platform e2e trainer)" || { gofmt -l cmd docs internal platform e2e trainer; echo "run gofmt -w"; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
 generate:
 	$(GO) run ./internal/tools/protogen internal/peer/peer.proto internal/peer/peerpb
 	$(GO) run ./internal/tools/protogen internal/claim/claim.proto internal/claim/claimpb
+	$(GO) run ./internal/tools/protogen internal/node/node.proto internal/node/nodepb
+	$(GO) run ./internal/tools/protogen internal/submission/record.proto internal/submission/recordpb
 	$(GO) run ./internal/tools/eventsdoc > docs/EVENTS.md
 
 check-generated:
@@ -32,7 +34,7 @@
 	$(GO) run ./cmd/measure
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/... ./platform/...
 
 fuzz:
 	@sh .ci/fuzz
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -37,7 +37,7 @@
 	parser.Description = "Rollout service for reinforcement learning."
 	parser.AdditionalHelpAppend = "Each flag of a command can be set by an environment variable; `comfreyfront COMMAND --help` names them."
 	parser.DisableShowVersionWithVersion()
-	leaves := []leaf{entryCommand(parser), nodeCommand(parser), storageCommand(parser), reportCommand(parser), versionCommand(parser)}
+	leaves := []leaf{entryCommand(parser), nodeCommand(parser), storageCommand(parser), explainCommand(parser), settingsCommand(parser), reportCommand(parser), versionCommand(parser)}
 	leaves = append(leaves, classCommands(parser)...)
 	if err := parser.ParseArgs(arguments); err != nil {
 		fmt.Fprintln(errors, err)
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -38,14 +38,39 @@
 		if err := readNodeSettings(chosen, file, flags); err != nil {
 			return fail(streams, exitUsage, "%s", settings.Explain(err))
 		}
-		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
-		if err := node.Run(ctx, chosen, streams.out); err != nil {
+		reload := node.Reload{Asked: hangups(ctx), Read: func() (*settings.Node, error) {
+			next := settings.DefaultNode()
+			return next, readNodeSettings(next, file, flags)
+		}}
+		if err := node.Run(ctx, chosen, reload, streams.out); err != nil {
 			return fail(streams, exitFailed, "%v", err)
 		}
 		return exitOK
 	}}
 }
 
+// hangups tells of each SIGHUP until ctx ends.
+func hangups(ctx context.Context) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	asked := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			select {
+			case asked <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return asked
+}
+
 // readNodeSettings reads a node's settings from all places and checks them.
 func readNodeSettings(chosen *settings.Node, file string, flags map[string]*string) error {
 	if file != "" {
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -41,4 +41,6 @@
 	OrderFailed          = define(8051, "weights order failed", slog.LevelWarn, "An endpoint did not accept an order, or did not answer it.")
 	WeightsLoaded        = define(8052, "weights loaded", slog.LevelInfo, "An endpoint serves the named version.")
 	RetireWritten        = define(8060, "instance emptied", slog.LevelInfo, "The instance holds nothing that must last; the platform may take it away.")
+	LinesLeftOut         = define(8070, "log lines left out", slog.LevelWarn, "So many lines were over their event's budget, or the reader of the log was too slow.")
+	SettingsWrong        = define(8071, "settings not taken", slog.LevelWarn, "The changed settings file has mistakes; the settings in force stay.")
 )
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,61 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func loggerTo(out io.Writer, now func() time.Time) (*slog.Logger, *Writer) {
+	w := NewWriter(out)
+	h := NewHandler(slog.NewTextHandler(w, nil), w)
+	h.shared.now = now
+	return slog.New(h), w
+}
+
+// TestStoppedReaderDoesNotBlock: nobody reads, and writing goes on.
+func TestStoppedReaderDoesNotBlock(t *testing.T) {
+	reader, out := io.Pipe()
+	defer reader.Close()
+	logger, w := loggerTo(out, time.Now)
+	for i := range 4 * queueLines {
+		logger.Info(fmt.Sprint(i))
+	}
+	require.Positive(t, w.dropped.Load())
+	w.Close()
+}
+
+// TestBudgetKeepsFirstLinesAndFailures, and says what was left out.
+func TestBudgetKeepsFirstLinesAndFailures(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var out bytes.Buffer
+	logger, w := loggerTo(&out, func() time.Time { return now })
+	for i := range 500 {
+		logger.Info("usual", "n", i)
+		logger.Warn("failure", "n", i)
+	}
+	now = now.Add(time.Second)
+	logger.Info("next")
+	w.Close()
+	text := out.String()
+	require.Equal(t, usualLines, strings.Count(text, "msg=usual"))
+	require.Equal(t, failureLines, strings.Count(text, "msg=failure"))
+	require.Contains(t, text, "msg=usual n=0\n")
+	require.Contains(t, text, fmt.Sprintf("lines=%d", 1000-usualLines-failureLines))
+}
+
+// BenchmarkLine is the cost of one line.
+func BenchmarkLine(b *testing.B) {
+	logger, w := loggerTo(io.Discard, time.Now)
+	defer w.Close()
+	b.ReportAllocs()
+	for i := range b.N {
+		logger.Info("request ended", "event", 8030, "request", "9c41d07be2a35f68", "route", "r-1", "status", 200, "took_ms", i)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/forward"
+	"github.com/comfreyfront/comfreyfront/internal/logging"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/relay"
@@ -79,16 +80,23 @@
 }
 
 // Run serves until ctx ends and everything in flight is finished.
-func Run(ctx context.Context, chosen *settings.Node, out io.Writer) error {
+//
+// Reload is read whenever something may have changed the settings.
+func Run(ctx context.Context, chosen *settings.Node, reload Reload, out io.Writer) error {
 	level, err := chosen.Level()
 	if err != nil {
 		return err
 	}
+	var threshold slog.LevelVar
+	threshold.Set(level)
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(chosen.MemoryMB) * (1 << 20)))
-	logger := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
-	n := build(chosen, logger)
-	return n.run(ctx)
+	writer := logging.NewWriter(out)
+	defer writer.Close()
+	handler := logging.NewHandler(slog.NewTextHandler(writer, &slog.HandlerOptions{Level: &threshold}), writer)
+	logger := slog.New(handler).With(slog.String("node", chosen.Name))
+	go watchSettings(ctx, chosen, reload, &threshold, logger)
+	return build(chosen, logger).run(ctx)
 }
 
 func build(chosen *settings.Node, logger *slog.Logger) *Node {
@@ -198,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	event.NodeStarted.Log(ctx, n.logger, slog.String("node", n.chosen.Name), slog.String("failure_domain", n.chosen.FailureDomain),
+	event.NodeStarted.Log(ctx, n.logger, slog.String("failure_domain", n.chosen.FailureDomain),
 		slog.String("listen", n.chosen.Listen), slog.String("peer_listen", n.chosen.PeerListen), slog.String("store", n.chosen.StoreAddress))
 	lasting, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -205,3 +205,15 @@
 	err := level.UnmarshalText([]byte(n.LogLevel))
 	return level, err
 }
+
+// Differences names the settings that differ in another.
+func (n *Node) Differences(other *Node) []string {
+	var names []string
+	theirs := other.Settings()
+	for i, setting := range n.Settings() {
+		if setting.Text() != theirs[i].Text() {
+			names = append(names, setting.Name)
+		}
+	}
+	return names
+}
