--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,6 +187,8 @@
 
 type listeners struct {
 	front, ready, peer net.Listener
+	// metrics is nil when there is no address for it.
+	metrics net.Listener
 }
 
 func listen(chosen *settings.Node) (l listeners, err error) {
@@ -196,7 +198,10 @@
 	if l.ready, err = net.Listen("tcp", chosen.ReadyListen); err != nil {
 		return l, err
 	}
-	l.peer, err = net.Listen("tcp", chosen.PeerListen)
+	if l.peer, err = net.Listen("tcp", chosen.PeerListen); err != nil || chosen.MetricsListen == "" {
+		return l, err
+	}
+	l.metrics, err = net.Listen("tcp", chosen.MetricsListen)
 	return l, err
 }
 
@@ -213,7 +218,11 @@
 	front := newFront(n)
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ErrorLog: quiet()}
 	peer := &http.Server{Handler: n.peerHandler(), IdleTimeout: peerIdleTimeout, ErrorLog: quiet()}
+	metrics := &http.Server{Handler: n.metricsHandler(), ErrorLog: quiet()}
 	group, running := errgroup.WithContext(lasting)
+	if open.metrics != nil {
+		group.Go(func() error { return ignoreClosed(metrics.Serve(open.metrics)) })
+	}
 	group.Go(func() error { return ignoreClosed(front.Serve(open.front)) })
 	group.Go(func() error { return ignoreClosed(ready.Serve(open.ready)) })
 	group.Go(func() error { return ignoreClosed(peer.Serve(open.peer)) })
@@ -229,7 +238,7 @@
 		}
 		n.leave(front)
 		stop()
-		return errors.Join(ready.Close(), peer.Close())
+		return errors.Join(ready.Close(), peer.Close(), metrics.Close())
 	})
 	err = group.Wait()
 	event.NodeStopped.Log(context.WithoutCancel(ctx), n.logger)
@@ -310,6 +319,12 @@
 	mux := http.NewServeMux()
 	server := nodepb.NewNodeServer(&peerServer{node: n, direct: platform.NewStoreClient(n.chosen.StoreAddress)})
 	mux.Handle(server.PathPrefix(), server)
+	return mux
+}
+
+// metricsHandler shows the node's metrics.
+func (n *Node) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -17,7 +17,8 @@
 	FailureDomain string
 	Listen        string // host:port for callers
 	ReadyListen   string // host:port for the balancer's question
-	PeerListen    string // host:port for other nodes and metrics
+	PeerListen    string // host:port for other nodes
+	MetricsListen string // host:port for metrics; empty is none
 	StoreAddress  string // host:port of the metadata store
 	Grace         time.Duration
 	LeaseTTL      time.Duration
@@ -65,7 +66,8 @@
 		textSetting("failure-domain", "failure domain of this instance", &n.FailureDomain),
 		textSetting("listen", "host:port for callers", &n.Listen),
 		textSetting("ready-listen", "host:port for the balancer's question", &n.ReadyListen),
-		textSetting("peer-listen", "host:port for other nodes and metrics", &n.PeerListen),
+		textSetting("peer-listen", "host:port for other nodes", &n.PeerListen),
+		textSetting("metrics-listen", "host:port for metrics, /metrics; empty is none", &n.MetricsListen),
 		textSetting("store-address", "host:port of the metadata store", &n.StoreAddress),
 		durationSetting("grace", "time from SIGTERM to the end of the process, as 8s or in seconds", &n.Grace, time.Second),
 		durationSetting("lease-ttl", "how long this node's key outlives its last renewal, as 1.5s: shorter finds the dead sooner and costs more calls", &n.LeaseTTL, time.Second),
@@ -181,6 +183,9 @@
 			add("%s: %q must be host:port", address.setting, address.value)
 		}
 	}
+	if _, _, err := net.SplitHostPort(n.MetricsListen); n.MetricsListen != "" && err != nil {
+		add("metrics-listen: %q must be host:port", n.MetricsListen)
+	}
 	if n.Grace <= 0 {
 		add("grace: %s must be above zero", n.Grace)
 	}
