--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,7 +15,7 @@
 // Limits of calls.
 const (
 	// directTimeout bounds one direct call that does not wait.
-	directTimeout = 800 * time.Millisecond
+	directTimeout = 1100 * time.Millisecond
 	// relayedTimeout bounds one call through a peer that does not wait.
 	relayedTimeout = 900 * time.Millisecond
 	// probeEvery is how often a direct call is tried while the store does not
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -64,8 +64,11 @@
 
 // Times of calls.
 const (
-	storeTimeout  = time.Second
-	acceptTimeout = 900 * time.Millisecond
+	storeTimeout = time.Second
+	// acceptTimeout is how long a submission's write is repeated, and acceptCall
+	// bounds one try: a slow store may take half a second.
+	acceptTimeout = 2400 * time.Millisecond
+	acceptCall    = 1200 * time.Millisecond
 	announceTime  = 500 * time.Millisecond
 	// readSlack is what an owner may take beyond the time a reader waits.
 	readSlack = 400 * time.Millisecond
@@ -237,7 +240,7 @@
 	defer cancel()
 	unknown := false
 	for {
-		callCtx, cancelCall := context.WithTimeout(ctx, acceptTimeout/2)
+		callCtx, cancelCall := context.WithTimeout(ctx, acceptCall)
 		revision, err := s.options.Store.Commit(callCtx, txn)
 		cancelCall()
 		switch {
