Say that there is no result only while the ownership surely stands

An owner that had lost its unit and did not know it yet, or one that was told late of a submission which another owner had run, showed what it had itself. Ruled out: the reading from the store, which is linearizable and in order. Change: an empty answer of an owner counts only while its lease surely stands, else the store is read; a submission older than the ownership is always read from the store. TestDeposedOwnerHidesNothing and TestLateAnnouncementHidesNothing failed before.

--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -94,6 +94,47 @@
 	require.Len(t, results, 6)
 }
 
+// TestDeposedOwnerHidesNothing: an owner that does not know of its successor does
+// not say that there is no result where that one listed some.
+func TestDeposedOwnerHidesNothing(t *testing.T) {
+	w := newWorld(3)
+	w.hold = make(chan struct{})
+	first := w.service()
+	first.Gain(w.owner(t, "n1"))
+	require.NoError(t, first.Accept(context.Background(), testUnit, submissionOf("a", 3, 2, 1)))
+	second := w.service()
+	second.Gain(w.owner(t, "n2"))
+	_, err := second.find(context.Background(), "a")
+	require.NoError(t, err)
+	close(w.hold)
+	allResults(t, second, "a", 6)
+	w.unsure = true
+	_, results, err := first.Read(context.Background(), "a", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, results, 6)
+}
+
+// TestLateAnnouncementHidesNothing: the word of a submission reaches a new owner
+// after another one listed its results.
+func TestLateAnnouncementHidesNothing(t *testing.T) {
+	w := newWorld(3)
+	first := w.service()
+	first.Gain(w.owner(t, "n1"))
+	submission := submissionOf("a", 1, 2, 1)
+	require.NoError(t, first.Accept(context.Background(), testUnit, submission))
+	allResults(t, first, "a", 2)
+	second := w.service()
+	owner := w.owner(t, "n2")
+	second.Gain(owner)
+	h, err := second.find(context.Background(), "a")
+	require.NoError(t, err)
+	second.openNew(owner, submission, h)
+	require.Eventually(t, func() bool { return owner.Known("a") }, patience, pause)
+	_, results, err := second.Read(context.Background(), "a", 0, 0)
+	require.NoError(t, err)
+	require.Len(t, results, 2)
+}
+
 // TestEndStartsNothingMore: after its end no item of a submission begins a run.
 func TestEndStartsNothingMore(t *testing.T) {
 	w := newWorld(1)
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -32,6 +32,8 @@
 	Store   metastore.Store
 	Cluster *cluster.Cluster
 	Peers   Peers
+	// Sure reports whether what this node owns is surely still its own.
+	Sure func() bool
 	// Status is how long results can be read after a submission arrived.
 	Status time.Duration
 	Logger *slog.Logger
@@ -266,7 +268,7 @@
 func (s *Service) handOver(record *recordpb.Submission, h head) {
 	owner := s.learn(record.GetId(), h)
 	if owner != nil {
-		owner.Open(record, h, nil, 0)
+		s.openNew(owner, record, h)
 		return
 	}
 	node, _, alive := s.options.Cluster.Owner(h.Unit)
@@ -360,7 +362,7 @@
 	if owner != nil {
 		waitCtx, cancel := context.WithTimeout(ctx, patience)
 		defer cancel()
-		_, results, known := owner.Read(waitCtx, id, after)
+		_, results, known := s.readSure(waitCtx, owner, id, after)
 		return results, known
 	}
 	node, _, alive := s.options.Cluster.Owner(h.Unit)
@@ -388,12 +390,23 @@
 		if owner.Known(id) {
 			waitCtx, cancel := context.WithTimeout(ctx, patience)
 			defer cancel()
-			return owner.Read(waitCtx, id, after)
+			return s.readSure(waitCtx, owner, id, after)
 		}
 	}
 	return 0, nil, false
 }
 
+// readSure reads from an owner on this node. That there is no result at a
+// position is believed only while the ownership surely stands: another owner may
+// have listed some.
+func (s *Service) readSure(ctx context.Context, owner *Owner, id string, after int) (int, []*recordpb.Result, bool) {
+	total, results, known := owner.Read(ctx, id, after)
+	if known && len(results) == 0 && !s.options.Sure() {
+		return 0, nil, false
+	}
+	return total, results, known
+}
+
 // Announced takes a submission that another node accepted for this owner.
 func (s *Service) Announced(record *recordpb.Submission) {
 	id := record.GetId()
@@ -408,11 +421,22 @@
 		owner := s.owners[h.Unit]
 		s.mu.Unlock()
 		if owner != nil {
-			owner.Open(record, h, nil, 0)
+			s.openNew(owner, record, h)
 		}
 	}()
 }
 
+// openNew makes an owner run a submission that was just accepted. One that is
+// older than the ownership may have results of an owner before, and is read from
+// the store.
+func (s *Service) openNew(owner *Owner, record *recordpb.Submission, h head) {
+	if owner.options.Unit.Epoch > h.Revision {
+		go s.follow(owner, record.GetId(), h)
+		return
+	}
+	owner.Open(record, h, nil, 0)
+}
+
 // Body returns the body of an item of a submission.
 func (s *Service) Body(ctx context.Context, id, itemID string) ([]byte, error) {
 	h, err := s.find(ctx, id)
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -51,6 +51,8 @@
 	scoredEarly []string
 	written     map[string]int
 	events      int
+	// unsure: nodes are not sure of what they own.
+	unsure bool
 }
 
 func newWorld(endpoints int) *world {
@@ -141,7 +143,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	var s *Service
 	c := cluster.New(cluster.Options{Self: cluster.Node{Name: "self"}, Store: w.store, Logger: logger, Open: func(e metastore.Event) { s.Changed(e) }})
-	s = NewService(Options{Store: w.store, Cluster: c, Status: time.Minute, Logger: logger})
+	s = NewService(Options{Store: w.store, Cluster: c, Sure: func() bool { return !w.unsure }, Status: time.Minute, Logger: logger})
 	return s
 }
 
