Give units to the strongest nodes

Ruled out: the store (no impairment after 6.3 s), the hubs (others kept their leases). Change: a node's record tells its share of a core; of the living nodes the strongest come first, then the rank. TestStrongestNodesOwnUnits.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,6 +35,8 @@
 	Zone    string `json:"zone"`
 	// Incarnation tells this process from the ones before it under the name.
 	Incarnation int64 `json:"incarnation"`
+	// Capacity is its share of a core: units go to the strongest nodes first.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Leaving: it hands over what it owns.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -200,3 +200,15 @@
 		require.InDelta(t, units/6, n, units/12, name)
 	}
 }
+
+func TestStrongestNodesOwnUnits(t *testing.T) {
+	c := New(Options{Self: Node{Name: "n0"}})
+	for i := range 6 {
+		name := fmt.Sprintf("n%d", i)
+		c.members[name] = &member{node: Node{Name: name, Capacity: float64(i % 3)}}
+	}
+	for i := range 50 {
+		require.Contains(t, []string{"n2", "n5"}, c.successor(fmt.Sprintf("unit-%d", i), ""))
+	}
+	require.Equal(t, "n5", c.successor("unit", "n2"), "the owner itself does not succeed")
+}
--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -131,21 +131,24 @@
 	return c.now().Sub(since) > goneGrace
 }
 
-// successor returns the node that owns a unit when its owner does not: the
-// living one of the highest rank; c.mu is held.
+// successor returns the node that owns a unit when its owner does not: of the
+// strongest living ones that of the highest rank. A weak node that owns much
+// work cannot renew its lease in time. c.mu is held.
 func (c *Cluster) successor(unit, owner string) string {
 	names := []string{}
+	capacity := map[string]float64{}
 	for name, m := range c.members {
 		if name == owner && name != c.options.Self.Name || c.dead(m) || m.node.Leaving {
 			continue
 		}
 		names = append(names, name)
+		capacity[name] = m.node.Capacity
 	}
 	if len(names) == 0 {
 		return c.options.Self.Name
 	}
 	return slices.MaxFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank(unit, a), rank(unit, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(capacity[a], capacity[b]), cmp.Compare(rank(unit, a), rank(unit, b)), cmp.Compare(a, b))
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,7 @@
 	n.cluster = cluster.New(cluster.Options{
 		Self: cluster.Node{
 			Name: chosen.Name, Address: chosen.PeerListen, Zone: chosen.FailureDomain, Incarnation: time.Now().UnixNano(),
+			Capacity: chosen.Capacity,
 		},
 		Store:  n.store,
 		Pinger: n.peers,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -24,7 +24,9 @@
 	LeaseTTL      time.Duration
 	StatusLife    time.Duration
 	MemoryMB      int
-	LogLevel      string
+	// Capacity is this instance's share of a core.
+	Capacity float64
+	LogLevel string
 }
 
 // Defaults and bounds of a node's settings.
@@ -33,6 +35,7 @@
 	defaultLeaseTTL   = 1200 * time.Millisecond
 	defaultStatusLife = 2 * time.Minute
 	defaultMemoryMB   = 256
+	defaultCapacity   = 1.0
 	leastMemoryMB     = 32
 	leastLeaseTTL     = time.Second
 )
@@ -41,7 +44,7 @@
 func DefaultNode() *Node {
 	return &Node{
 		Grace: defaultGrace, LeaseTTL: defaultLeaseTTL, StatusLife: defaultStatusLife,
-		MemoryMB: defaultMemoryMB, LogLevel: slog.LevelInfo.String(),
+		MemoryMB: defaultMemoryMB, Capacity: defaultCapacity, LogLevel: slog.LevelInfo.String(),
 	}
 }
 
@@ -73,6 +76,7 @@
 		durationSetting("lease-ttl", "how long this node's key outlives its last renewal, as 1.5s: shorter finds the dead sooner and costs more calls", &n.LeaseTTL, time.Second),
 		durationSetting("status-life", "how long results can be read after a submission arrived, as 2m or in seconds", &n.StatusLife, time.Second),
 		numberSetting("memory", "memory of this instance, in MB; the process keeps well under it", &n.MemoryMB),
+		shareSetting("capacity", "share of a core that this instance has; units go to the strongest nodes", &n.Capacity),
 		textSetting("log-level", "DEBUG, INFO, WARN or ERROR", &n.LogLevel),
 	}
 }
@@ -119,6 +123,21 @@
 	}
 }
 
+func shareSetting(name, usage string, value *float64) Setting {
+	return Setting{
+		Name: name, Usage: usage,
+		Set: func(text string) error {
+			number, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				return fmt.Errorf("%q is no number", text)
+			}
+			*value = number
+			return nil
+		},
+		Text: func() string { return strconv.FormatFloat(*value, 'g', -1, 64) },
+	}
+}
+
 // ReadFile sets values from lines of the form name=value. Empty lines and lines
 // that begin with # are passed over. It returns ErrInvalid with every mistake.
 func (n *Node) ReadFile(file io.Reader) error {
@@ -195,6 +214,9 @@
 	if n.StatusLife <= 0 {
 		add("status-life: %s must be above zero", n.StatusLife)
 	}
+	if n.Capacity <= 0 {
+		add("capacity: %g must be above zero", n.Capacity)
+	}
 	if n.MemoryMB < leastMemoryMB {
 		add("memory: %d must be at least %d", n.MemoryMB, leastMemoryMB)
 	}
