--- a/internal/claim/main_test.go
+++ b/internal/claim/main_test.go
@@ -1,20 +1,16 @@
 package claim
 
 import (
-	"flag"
 	"log/slog"
 	"testing"
 
 	"go.uber.org/goleak"
+
+	"github.com/comfreyfront/comfreyfront/internal/seedtest"
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse() // the command line may set another seed
+	seedtest.Fix()
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -43,4 +43,5 @@
 	RetireWritten        = define(8060, "instance emptied", slog.LevelInfo, "The instance holds nothing that must last; the platform may take it away.")
 	LinesLeftOut         = define(8070, "log lines left out", slog.LevelWarn, "So many lines were over their event's budget, or the reader of the log was too slow.")
 	SettingsWrong        = define(8071, "settings not taken", slog.LevelWarn, "The changed settings file has mistakes; the settings in force stay.")
+	RecordsKept          = define(8072, "records kept", slog.LevelWarn, "A submission that nobody may read any more could not be removed from the store.")
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 		Lost:   n.lost,
 	})
 	n.submissions = submission.NewService(submission.Options{
-		Store: n.store, Cluster: n.cluster, Peers: n.peers, Sure: n.cluster.Confirmed, Status: chosen.StatusLife, Logger: logger,
+		Store: n.store, Cluster: n.cluster, Peers: n.peers, Sure: n.cluster.Confirmed, Logger: logger,
 	})
 	n.forward = &forward.Service{
 		Directory: n.directory, Caller: n.endpoints, Streamer: n.endpoints, Crashes: n.crashes,
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -50,7 +50,8 @@
 	owner := submission.NewOwner(ctx, submission.OwnerOptions{
 		Unit: unit, Service: service, Zone: n.chosen.FailureDomain,
 		Store: n.store, Directory: n.directory, Routes: n.routes,
-		Streamer: n.endpoints, Scorer: n.score, ScoreSlots: func() int { return n.scoreSlots(service) }, Logger: n.logger,
+		Streamer: n.endpoints, Scorer: n.score, ScoreSlots: func() int { return n.scoreSlots(service) },
+		Status: n.chosen.StatusLife, Logger: n.logger,
 	})
 	manager := weights.NewManager(weights.Options{
 		Service: service, Directory: n.directory, Engines: n.endpoints, Targets: n.targets,
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -117,6 +117,8 @@
 	id     string
 	head   head
 	record *recordpb.Submission
+	// parts is how many keys the record has.
+	parts int
 	// listed are the results that last in the store, in their order.
 	listed []*recordpb.Result
 	// batch is the number of the next write of results.
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -30,7 +30,9 @@
 	Scorer    Scorer
 	// ScoreSlots bounds the scoring calls at once.
 	ScoreSlots func() int
-	Logger     *slog.Logger
+	// Status is how long an ended submission can be read; then it is removed.
+	Status time.Duration
+	Logger *slog.Logger
 }
 
 // Owner runs the submissions of one unit while its node owns it.
@@ -66,8 +68,6 @@
 	roundEvery = 50 * time.Millisecond
 	// orphanLife is how long texts of an ended submission are kept for the next.
 	orphanLife = 8 * time.Second
-	// endedLife is how long the results of an ended submission stay in memory.
-	endedLife = 60 * time.Second
 )
 
 // Run places items, moves slow ones and lists results until ctx ends or the
@@ -116,7 +116,7 @@
 	if _, known := o.submissions[id]; known {
 		return
 	}
-	s := &open{id: id, head: h, record: record, listed: listed, batch: batches, left: map[string]int{}, completedAt: map[string]time.Time{}, changed: make(chan struct{})}
+	s := &open{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, left: map[string]int{}, completedAt: map[string]time.Time{}, changed: make(chan struct{})}
 	o.submissions[id] = s
 	done := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
@@ -243,8 +243,9 @@
 		delete(o.items, id)
 	}
 	for id, s := range o.submissions {
-		if s.ended && now.Sub(s.endedAt) > endedLife {
+		if s.ended && now.Sub(s.endedAt) > o.options.Status {
 			delete(o.submissions, id)
+			go o.remove(s)
 		}
 	}
 }
--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
 )
 
@@ -275,6 +276,29 @@
 	require.True(t, call.Is(err, ErrNotFound))
 }
 
+// TestEndedSubmissionsAreRemoved once nobody may read them any more.
+func TestEndedSubmissionsAreRemoved(t *testing.T) {
+	w := newWorld(3)
+	s := w.service()
+	o := w.owner(t, "n")
+	s.Gain(o)
+	require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("a", 3, 2, 1)))
+	allResults(t, s, "a", 6)
+	require.NoError(t, s.End(context.Background(), "a"))
+	o.mu.Lock()
+	o.submissions["a"].endedAt = o.submissions["a"].endedAt.Add(-2 * o.options.Status)
+	o.mu.Unlock()
+	require.Eventually(t, func() bool {
+		_, err := w.store.Get(context.Background(), headKey("a"))
+		return call.Is(err, metastore.ErrNotFound)
+	}, patience, pause)
+	for _, prefix := range []string{recordPrefix, resultPrefix} {
+		page, err := w.store.Range(context.Background(), prefix, "")
+		require.NoError(t, err)
+		require.Empty(t, page.Items)
+	}
+}
+
 func TestLargeSubmissionIsSplit(t *testing.T) {
 	w := newWorld(1)
 	s := w.service()
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -124,7 +124,7 @@
 	var puts []metastore.Put
 	for len(encoded) > 0 || len(puts) == 0 {
 		n := min(len(encoded), partBytes)
-		puts = append(puts, metastore.Put{Key: fmt.Sprintf("%s%s/%03d", recordPrefix, s.GetId(), len(puts)), Value: encoded[:n]})
+		puts = append(puts, metastore.Put{Key: recordKey(s.GetId(), len(puts)), Value: encoded[:n]})
 		encoded = encoded[n:]
 	}
 	if len(puts) > maxParts {
@@ -146,4 +146,9 @@
 	return s, nil
 }
 
+// partsOf returns how many keys a submission's record has.
+func partsOf(s *recordpb.Submission) int { return proto.Size(s)/partBytes + 1 }
+
+func recordKey(id string, n int) string { return fmt.Sprintf("%s%s/%03d", recordPrefix, id, n) }
+
 func resultKey(id string, n int) string { return fmt.Sprintf("%s%s/%06d", resultPrefix, id, n) }
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -124,7 +124,7 @@
 	unit := w.takeUnit(t, node)
 	o := NewOwner(context.Background(), OwnerOptions{
 		Unit: unit, Service: "s", Zone: "z", Store: w.store, Directory: w.directory, Routes: w.routes,
-		Streamer: w, Scorer: w.score, ScoreSlots: func() int { return 8 }, Logger: slog.New(slog.DiscardHandler),
+		Streamer: w, Scorer: w.score, ScoreSlots: func() int { return 8 }, Status: time.Minute, Logger: slog.New(slog.DiscardHandler),
 	})
 	t.Cleanup(o.Stop)
 	return o
@@ -143,7 +143,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	var s *Service
 	c := cluster.New(cluster.Options{Self: cluster.Node{Name: "self"}, Store: w.store, Logger: logger, Open: func(e metastore.Event) { s.Changed(e) }})
-	s = NewService(Options{Store: w.store, Cluster: c, Sure: func() bool { return !w.unsure }, Status: time.Minute, Logger: logger})
+	s = NewService(Options{Store: w.store, Cluster: c, Sure: func() bool { return !w.unsure }, Logger: logger})
 	return s
 }
 
