Let nodes that own nothing hold a longer lease

Change: three times the time to live while a node owns nothing, the short one from the moment on that it owns something (test).

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -212,3 +212,24 @@
 	}
 	require.Equal(t, "n5", c.successor("unit", "n2"), "the owner itself does not succeed")
 }
+
+// TestLeaseIsLongWhileNothingIsOwned and short from the moment on that something is.
+func TestLeaseIsLongWhileNothingIsOwned(t *testing.T) {
+	f := newFakeNodes()
+	n := f.start(t, "n0", 1)
+	ttl := func() time.Duration {
+		n.cluster.mu.Lock()
+		defer n.cluster.mu.Unlock()
+		return n.cluster.lease.ttl
+	}
+	require.Eventually(t, n.cluster.Confirmed, patience, pause)
+	require.Equal(t, idleFactor*testTTL, ttl())
+	n.cluster.Want("u")
+	f.waitOwner(t, "u")
+	require.Eventually(t, func() bool { return ttl() == testTTL && n.cluster.Confirmed() }, patience, pause)
+	item, err := f.store.Get(context.Background(), nodePrefix+"n0")
+	require.NoError(t, err)
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	require.Equal(t, n.cluster.lease.id, item.Lease)
+}
--- a/internal/cluster/lease.go
+++ b/internal/cluster/lease.go
@@ -17,11 +17,15 @@
 const (
 	renewalsPerTTL = 3
 	retriesPerTTL  = 8
+	// idleFactor is how many times longer the lease of a node lasts that owns
+	// nothing: nobody waits for its successor, and renewals grow with the fleet.
+	idleFactor = 3
 )
 
 // leaseState is the node's lease and its key under it.
 type leaseState struct {
-	id int64
+	id  int64
+	ttl time.Duration
 	// until is when the lease surely still stands.
 	until time.Time
 	// written: the node's key hangs on the lease, as far as is known.
@@ -31,7 +35,7 @@
 // keepLease keeps the node's key in the store until ctx ends.
 func (c *Cluster) keepLease(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := c.options.TTL / renewalsPerTTL
+		pause := c.ttl() / renewalsPerTTL
 		if err := c.refreshLease(ctx); err != nil {
 			pause = c.options.TTL / retriesPerTTL
 		}
@@ -40,14 +44,26 @@
 	return nil
 }
 
-// waitForLease waits, but not on when the node's key was seen to be gone.
+// ttl returns how long the node's lease is to last now.
+func (c *Cluster) ttl() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) > 0 {
+		return c.options.TTL
+	}
+	return idleFactor * c.options.TTL
+}
+
+// waitForLease waits, but not on when the node's key was seen to be gone, or when
+// the node came to own something under a long lease.
 func (c *Cluster) waitForLease(ctx context.Context, pause time.Duration) {
 	const step = 50 * time.Millisecond
 	for ; pause > 0 && wait.For(ctx, min(step, pause)); pause -= step {
 		c.mu.Lock()
 		gone := c.lease.id != 0 && !c.lease.written
+		long := len(c.held) > 0 && c.lease.ttl > c.options.TTL
 		c.mu.Unlock()
-		if gone {
+		if gone || long {
 			return
 		}
 	}
@@ -59,6 +75,10 @@
 	c.mu.Lock()
 	state := c.lease
 	c.mu.Unlock()
+	if state.ttl > c.ttl() {
+		// The key moves to a shorter lease; the long one ends by itself.
+		state = leaseState{}
+	}
 	sent := c.now()
 	if state.id != 0 && state.written {
 		err := c.options.Store.Renew(callCtx, state.id)
@@ -69,7 +89,7 @@
 		}
 		if err == nil {
 			c.mu.Lock()
-			c.lease.until = sent.Add(c.options.TTL)
+			c.lease.until = sent.Add(state.ttl)
 			c.mu.Unlock()
 		}
 		return err
@@ -80,11 +100,12 @@
 // writeSelf writes the node's key, under a new lease if there is none.
 func (c *Cluster) writeSelf(ctx context.Context, state leaseState, sent time.Time) error {
 	if state.id == 0 {
-		id, err := c.options.Store.Grant(ctx, c.options.TTL)
+		ttl := c.ttl()
+		id, err := c.options.Store.Grant(ctx, ttl)
 		if err != nil {
 			return err
 		}
-		state = leaseState{id: id, until: sent.Add(c.options.TTL)}
+		state = leaseState{id: id, ttl: ttl, until: sent.Add(ttl)}
 		c.setLease(state)
 	}
 	value, err := json.Marshal(c.Self())
