--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -48,6 +48,9 @@
 	Incarnation int64  `json:"incarnation"`
 	// Epoch is the revision of the unit's key.
 	Epoch int64 `json:"-"`
+	// From is the leaving node that handed the unit over; nil when its owner
+	// before died, or there was none.
+	From *Node `json:"-"`
 }
 
 // Errors of this layer.
--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -191,6 +191,11 @@
 	c.mu.Lock()
 	known := c.units[name]
 	self := c.options.Self
+	var from *Node
+	if m := c.members[known.Owner]; m != nil && m.node.Leaving && !c.dead(m) {
+		node := m.node
+		from = &node
+	}
 	c.mu.Unlock()
 	unit, err := c.commitUnit(ctx, name, known, self)
 	if err != nil {
@@ -206,6 +211,7 @@
 	c.held[name] = unit
 	c.mu.Unlock()
 	event.UnitTaken.Log(ctx, c.options.Logger, slog.String("unit", name), slog.Int64("epoch", unit.Epoch), slog.String("before", known.Owner))
+	unit.From = from
 	c.options.Gained(unit)
 }
 
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -44,4 +44,6 @@
 	LinesLeftOut         = define(8070, "log lines left out", slog.LevelWarn, "So many lines were over their event's budget, or the reader of the log was too slow.")
 	SettingsWrong        = define(8071, "settings not taken", slog.LevelWarn, "The changed settings file has mistakes; the settings in force stay.")
 	RecordsKept          = define(8072, "records kept", slog.LevelWarn, "A submission that nobody may read any more could not be removed from the store.")
+	TextsTaken           = define(8073, "texts taken", slog.LevelInfo, "A leaving node handed over the texts that it had not listed.")
+	TextsNotTaken        = define(8074, "texts not taken", slog.LevelWarn, "A leaving node did not hand over its texts; they are generated again.")
 )
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -86,6 +86,19 @@
 	return int(reply.GetTotal()), batch.GetResults(), reply.GetOwned(), nil
 }
 
+// texts asks a node for the texts of a unit that it hands over.
+func (p *peers) texts(ctx context.Context, node cluster.Node, unit string) (*recordpb.Texts, error) {
+	reply, err := p.dial(node.Address).Texts(ctx, &nodepb.TextsRequest{Unit: unit})
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "texts of %s", node.Name)
+	}
+	texts := &recordpb.Texts{}
+	if err := proto.Unmarshal(reply.GetTexts(), texts); err != nil {
+		return nil, ErrPeer.Wrap(err, "texts of %s", node.Name)
+	}
+	return texts, nil
+}
+
 // crashed tells a node of a request that crashes endpoints.
 func (p *peers) crashed(ctx context.Context, node cluster.Node, fingerprint uint64, life time.Duration) error {
 	_, err := p.dial(node.Address).Crashed(ctx, &nodepb.CrashedRequest{Fingerprint: fingerprint, LifeMs: life.Milliseconds()})
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -46,6 +46,15 @@
 	return &nodepb.ReadReply{Owned: owned, Total: int32(total), Results: encoded}, nil
 }
 
+// Texts implements nodepb.Node.
+func (s *peerServer) Texts(_ context.Context, request *nodepb.TextsRequest) (*nodepb.TextsReply, error) {
+	encoded, err := proto.Marshal(s.node.submissions.TextsOf(request.GetUnit()))
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "texts")
+	}
+	return &nodepb.TextsReply{Texts: encoded}, nil
+}
+
 // Store implements nodepb.Node.
 func (s *peerServer) Store(ctx context.Context, request *nodepb.StoreRequest) (*nodepb.StoreReply, error) {
 	method := request.GetMethod()
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 	"github.com/comfreyfront/comfreyfront/internal/weights"
@@ -68,10 +70,30 @@
 	if old != nil {
 		old.cancel()
 	}
+	if unit.From != nil {
+		owner.Seed(n.takeTexts(ctx, unit))
+	}
 	n.submissions.Gain(owner)
 	go func() { _ = manager.Run(ctx) }() // it ends with its context, without an error
 }
 
+// takeTextsTimeout bounds the asking of a leaving owner.
+const takeTextsTimeout = 500 * time.Millisecond
+
+// takeTexts asks the leaving owner of a unit for the texts that it has not listed;
+// without them they are generated again.
+func (n *Node) takeTexts(ctx context.Context, unit cluster.Unit) *recordpb.Texts {
+	ctx, cancel := context.WithTimeout(ctx, takeTextsTimeout)
+	defer cancel()
+	texts, err := n.peers.texts(ctx, *unit.From, unit.Name)
+	if err != nil {
+		event.TextsNotTaken.Log(ctx, n.logger, slog.String("unit", unit.Name), slog.String("from", unit.From.Name), slog.String("cause", err.Error()))
+		return nil
+	}
+	event.TextsTaken.Log(ctx, n.logger, slog.String("unit", unit.Name), slog.String("from", unit.From.Name), slog.Int("texts", len(texts.GetTexts())))
+	return texts
+}
+
 // lost stops the work of a unit.
 func (n *Node) lost(unit cluster.Unit) {
 	n.mu.Lock()
--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -136,6 +136,36 @@
 	require.Len(t, results, 2)
 }
 
+// TestNextOwnerGoesOnWithTheTexts that a leaving one hands over: no event is
+// generated again, and the texts are whole.
+func TestNextOwnerGoesOnWithTheTexts(t *testing.T) {
+	w := newWorld(2)
+	w.breakAfter = 1
+	first := w.service()
+	old := w.owner(t, "n1")
+	old.options.ScoreSlots = func() int { return 0 }
+	first.Gain(old)
+	submission := submissionOf("a", 1, 1, 1)
+	require.NoError(t, first.Accept(context.Background(), testUnit, submission))
+	require.Eventually(t, func() bool {
+		texts := old.Texts().GetTexts()
+		return len(texts) == 1 && len(texts[0].GetEvents()) >= 2
+	}, patience, pause)
+	first.Lose(testUnit)
+	texts := first.TextsOf(testUnit)
+	require.Len(t, texts.GetTexts(), 1)
+	w.mu.Lock()
+	w.breakAfter, w.runs = 0, map[string]int{}
+	w.mu.Unlock()
+	second := w.service()
+	next := w.owner(t, "n2")
+	next.Seed(texts)
+	second.Gain(next)
+	_, err := second.find(context.Background(), "a")
+	require.NoError(t, err)
+	requireWhole(t, w, submission, allResults(t, second, "a", 1))
+}
+
 // TestEndStartsNothingMore: after its end no item of a submission begins a run.
 func TestEndStartsNothingMore(t *testing.T) {
 	w := newWorld(1)
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -42,6 +42,8 @@
 	mu     sync.Mutex
 	heads  map[string]head
 	owners map[string]*Owner // by unit
+	// former are owners that lost their units just now.
+	former map[string]*Owner
 	copies map[string]*listing
 	bodies map[string]*recordpb.Submission
 }
@@ -72,6 +74,7 @@
 		options: options,
 		heads:   map[string]head{},
 		owners:  map[string]*Owner{},
+		former:  map[string]*Owner{},
 		copies:  map[string]*listing{},
 		bodies:  map[string]*recordpb.Submission{},
 	}
@@ -170,6 +173,9 @@
 	s.mu.Lock()
 	owner := s.owners[unit]
 	delete(s.owners, unit)
+	if owner != nil {
+		s.keepFormer(unit, owner)
+	}
 	s.mu.Unlock()
 	if owner != nil {
 		owner.Stop()
