--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -180,9 +180,6 @@
 	return nodes
 }
 
-// Size returns the number of living nodes, this one included.
-func (c *Cluster) Size() int { return len(c.Nodes()) + 1 }
-
 // Listed reports whether the keys were read once.
 func (c *Cluster) Listed() bool {
 	c.mu.Lock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -139,16 +139,6 @@
 	return nil, false
 }
 
-// ServiceOfModel returns the service whose endpoints hold the model.
-func (c *Configuration) ServiceOfModel(model string) (Service, bool) {
-	for _, service := range c.Services {
-		if slices.Contains(service.Models, model) {
-			return service, true
-		}
-	}
-	return Service{}, false
-}
-
 // Holder holds the configuration in force. It is safe for concurrent use; the
 // zero value holds none.
 type Holder struct {
