Choose an engine in one place; one client of the store; one deadline for sure reads

Found on a last reading: choose and better shared a loop; a node made a second client of the store for its peers' calls; readers of an owner set the same deadline twice; successor copied capacities that its members hold; tail used nothing of the owner. No behaviour was meant to change.

--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -136,19 +136,18 @@
 // work cannot renew its lease in time. c.mu is held.
 func (c *Cluster) successor(unit, owner string) string {
 	names := []string{}
-	capacity := map[string]float64{}
 	for name, m := range c.members {
 		if name == owner && name != c.options.Self.Name || c.dead(m) || m.node.Leaving {
 			continue
 		}
 		names = append(names, name)
-		capacity[name] = m.node.Capacity
 	}
 	if len(names) == 0 {
 		return c.options.Self.Name
 	}
+	capacity := func(name string) float64 { return c.members[name].node.Capacity }
 	return slices.MaxFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(capacity[a], capacity[b]), cmp.Compare(rank(unit, a), rank(unit, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(capacity(a), capacity(b)), cmp.Compare(rank(unit, a), rank(unit, b)), cmp.Compare(a, b))
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,8 +54,11 @@
 
 // Node is one process on the platform.
 type Node struct {
-	chosen      *settings.Node
-	logger      *slog.Logger
+	chosen *settings.Node
+	logger *slog.Logger
+	// direct is the metadata store as this node itself reaches it, and store
+	// goes through peers while that fails.
+	direct      *platform.StoreClient
 	store       *relay.Store
 	routes      *route.Holder
 	directory   *fleet.Directory
@@ -118,8 +121,8 @@
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
 	})
-	direct := platform.NewStoreClient(chosen.StoreAddress)
-	n.store = relay.New(direct, n.relays)
+	n.direct = platform.NewStoreClient(chosen.StoreAddress)
+	n.store = relay.New(n.direct, n.relays)
 	n.cluster = cluster.New(cluster.Options{
 		Self: cluster.Node{
 			Name: chosen.Name, Address: chosen.PeerListen, Zone: chosen.FailureDomain, Incarnation: time.Now().UnixNano(),
@@ -318,7 +321,7 @@
 
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	server := nodepb.NewNodeServer(&peerServer{node: n, direct: platform.NewStoreClient(n.chosen.StoreAddress)})
+	server := nodepb.NewNodeServer(&peerServer{node: n})
 	mux.Handle(server.PathPrefix(), server)
 	return mux
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
@@ -14,8 +13,6 @@
 // peerServer answers other nodes.
 type peerServer struct {
 	node *Node
-	// direct is the metadata store as this node itself reaches it.
-	direct metastore.Store
 }
 
 var _ nodepb.Node = (*peerServer)(nil)
@@ -61,7 +58,7 @@
 	if request.GetCached() && (method == nodepb.StoreRequest_RANGE || method == nodepb.StoreRequest_WATCH) {
 		return s.node.caches.serve(ctx, request), nil
 	}
-	return serveStore(ctx, s.direct, request), nil
+	return serveStore(ctx, s.node.direct, request), nil
 }
 
 // Crashed implements nodepb.Node.
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -196,6 +196,16 @@
 	return n
 }
 
+// tail reports whether the items that are left decide when the submission is
+// complete: then it is worth a move that one of them ends sooner.
+func (o *open) tail() bool {
+	left := 0
+	for _, n := range o.left {
+		left += n
+	}
+	return float64(left) <= tailShare*float64(o.head.Total)
+}
+
 // show adds results that last in the store now.
 func (o *open) show(results []*recordpb.Result) {
 	o.listed = append(o.listed, results...)
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -99,27 +99,20 @@
 
 // choose picks the engine on which a text grows fastest, and counts the run.
 func (p *engines) choose(n need) (*fleet.Endpoint, bool) {
-	var best *fleet.Endpoint
-	for _, e := range p.all {
-		if p.filter(e, n) && (best == nil || p.score(e) < p.score(best)) {
-			best = e
-		}
-	}
-	if best == nil {
-		return nil, false
-	}
-	p.taken[best.ID]++
-	return best, true
+	return p.pick(n, func(*fleet.Endpoint) bool { return true })
 }
 
 // better picks an engine that is worth a move: free, not slow, not loading.
 func (p *engines) better(from *fleet.Endpoint, n need) (*fleet.Endpoint, bool) {
+	return p.pick(n, func(e *fleet.Endpoint) bool { return e.ID != from.ID && !p.slow(e) })
+}
+
+// pick takes the engine of the lowest score among those that may take the run and
+// are allowed, and counts the run.
+func (p *engines) pick(n need, allowed func(*fleet.Endpoint) bool) (*fleet.Endpoint, bool) {
 	var best *fleet.Endpoint
 	for _, e := range p.all {
-		if e.ID == from.ID || p.slow(e) || !p.filter(e, n) {
-			continue
-		}
-		if best == nil || p.score(e) < p.score(best) {
+		if allowed(e) && p.filter(e, n) && (best == nil || p.score(e) < p.score(best)) {
 			best = e
 		}
 	}
--- a/internal/submission/read.go
+++ b/internal/submission/read.go
@@ -45,9 +45,7 @@
 	owner := s.owners[h.Unit]
 	s.mu.Unlock()
 	if owner != nil {
-		waitCtx, cancel := context.WithTimeout(ctx, patience)
-		defer cancel()
-		_, results, known := s.readSure(waitCtx, owner, id, after)
+		_, results, known := s.readSure(ctx, owner, id, after, patience)
 		return results, known
 	}
 	node, _, alive := s.options.Cluster.Owner(h.Unit)
@@ -73,9 +71,7 @@
 	s.mu.Unlock()
 	for _, owner := range owners {
 		if owner.Known(id) {
-			waitCtx, cancel := context.WithTimeout(ctx, patience)
-			defer cancel()
-			return s.readSure(waitCtx, owner, id, after)
+			return s.readSure(ctx, owner, id, after, patience)
 		}
 	}
 	return 0, nil, false
@@ -84,7 +80,9 @@
 // readSure reads from an owner on this node. That there is no result at a
 // position is believed only while the ownership surely stands: another owner may
 // have listed some.
-func (s *Service) readSure(ctx context.Context, owner *Owner, id string, after int) (int, []*recordpb.Result, bool) {
+func (s *Service) readSure(ctx context.Context, owner *Owner, id string, after int, patience time.Duration) (int, []*recordpb.Result, bool) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	total, results, known := owner.Read(ctx, id, after)
 	if known && len(results) == 0 && !s.options.Sure() {
 		return 0, nil, false
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -271,7 +271,7 @@
 	if r.slowSince.IsZero() {
 		r.slowSince = now
 	}
-	if now.Sub(r.slowSince) < slowPatience || !o.tail(i.of) {
+	if now.Sub(r.slowSince) < slowPatience || !i.of.tail() {
 		return ""
 	}
 	if _, ok := engines.better(r.endpoint, n); ok {
@@ -280,16 +280,6 @@
 	return ""
 }
 
-// tail reports whether the items that are left decide when their submission is
-// complete: then it is worth a move that one of them ends sooner.
-func (o *Owner) tail(s *open) bool {
-	left := 0
-	for _, n := range s.left {
-		left += n
-	}
-	return float64(left) <= tailShare*float64(s.head.Total)
-}
-
 // complete gives an item its result; o.mu is held.
 func (o *Owner) complete(i *item, score string) {
 	i.score = score
