Node tests listen on ports that they hold

The tests chose a free port, closed it and let the node listen on it later; another package's connection took it between, run ended with 'address already in use', and the test threw that error away. Ruled out: the load of the machine alone, the readiness rule. Change: run takes its listeners; the tests open them on port 0, keep them, and require that run ends without an error (it was ignored). A listen error names the address's purpose. Conclusion: a defect of the test, and of its silence about the error.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,11 @@
 	handler := logging.NewHandler(slog.NewTextHandler(writer, &slog.HandlerOptions{Level: &threshold}), writer)
 	logger := slog.New(handler).With(slog.String("node", chosen.Name))
 	go watchSettings(ctx, chosen, reload, &threshold, logger)
-	return build(chosen, logger).run(ctx)
+	open, err := listen(chosen)
+	if err != nil {
+		return err
+	}
+	return build(chosen, logger).run(ctx, open)
 }
 
 func build(chosen *settings.Node, logger *slog.Logger) *Node {
@@ -197,24 +201,25 @@
 
 func listen(chosen *settings.Node) (l listeners, err error) {
 	if l.front, err = net.Listen("tcp", chosen.Listen); err != nil {
-		return l, err
+		return l, ErrListen.Wrap(err, "callers")
 	}
 	if l.ready, err = net.Listen("tcp", chosen.ReadyListen); err != nil {
-		return l, err
+		return l, ErrListen.Wrap(err, "readiness")
+	}
+	if l.peer, err = net.Listen("tcp", chosen.PeerListen); err != nil {
+		return l, ErrListen.Wrap(err, "other nodes")
 	}
-	if l.peer, err = net.Listen("tcp", chosen.PeerListen); err != nil || chosen.MetricsListen == "" {
-		return l, err
+	if chosen.MetricsListen == "" {
+		return l, nil
 	}
-	l.metrics, err = net.Listen("tcp", chosen.MetricsListen)
-	return l, err
+	if l.metrics, err = net.Listen("tcp", chosen.MetricsListen); err != nil {
+		return l, ErrListen.Wrap(err, "metrics")
+	}
+	return l, nil
 }
 
-// run serves until ctx ends, and then leaves.
-func (n *Node) run(ctx context.Context) error {
-	open, err := listen(n.chosen)
-	if err != nil {
-		return err
-	}
+// run serves on the listeners until ctx ends, and then leaves.
+func (n *Node) run(ctx context.Context, open listeners) error {
 	event.NodeStarted.Log(ctx, n.logger, slog.String("failure_domain", n.chosen.FailureDomain),
 		slog.String("listen", n.chosen.Listen), slog.String("peer_listen", n.chosen.PeerListen), slog.String("store", n.chosen.StoreAddress))
 	lasting, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -244,7 +249,7 @@
 		stop()
 		return errors.Join(ready.Close(), peer.Close(), metrics.Close())
 	})
-	err = group.Wait()
+	err := group.Wait()
 	event.NodeStopped.Log(context.WithoutCancel(ctx), n.logger)
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -39,8 +39,11 @@
 	ready   string
 	cancel  context.CancelFunc
 	done    chan struct{}
+	err     error // of the run, once done is closed
 }
 
+func address(l net.Listener) string { return l.Addr().String() }
+
 func newSystem(t *testing.T) *system {
 	t.Helper()
 	s := &system{t: t, store: platformtest.NewStore(), nodes: map[string]*testNode{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
@@ -59,28 +62,29 @@
 	return s
 }
 
-// freeAddress returns an address on loopback that was free just now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
+// anyPort is an address on loopback with a port that the kernel chooses.
+const anyPort = "127.0.0.1:0"
 
 func (s *system) start(name string) *testNode {
 	s.t.Helper()
 	chosen := settings.DefaultNode()
 	chosen.Name, chosen.FailureDomain = name, "z"
-	chosen.Listen, chosen.ReadyListen, chosen.PeerListen = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	chosen.Listen, chosen.ReadyListen, chosen.PeerListen = anyPort, anyPort, anyPort
+	open, err := listen(chosen)
+	require.NoError(s.t, err)
+	chosen.Listen, chosen.ReadyListen, chosen.PeerListen = address(open.front), address(open.ready), address(open.peer)
 	chosen.StoreAddress = s.store.Address()
 	chosen.Grace = 5 * time.Second
 	require.NoError(s.t, chosen.Check())
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{node: build(chosen, slog.New(slog.DiscardHandler)), address: chosen.Listen, ready: chosen.ReadyListen, cancel: cancel, done: make(chan struct{})}
-	go func() { defer close(n.done); _ = n.node.run(ctx) }()
+	go func() { defer close(n.done); n.err = n.node.run(ctx, open) }()
 	s.nodes[name] = n
-	s.t.Cleanup(func() { cancel(); <-n.done })
+	s.t.Cleanup(func() {
+		cancel()
+		<-n.done
+		require.NoError(s.t, n.err)
+	})
 	require.Eventually(s.t, func() bool {
 		response, err := s.client.Get("http://" + n.ready + "/ready")
 		if err != nil {
@@ -315,3 +319,15 @@
 		require.Eventually(t, func() bool { return n.node.routes.Load().Version == 3 }, patience, pause)
 	}
 }
+
+// TestListenNamesTheAddress: a port in use ends the start with a clear error.
+func TestListenNamesTheAddress(t *testing.T) {
+	taken, err := net.Listen("tcp", anyPort)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, taken.Close()) })
+	chosen := settings.DefaultNode()
+	chosen.Listen, chosen.ReadyListen, chosen.PeerListen = anyPort, anyPort, address(taken)
+	_, err = listen(chosen)
+	require.ErrorContains(t, err, "other nodes")
+	require.ErrorContains(t, err, address(taken))
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -17,11 +17,13 @@
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
-// Errors of calls between nodes.
+// Errors of a node.
 var (
 	Errors = errorx.NewNamespace("node")
 	// ErrPeer: another node did not answer as it should.
-	ErrPeer = Errors.NewType("peer")
+	// ErrListen: an address of the settings can not be listened on.
+	ErrListen = Errors.NewType("listen")
+	ErrPeer   = Errors.NewType("peer")
 )
 
 // peers calls other nodes. It is safe for concurrent use.
