One protocol of the store: the published one, also for the project's own interface

Cause: two protocols of a key-value service stood, the published one (platform/) and an invented one (kvclient and its stand-in). Change: metakv puts the key-value port on the metadata store; the stand-in process speaks the published calls with the same faults from outside. kvclient and the stand-in's own store are gone; the store in memory got a bounded history, creation revisions and leases that end by themselves. Faults for one client go by the user agent, which the published calls leave free. A store's refusal (400, 403, 413) now says that nothing was done; it was 'unknown'. Tests: the adapter passes kvclient's tests; where they counted revisions from 1 they now compare with the revisions that the store gave (a store may begin anywhere), and the creation revision is read back after a swap.

--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -18,8 +18,8 @@
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/listclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/metakv"
 	"github.com/comfreyfront/comfreyfront/internal/metrics"
 	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/ownership"
@@ -34,6 +34,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/step"
 	"github.com/comfreyfront/comfreyfront/internal/suspect"
 	"github.com/comfreyfront/comfreyfront/internal/traffic"
+	"github.com/comfreyfront/comfreyfront/platform"
 )
 
 // parts are what an entry is made of.
@@ -98,7 +99,7 @@
 		logger:     logger,
 		registry:   registry,
 		snapshots:  &control.Snapshots{},
-		store:      kvclient.New(kvclient.Options{Address: chosen.StoreAddress, ClientID: chosen.ID}),
+		store:      &metakv.Store{Metadata: platform.NewNamedStoreClient(chosen.StoreAddress, chosen.ID)},
 		dialer:     newDialer(peerClient),
 		peerClient: peerClient,
 		metrics:    metrics.NewTraffic(registry),
--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -17,7 +17,8 @@
 	Key  string
 	Data []byte
 	// CreateRevision is the store revision that created the key; it serves as
-	// a fencing number for what the key stands for.
+	// a fencing number for what the key stands for. Zero in the answer to a
+	// CompareAndSwap of a key that existed.
 	CreateRevision int64
 	// Revision is the store revision of the last write of the key.
 	Revision int64
--- a/internal/keyvalue/kvclient/client_test.go
+++ b/internal/keyvalue/metakv/metakv_test.go
@@ -1,4 +1,4 @@
-package kvclient_test
+package metakv_test
 
 import (
 	"context"
@@ -13,24 +13,24 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/metakv"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/kv"
+	"github.com/comfreyfront/comfreyfront/platform"
+	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
-func start(t *testing.T, options kv.Options) (*kv.Server, *kvclient.Client) {
+func start(t *testing.T, options kv.Options) (*kv.Server, *metakv.Store) {
 	t.Helper()
 	server := kv.New(options)
 	listener := httptest.NewServer(server.Handler())
 	t.Cleanup(listener.Close)
-	client := newClient(listener, "a")
-	t.Cleanup(client.Close)
-	return server, client
+	return server, newClient(listener, "a")
 }
 
-func newClient(listener *httptest.Server, id string) *kvclient.Client {
+func newClient(listener *httptest.Server, id string) *metakv.Store {
 	address := strings.TrimPrefix(listener.URL, "http://")
-	return kvclient.New(kvclient.Options{Address: address, ClientID: id})
+	return &metakv.Store{Metadata: platform.NewNamedStoreClient(address, id)}
 }
 
 func requireType(t *testing.T, err error, want *errorx.Type) {
@@ -51,7 +51,10 @@
 	require.Equal(t, first, current)
 	second, err := client.CompareAndSwap(ctx, "k", first.Revision, []byte("two"), 0)
 	require.NoError(t, err)
-	require.Equal(t, first.CreateRevision, second.CreateRevision)
+	read, err := client.Get(ctx, "k")
+	require.NoError(t, err)
+	require.Equal(t, second.Revision, read.Revision)
+	require.Equal(t, first.CreateRevision, read.CreateRevision)
 	require.Greater(t, second.Revision, first.Revision)
 	requireType(t, client.Delete(ctx, "k", first.Revision), keyvalue.ErrConflict)
 	require.NoError(t, client.Delete(ctx, "k", second.Revision))
@@ -63,21 +66,23 @@
 
 func TestValueOfAMegabyteFitsAndNoMore(t *testing.T) {
 	_, client := start(t, kv.Options{})
-	_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, kvclient.MaxValue), 0)
+	_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, platformtest.MaxValue), 0)
 	require.NoError(t, err)
-	_, err = client.CompareAndSwap(t.Context(), "l", 0, make([]byte, kvclient.MaxValue+1), 0)
+	_, err = client.CompareAndSwap(t.Context(), "l", 0, make([]byte, platformtest.MaxValue+1), 0)
 	requireType(t, err, keyvalue.ErrUnavailable)
 }
 
 func TestListIsOrderedAndPrefixed(t *testing.T) {
 	_, client := start(t, kv.Options{})
+	var last keyvalue.Value
 	for _, key := range []string{"a/2", "b/1", "a/1"} {
-		_, err := client.CompareAndSwap(t.Context(), key, 0, []byte(key), 0)
+		var err error
+		last, err = client.CompareAndSwap(t.Context(), key, 0, []byte(key), 0)
 		require.NoError(t, err)
 	}
 	values, revision, err := client.List(t.Context(), "a/")
 	require.NoError(t, err)
-	require.EqualValues(t, 3, revision)
+	require.Equal(t, last.Revision, revision)
 	require.Len(t, values, 2)
 	require.Equal(t, "a/1", values[0].Key)
 	require.Equal(t, "a/2", values[1].Key)
@@ -130,7 +135,7 @@
 		changes, _, err := client.Watch(t.Context(), "a/", 0, time.Minute)
 		done <- result{changes, err}
 	}()
-	require.Eventually(t, func() bool { return server.Calls().ByPath[kvclient.PathWatch] == 1 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return server.Calls().ByPath[platformtest.PathWatch] == 1 }, time.Minute, time.Millisecond)
 	_, err := client.CompareAndSwap(t.Context(), "b/1", 0, nil, 0)
 	require.NoError(t, err)
 	_, err = client.CompareAndSwap(t.Context(), "a/1", 0, []byte("x"), 0)
@@ -139,21 +144,23 @@
 	require.NoError(t, got.err)
 	require.Len(t, got.changes, 1)
 	require.Equal(t, "a/1", got.changes[0].Value.Key)
-	require.EqualValues(t, 1, server.Calls().ByPath[kvclient.PathWatch])
+	require.EqualValues(t, 1, server.Calls().ByPath[platformtest.PathWatch])
 }
 
 func TestWatchBeforeTheHistoryIsCompacted(t *testing.T) {
 	_, client := start(t, kv.Options{History: 2})
+	var revisions []int64
 	for _, key := range []string{"1", "2", "3"} {
-		_, err := client.CompareAndSwap(t.Context(), key, 0, nil, 0)
+		value, err := client.CompareAndSwap(t.Context(), key, 0, nil, 0)
 		require.NoError(t, err)
+		revisions = append(revisions, value.Revision)
 	}
 	_, _, err := client.Watch(t.Context(), "", 0, time.Second)
 	requireType(t, err, keyvalue.ErrCompacted)
-	changes, next, err := client.Watch(t.Context(), "", 1, time.Second)
+	changes, next, err := client.Watch(t.Context(), "", revisions[0], time.Second)
 	require.NoError(t, err)
 	require.Len(t, changes, 2)
-	require.EqualValues(t, 3, next)
+	require.Equal(t, revisions[2], next)
 	_, _, err = client.Watch(t.Context(), "", 99, time.Second)
 	requireType(t, err, keyvalue.ErrCompacted)
 }
@@ -166,7 +173,7 @@
 	value, err := client.Get(t.Context(), "k")
 	require.NoError(t, err)
 	require.Equal(t, "x", string(value.Data))
-	require.EqualValues(t, 1, server.Calls().ByPath[kvclient.PathSwap], "the client repeated a write by itself")
+	require.EqualValues(t, 1, server.Calls().ByPath[platformtest.PathTxn], "the client repeated a write by itself")
 }
 
 func TestDownIsUnavailableForWrites(t *testing.T) {
@@ -208,7 +215,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	client := kvclient.New(kvclient.Options{Address: address})
+	client := &metakv.Store{Metadata: platform.NewStoreClient(address)}
 	_, err = client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
 	requireType(t, err, keyvalue.ErrUnavailable)
 }
--- a/internal/measure/processes.go
+++ b/internal/measure/processes.go
@@ -13,10 +13,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreyfront/comfreyfront/internal/config"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
+	"github.com/comfreyfront/comfreyfront/internal/keyvalue/metakv"
 	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 	"github.com/comfreyfront/comfreyfront/internal/step"
+	"github.com/comfreyfront/comfreyfront/platform"
 	trainerclient "github.com/comfreyfront/comfreyfront/trainer"
 )
 
@@ -188,7 +189,7 @@
 
 // killOwner kills the entry that owns the step, by the key of its lease.
 func killOwner(ctx context.Context, cluster *proctest.Cluster, spec trainerclient.Spec) error {
-	store := kvclient.New(kvclient.Options{Address: cluster.Store.Addresses[0], ClientID: "measure"})
+	store := &metakv.Store{Metadata: platform.NewNamedStoreClient(cluster.Store.Addresses[0], "measure")}
 	value, err := store.Get(ctx, "owner/"+step.UnitOf(spec.Trainer, spec.Step))
 	if err != nil {
 		return err
--- a/internal/metastore/memory/memory.go
+++ b/internal/metastore/memory/memory.go
@@ -16,9 +16,19 @@
 // pageItems is the most items of one page of a range.
 const pageItems = 50
 
-// Store is a metadata store. It is safe for concurrent use; New makes one.
+// DefaultHistory is how many changes a watch can go back.
+const DefaultHistory = 10_000
+
+// maxLapseCheck bounds the time between two looks of a waiting watch at the
+// leases.
+const maxLapseCheck = time.Second
+
+// Store is a metadata store in memory. It is safe for concurrent use; New makes
+// one.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// kept is how many changes a watch can go back.
+	kept     int
 	now      func() time.Time
 	revision int64
 	items    map[string]metastore.Item
@@ -57,7 +67,14 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Store{now: now, revision: 1, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, wake: make(chan struct{})}
+	return &Store{kept: DefaultHistory, now: now, revision: 1, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, wake: make(chan struct{})}
+}
+
+// KeepHistory sets how many changes a watch can go back.
+func (s *Store) KeepHistory(changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = changes
 }
 
 // SetFaults replaces the faults.
@@ -128,7 +145,7 @@
 
 func (s *Store) expire() {
 	for id, l := range s.leases {
-		if s.now().After(l.until) {
+		if !s.now().Before(l.until) {
 			s.end(id)
 		}
 	}
@@ -184,12 +201,13 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for first := true; ; first = false {
-		events, revision, wake, err := s.look(prefix, after, first)
+		events, revision, wake, lapse, err := s.look(prefix, after, first)
 		if err != nil || len(events) > 0 {
 			return events, revision, err
 		}
 		select {
 		case <-wake:
+		case <-time.After(lapse):
 		case <-timer.C:
 			return nil, revision, nil
 		case <-ctx.Done():
@@ -198,9 +216,9 @@
 	}
 }
 
-// look returns what a watch hears now. A watch that waits is not told that the
-// history was dropped.
-func (s *Store) look(prefix string, after int64, first bool) ([]metastore.Event, int64, <-chan struct{}, error) {
+// look returns what a watch hears now, and the time until the next lease can
+// end. A watch that waits is not told that the history was dropped.
+func (s *Store) look(prefix string, after int64, first bool) ([]metastore.Event, int64, <-chan struct{}, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if first {
@@ -208,10 +226,10 @@
 	}
 	s.expire()
 	if s.faults.Down {
-		return nil, 0, nil, metastore.ErrUnavailable.New("down")
+		return nil, 0, nil, 0, metastore.ErrUnavailable.New("down")
 	}
-	if first && after < s.dropped {
-		return nil, 0, nil, metastore.ErrCompacted.New("revision %d", after)
+	if first && (after < s.dropped || after > s.revision) {
+		return nil, 0, nil, 0, metastore.ErrCompacted.New("revision %d", after)
 	}
 	var events []metastore.Event
 	for _, e := range s.history {
@@ -223,7 +241,16 @@
 	if s.faults.Deaf || s.dropped > after {
 		revision = after
 	}
-	return events, revision, s.wake, nil
+	return events, revision, s.wake, s.nextLapse(), nil
+}
+
+// nextLapse returns the time until the next lease can end; s.mu is held.
+func (s *Store) nextLapse() time.Duration {
+	next := maxLapseCheck
+	for _, l := range s.leases {
+		next = min(next, l.until.Sub(s.now()))
+	}
+	return max(next, time.Millisecond)
 }
 
 // Commit implements metastore.Store.
@@ -258,7 +285,10 @@
 	}
 	s.revision++
 	for _, put := range txn.Puts {
-		item := metastore.Item{Key: put.Key, Value: slices.Clone(put.Value), Revision: s.revision, Lease: put.Lease}
+		item := metastore.Item{Key: put.Key, Value: slices.Clone(put.Value), Revision: s.revision, Created: s.items[put.Key].Created, Lease: put.Lease}
+		if item.Created == 0 {
+			item.Created = s.revision
+		}
 		s.items[put.Key] = item
 		s.history = append(s.history, metastore.Event{Item: item})
 	}
@@ -266,10 +296,21 @@
 		delete(s.items, key)
 		s.history = append(s.history, metastore.Event{Item: metastore.Item{Key: key, Revision: s.revision}, Deleted: true})
 	}
+	s.forget()
 	s.stir()
 	return s.revision, nil
 }
 
+// forget drops the changes beyond the kept history; s.mu is held.
+func (s *Store) forget() {
+	excess := len(s.history) - s.kept
+	if excess <= 0 {
+		return
+	}
+	s.dropped = s.history[excess-1].Revision
+	s.history = slices.Clone(s.history[excess:])
+}
+
 // Grant implements metastore.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (int64, error) {
 	s.mu.Lock()
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -16,6 +16,8 @@
 	Value []byte
 	// Revision is the store revision of the last change of the key.
 	Revision int64
+	// Created is the store revision that created the key.
+	Created int64
 	// Lease is the lease that the key hangs on; zero is none.
 	Lease int64
 }
--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -13,10 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
-	"github.com/comfreyfront/comfreyfront/internal/keyvalue/kvclient"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 	"github.com/comfreyfront/comfreyfront/internal/standin/fault"
 	"github.com/comfreyfront/comfreyfront/internal/standin/service"
+	"github.com/comfreyfront/comfreyfront/platform"
 )
 
 var binaries proctest.Binaries
@@ -105,7 +105,7 @@
 
 func TestFaultsReachTheStoreProcess(t *testing.T) {
 	cluster := newCluster(t)
-	client := kvclient.New(kvclient.Options{Address: cluster.Store.Addresses[0], ClientID: "a"})
+	client := platform.NewNamedStoreClient(cluster.Store.Addresses[0], "a")
 	defer client.Close()
 	require.NoError(t, cluster.StoreControl().Put("/faults", fault.Fault{Client: "a", Down: true}))
 	_, err := client.Grant(t.Context(), time.Second)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -18,9 +18,18 @@
 // HeaderClientID names the client of a call, so that faults can be limited to it.
 const HeaderClientID = "X-Client-Id"
 
+// ClientOf returns who makes a call: HeaderClientID or, of calls whose protocol
+// knows no such header, the user agent.
+func ClientOf(r *http.Request) string {
+	if client := r.Header.Get(HeaderClientID); client != "" {
+		return client
+	}
+	return r.UserAgent()
+}
+
 // Fault is one set of faults. The zero value is none.
 type Fault struct {
-	// Client limits the faults to calls with this HeaderClientID.
+	// Client limits the faults to calls of this client, see ClientOf.
 	Client string `json:"client,omitempty"`
 	// Down: every call is answered with 503 and has no effect.
 	Down bool `json:"down,omitempty"`
@@ -94,7 +103,7 @@
 
 // Pass applies the faults to one call; false means that it has been answered.
 func (g *Gate) Pass(w http.ResponseWriter, r *http.Request) bool {
-	client := r.Header.Get(HeaderClientID)
+	client := ClientOf(r)
 	if err := g.thaw(r.Context(), client); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -126,7 +135,7 @@
 		f.LoseReplies--
 		return true
 	}
-	if g.any(r.Header.Get(HeaderClientID), lose) {
+	if g.any(ClientOf(r), lose) {
 		panic(http.ErrAbortHandler)
 	}
 }
