--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -69,7 +69,7 @@
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    max(limits.HeaderBytes, 4<<10),
 		ErrorLog:          quiet(),
-		ConnState:         answerSlowHead,
+		ConnState:         followState,
 	}
 	s := &frontServer{server: server, conns: &connListener{conns: make(chan net.Conn), done: f.done}}
 	f.servers = append(f.servers, s)
@@ -102,7 +102,7 @@
 		f.mu.Lock()
 		s := f.servers[len(f.servers)-1]
 		f.mu.Unlock()
-		s.conns.give(&headConn{Conn: conn})
+		s.conns.give(newHeadConn(conn))
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -25,7 +25,7 @@
 
 // system is a store, endpoints and nodes on loopback.
 type system struct {
-	t       *testing.T
+	t       testing.TB
 	store   *platformtest.Store
 	engines []*platformtest.Endpoint
 	plain   *platformtest.Endpoint
@@ -44,7 +44,7 @@
 
 func address(l net.Listener) string { return l.Addr().String() }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	t.Helper()
 	s := &system{t: t, store: platformtest.NewStore(), nodes: map[string]*testNode{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(s.store.Close)
--- a/internal/node/slowhead.go
+++ b/internal/node/slowhead.go
@@ -16,18 +16,31 @@
 // that it no longer needs by a deadline of this kind.
 var abortDeadline = time.Unix(1_000_000, 0)
 
-// headConn is a caller's connection that knows whether its last read ran into
-// the deadline of a head. Net/http closes such a connection without a word.
+// headConn is a caller's connection that answers a head which began and does not
+// end in time. Net/http closes such a connection without a word.
 type headConn struct {
 	net.Conn
-	aborted  atomic.Bool // the deadline in force only ends a read
-	timedOut atomic.Bool
+	aborted atomic.Bool // the deadline in force only ends a read
+	// awaitsHead is set between requests, and began once bytes came since.
+	awaitsHead atomic.Bool
+	began      atomic.Bool
+}
+
+func newHeadConn(conn net.Conn) *headConn {
+	c := &headConn{Conn: conn}
+	c.awaitsHead.Store(true)
+	return c
 }
 
 // Read implements net.Conn.
 func (c *headConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.timedOut.Store(errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load())
+	if n > 0 {
+		c.began.Store(true)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() && c.awaitsHead.Load() && c.began.CompareAndSwap(true, false) {
+		_, _ = c.Write([]byte(slowHeadAnswer)) // the connection is closed next, whatever comes of it
+	}
 	return n, err
 }
 
@@ -37,12 +50,14 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
-// answerSlowHead is told the states of connections: one becomes active when a
-// head came, or when a part of it came and the read failed.
-func answerSlowHead(conn net.Conn, state http.ConnState) {
+// followState tells a connection whether a request is being served on it.
+func followState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*headConn)
-	if !ok || state != http.StateActive || !c.timedOut.Load() {
+	if !ok {
 		return
 	}
-	_, _ = c.Write([]byte(slowHeadAnswer)) // the connection is closed next, whatever comes of it
+	c.awaitsHead.Store(state != http.StateActive)
+	if state == http.StateIdle {
+		c.began.Store(false)
+	}
 }
--- a/internal/node/slowhead_test.go
+++ b/internal/node/slowhead_test.go
@@ -15,6 +15,8 @@
 
 // shortTimeouts starts a node that gives heads and bodies 100 ms.
 func shortTimeouts(t *testing.T) *testNode {
+	t.Helper()
+	t.Parallel()
 	s := newSystem(t)
 	n := s.start("n1")
 	s.store.ShortTimeouts(2)
@@ -49,8 +51,9 @@
 	n := shortTimeouts(t)
 	_, from := dial(t, n, "POST /lookup/x HTTP/1.1\r\nHost: ")
 	requireStatus(t, from, http.StatusRequestTimeout)
-	_, err := from.ReadByte()
-	require.ErrorIs(t, err, io.EOF)
+	rest, err := io.ReadAll(from)
+	require.NoError(t, err)
+	require.Empty(t, string(rest), "one answer, then the end")
 	conn, from := dial(t, n, request("a"))
 	requireStatus(t, from, http.StatusOK)
 	_, err = io.WriteString(conn, "POST /lookup/x HTTP/1.1\r\nHost: ")
