A report on a phone over all nodes, by route; latency by class and outcome

Cause: on the platform's path the operator had counters only; the report served the project's own interface. Steps count at their end, against the time of a step. The latency histogram has the outcome besides the class; these contracts name no client account in a request, so there is no such label.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -224,7 +223,7 @@
 
 // Ended implements platform.Front.
 func (n *Node) Ended(end platform.End) {
-	n.metrics.ended(end.Route, strconv.Itoa(end.Status), end.Took)
+	n.countEnd(end)
 	attrs := []slog.Attr{
 		slog.String("request", end.ID), slog.String("route", end.Route), slog.Int("status", end.Status),
 		slog.Int64("took_ms", end.Took.Milliseconds()),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,8 +26,10 @@
 	"github.com/comfreyfront/comfreyfront/internal/logging"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/relay"
 	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/routereport"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
 	"github.com/comfreyfront/comfreyfront/internal/watchcache"
@@ -70,6 +72,7 @@
 	endpoints   *platform.EndpointClient
 	peers       *peers
 	metrics     *nodeMetrics
+	figures     routereport.Recorder
 	registry    *prometheus.Registry
 	retire      retiring
 	hubs        *hubs
@@ -331,9 +334,10 @@
 	return mux
 }
 
-// metricsHandler shows the node's metrics.
+// metricsHandler shows the node's metrics and the report.
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
@@ -331,3 +334,31 @@
 	require.ErrorContains(t, err, "other nodes")
 	require.ErrorContains(t, err, address(taken))
 }
+
+// TestReportOverAllNodes: any node tells what ended at all of them.
+func TestReportOverAllNodes(t *testing.T) {
+	s := newSystem(t)
+	one, two := s.start("n1"), s.start("n2")
+	require.Eventually(t, func() bool { return len(one.node.cluster.Nodes()) == 1 }, patience, pause)
+	for i, n := range []*testNode{one, two, two} {
+		status, _ := s.call(n, "POST", "/lookup/x", fmt.Sprintf("r%d", i), nil)
+		require.Equal(t, http.StatusOK, status)
+	}
+	s.submit(one, "a", 4)
+	s.results(two, "a", 4)
+	status, _ := s.call(two, "DELETE", platformtest.ResultsPath("a"), "", nil)
+	require.Equal(t, http.StatusOK, status)
+	server := httptest.NewServer(one.node.metricsHandler())
+	t.Cleanup(server.Close)
+	client := operator.NewClient(strings.TrimPrefix(server.URL, "http://"), s.client)
+	var text string
+	ended := regexp.MustCompile(`draft: \S+, \S+ of 1 in time`)
+	require.Eventually(t, func() bool {
+		var err error
+		text, err = client.Report(t.Context())
+		return err == nil && ended.MatchString(text)
+	}, patience, pause, "the owner learns of the end")
+	require.Contains(t, text, "2 of 2 nodes heard")
+	require.Regexp(t, `lookup: \S+, \S+ of 3 in time`, text)
+	require.Contains(t, text, "score: not known", "the system's own calls are no callers' requests")
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/routereport"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
@@ -101,6 +102,15 @@
 	return texts, nil
 }
 
+// figures asks a node for what ended there.
+func (p *peers) figures(ctx context.Context, node cluster.Node) ([]*routereport.Figure, error) {
+	reply, err := p.dial(node.Address).Figures(ctx, &nodepb.FiguresRequest{})
+	if err != nil {
+		return nil, ErrPeer.Wrap(err, "figures of %s", node.Name)
+	}
+	return decodeFigures(reply), nil
+}
+
 // crashed tells a node of a request that crashes endpoints.
 func (p *peers) crashed(ctx context.Context, node cluster.Node, fingerprint uint64, life time.Duration) error {
 	_, err := p.dial(node.Address).Crashed(ctx, &nodepb.CrashedRequest{Fingerprint: fingerprint, LifeMs: life.Milliseconds()})
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -61,6 +61,11 @@
 	return serveStore(ctx, s.node.direct, request), nil
 }
 
+// Figures implements nodepb.Node.
+func (s *peerServer) Figures(context.Context, *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
+	return encodeFigures(s.node.figures.Figures()), nil
+}
+
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
 	s.node.crashes.Hold(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -53,7 +53,7 @@
 		Unit: unit, Service: service, Zone: n.chosen.FailureDomain,
 		Store: n.store, Directory: n.directory, Routes: n.routes,
 		Streamer: n.endpoints, Scorer: n.score, ScoreSlots: func() int { return n.scoreSlots(service) },
-		Status: n.chosen.StatusLife, Logger: n.logger,
+		Status: n.chosen.StatusLife, Ended: n.stepEnded, Logger: n.logger,
 	})
 	manager := weights.NewManager(weights.Options{
 		Service: service, Directory: n.directory, Engines: n.endpoints, Targets: n.targets,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -104,7 +104,9 @@
 
 // Configuration is one version of the operator's configuration.
 type Configuration struct {
-	Version  int64
+	Version int64
+	// Routes are all routes, in the order of the operator.
+	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
 	byHost   map[string][]*Route
@@ -112,7 +114,7 @@
 
 // New returns a configuration with its routes in order of matching.
 func New(version int64, routes []*Route, services []Service, limits Limits) *Configuration {
-	c := &Configuration{Version: version, Limits: limits, Services: map[string]Service{}, byHost: map[string][]*Route{}}
+	c := &Configuration{Version: version, Routes: routes, Limits: limits, Services: map[string]Service{}, byHost: map[string][]*Route{}}
 	for _, service := range services {
 		c.Services[service.Name] = service
 	}
@@ -126,6 +128,16 @@
 	return c
 }
 
+// Named returns the route of a name, or nil.
+func (c *Configuration) Named(name string) *Route {
+	for _, r := range c.Routes {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (c *Configuration) Match(host, path string) (*Route, bool) {
 	if name, _, found := strings.Cut(host, ":"); found {
--- /dev/null
+++ b/internal/routereport/text.go
@@ -0,0 +1,102 @@
+package routereport
+
+import (
+	"fmt"
+	"html"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Size of the plain text: a screenful of a phone.
+const (
+	maxLines   = 24
+	maxColumns = 45
+)
+
+// Text renders the report in less than 25 lines of at most 45 columns.
+func (r Report) Text() string {
+	lines := r.head()
+	for i, l := range r.Lines {
+		block := l.lines()
+		left := len(r.Lines) - i
+		if len(lines)+len(block)+min(left-1, 1) > maxLines {
+			lines = append(lines, fmt.Sprintf("... and %d more routes", left))
+			break
+		}
+		lines = append(lines, block...)
+	}
+	for i := range lines {
+		lines[i] = clip(lines[i])
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// HTML renders the text as a page that reads well on a phone.
+func (r Report) HTML() string {
+	return `<!doctype html><html lang="en"><head><meta charset="utf-8">` +
+		`<meta name="viewport" content="width=device-width, initial-scale=1"><meta http-equiv="refresh" content="10">` +
+		`<title>comfreyfront report</title></head><body><pre style="font-size:3.4vmin">` + html.EscapeString(r.Text()) + `</pre></body></html>`
+}
+
+func clip(line string) string {
+	if utf8.RuneCountInString(line) <= maxColumns {
+		return line
+	}
+	return string([]rune(line)[:maxColumns-1]) + "…"
+}
+
+func (r Report) head() []string {
+	lines := []string{
+		fmt.Sprintf("%s UTC, configuration %d", r.At.UTC().Format(time.TimeOnly), r.Version),
+		fmt.Sprintf("last %s, %d of %d nodes heard", Window, r.Heard, r.Nodes),
+	}
+	if r.Heard < r.Nodes {
+		lines = append(lines, "! figures partial: nodes not heard")
+	}
+	if r.StoreLost {
+		lines = append(lines, "! store not reached: no submissions")
+	}
+	if r.Version == 0 {
+		lines = append(lines, "! no configuration yet: all is refused")
+	}
+	return lines
+}
+
+func (l Line) lines() []string {
+	if l.Status() == NotKnown {
+		return []string{fmt.Sprintf("%s: %s, nothing ended", l.Route, NotKnown)}
+	}
+	first := fmt.Sprintf("%s: %s, %.1f%% of %d in time", l.Route, l.Status(), 100*l.Share(), l.counted())
+	if l.Status() == Met {
+		return []string{first}
+	}
+	return append([]string{first, "  " + l.causes()}, l.advice()...)
+}
+
+// causes says what kept the missing ones.
+func (l Line) causes() string {
+	late := l.Counts[Answered] - l.InTime
+	text := fmt.Sprintf("%d late, %d refused, %d unknown", late, l.Counts[Refused], l.Counts[Unknown])
+	if p99 := l.quantile(0.99); p99 > 0 && !l.Batch {
+		text += fmt.Sprintf("; p99 %s", p99)
+	}
+	return text
+}
+
+// advice says what the operator can do about the largest cause.
+func (l Line) advice() []string {
+	late := l.Counts[Answered] - l.InTime
+	services := strings.Join(l.Services, ", ")
+	switch {
+	case services == "":
+		return []string{"  do: give the route a service"}
+	case l.Counts[Refused] >= late && l.Counts[Refused] >= l.Counts[Unknown]:
+		return []string{"  do: more endpoints for " + services, "  or a longer timeout of the route"}
+	case l.Counts[Unknown] >= late:
+		return []string{"  do: look at endpoints of " + services, "  that died (explain ID, event 8014)"}
+	case l.Batch:
+		return []string{"  do: more engines for " + services, "  or a longer step time"}
+	}
+	return []string{"  do: more endpoints for " + services, "  or a longer target of the route"}
+}
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -32,6 +32,9 @@
 	ScoreSlots func() int
 	// Status is how long an ended submission can be read; then it is removed.
 	Status time.Duration
+	// Ended is told how old a submission of a host and path was at its end; nil
+	// is not told.
+	Ended  func(host, path string, age time.Duration)
 	Logger *slog.Logger
 }
 
@@ -226,8 +229,12 @@
 	}
 	s.ready = nil
 	s.record = &recordpb.Submission{Id: id, Host: s.record.GetHost(), Path: s.record.GetPath(), Model: s.record.GetModel()}
+	age := now.Sub(s.head.acceptedAt())
 	event.SubmissionEnded.Log(o.ctx, o.options.Logger, slog.String("submission", id), slog.Int("listed", len(s.listed)),
-		slog.Int("unlisted", left), slog.Int64("age_ms", now.Sub(s.head.acceptedAt()).Milliseconds()))
+		slog.Int("unlisted", left), slog.Int64("age_ms", age.Milliseconds()))
+	if o.options.Ended != nil {
+		o.options.Ended(s.record.GetHost(), s.record.GetPath(), age)
+	}
 }
 
 // expire drops texts that no submission brought back, and what readers had time
