--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -113,12 +113,21 @@
 	}
 }
 
+// reader returns how the range is read: late the first time, since the watch from
+// the page's revision brings what it lacks.
+func (f *Follower) reader() func(ctx context.Context, prefix, after string) (Page, error) {
+	if late, ok := f.Store.(LateReader); ok && f.position == 0 && !f.reread {
+		return late.RangeLate
+	}
+	return f.Store.Range
+}
+
 // list reads the whole range again and reconciles by revision: a page that is
 // older than what a watch told brings nothing back.
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, revision, err := ListAll(ctx, f.Store, f.Prefix)
+	items, revision, err := listAll(ctx, f.reader(), f.Prefix)
 	if err != nil {
 		return err
 	}
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -119,3 +119,23 @@
 	store.Write("a/1", []byte("x"))
 	require.Eventually(t, func() bool { return s.copy()["a/1"] == "x" }, patience, pause)
 }
+
+// TestLateFirstReadMissesNothing: the first read is old; the watch brings the
+// rest, also when the history in between was dropped.
+func TestLateFirstReadMissesNothing(t *testing.T) {
+	for name, dropped := range map[string]bool{"history stands": false, "history dropped": true} {
+		t.Run(name, func(t *testing.T) {
+			store := memory.New(nil)
+			store.Write("a/1", []byte("one"))
+			store.Write("a/2", []byte("two"))
+			store.Remove("a/1")
+			if dropped {
+				store.DropHistory()
+			}
+			store.SetFaults(memory.Faults{Old: true})
+			s, stop := follow(context.Background(), store, "a/")
+			defer stop()
+			require.Eventually(t, func() bool { return maps.Equal(s.copy(), map[string]string{"a/2": "two"}) }, patience, pause)
+		})
+	}
+}
--- a/internal/metastore/memory/memory.go
+++ b/internal/metastore/memory/memory.go
@@ -16,6 +16,9 @@
 // pageItems is the most items of one page of a range.
 const pageItems = 50
 
+// firstRevision is the revision of an empty store.
+const firstRevision = 1
+
 // DefaultHistory is how many changes a watch can go back.
 const DefaultHistory = 10_000
 
@@ -57,6 +60,8 @@
 	Late bool
 	// Deaf: watches hear nothing.
 	Deaf bool
+	// Old: late reads show the store as it was at the beginning.
+	Old bool
 }
 
 var _ metastore.Store = (*Store)(nil)
@@ -67,7 +72,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Store{kept: DefaultHistory, now: now, revision: 1, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, wake: make(chan struct{})}
+	return &Store{kept: DefaultHistory, now: now, revision: firstRevision, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, wake: make(chan struct{})}
 }
 
 // KeepHistory sets how many changes a watch can go back.
@@ -196,6 +201,17 @@
 	return page, nil
 }
 
+// RangeLate implements metastore.LateReader.
+func (s *Store) RangeLate(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	s.mu.Lock()
+	old := s.faults.Old && !s.faults.Down
+	s.mu.Unlock()
+	if old {
+		return metastore.Page{Revision: firstRevision}, nil
+	}
+	return s.Range(ctx, prefix, after)
+}
+
 // Watch implements metastore.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
 	timer := time.NewTimer(wait)
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -97,23 +97,34 @@
 	ErrUnknown = Errors.NewType("unknown", errorx.Temporary())
 )
 
-// ListAll reads all pages of a range. The revision is that of the first page:
-// a watch from there misses nothing.
+// LateReader is a store that also reads cheaply what may be seconds old.
+type LateReader interface {
+	// RangeLate is Range, and the page may be seconds old; its revision tells.
+	RangeLate(ctx context.Context, prefix, after string) (Page, error)
+}
+
+// ListAll reads all pages of a range. A watch from the revision misses nothing.
 func ListAll(ctx context.Context, store Store, prefix string) ([]Item, int64, error) {
+	return listAll(ctx, store.Range, prefix)
+}
+
+// listAll returns the least revision of the pages: a later page may be older when
+// pages are read late.
+func listAll(ctx context.Context, read func(ctx context.Context, prefix, after string) (Page, error), prefix string) ([]Item, int64, error) {
 	var all []Item
-	var first int64
+	var least int64
 	after := ""
-	for {
-		page, err := store.Range(ctx, prefix, after)
+	for first := true; ; first = false {
+		page, err := read(ctx, prefix, after)
 		if err != nil {
 			return nil, 0, err
 		}
-		if first == 0 {
-			first = page.Revision
+		if first || page.Revision < least {
+			least = page.Revision
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			return all, first, nil
+			return all, least, nil
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
--- a/internal/node/hubs.go
+++ b/internal/node/hubs.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/relay"
 	"github.com/comfreyfront/comfreyfront/internal/watchcache"
 )
 
@@ -22,7 +23,7 @@
 const (
 	// leastHubs and nodesPerHub give the number of hubs.
 	leastHubs   = 2
-	nodesPerHub = 16
+	nodesPerHub = 32
 	// hubWait is how long a hub's watch of the store waits: short, since many
 	// depend on it and a store that dropped its history leaves watches silent.
 	hubWait = time.Second
@@ -97,7 +98,7 @@
 // followed is the store as the follower of one prefix reads it: through a hub, or
 // directly. It remembers which way the last answer came.
 type followed struct {
-	metastore.Store
+	*relay.Store
 	hubs *hubs
 	// direct is read and written by the follower's goroutine only.
 	direct bool
@@ -105,6 +106,16 @@
 
 // Range implements metastore.Store.
 func (f *followed) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	return f.read(ctx, prefix, after, f.Store.Range)
+}
+
+// RangeLate implements metastore.LateReader.
+func (f *followed) RangeLate(ctx context.Context, prefix, after string) (metastore.Page, error) {
+	return f.read(ctx, prefix, after, f.Store.RangeLate)
+}
+
+// read reads a page from a hub, or else directly.
+func (f *followed) read(ctx context.Context, prefix, after string, direct func(context.Context, string, string) (metastore.Page, error)) (metastore.Page, error) {
 	if hub, ok := f.hubs.choose(); ok {
 		callCtx, cancel := context.WithTimeout(ctx, followWait)
 		page, err := f.hubs.peers.cached(hub).Range(callCtx, prefix, after)
@@ -116,7 +127,7 @@
 		f.hubs.fail(hub)
 	}
 	f.direct = true
-	return f.Store.Range(ctx, prefix, after)
+	return direct(ctx, prefix, after)
 }
 
 // Watch implements metastore.Store.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,10 @@
 	turned chan struct{}
 }
 
-var _ metastore.Store = (*Store)(nil)
+var (
+	_ metastore.Store      = (*Store)(nil)
+	_ metastore.LateReader = (*Store)(nil)
+)
 
 // New returns a store over a direct one.
 func New(direct metastore.Store, peers Peers) *Store {
@@ -136,6 +139,19 @@
 	return item, err
 }
 
+// RangeLate implements metastore.LateReader; peers read surely.
+func (s *Store) RangeLate(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
+	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+		read := store.Range
+		if late, ok := store.(metastore.LateReader); ok {
+			read = late.RangeLate
+		}
+		page, err = read(ctx, prefix, after)
+		return err
+	})
+	return page, err
+}
+
 // Range implements metastore.Store.
 func (s *Store) Range(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
 	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
