--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -50,12 +50,18 @@
 	require.Contains(t, text, fmt.Sprintf("lines=%d", 1000-usualLines-failureLines))
 }
 
-// BenchmarkLine is the cost of one line.
+// BenchmarkLine is the cost of one line that is written, and of one that is over
+// its event's budget.
 func BenchmarkLine(b *testing.B) {
-	logger, w := loggerTo(io.Discard, time.Now)
-	defer w.Close()
-	b.ReportAllocs()
-	for i := range b.N {
-		logger.Info("request ended", "event", 8030, "request", "9c41d07be2a35f68", "route", "r-1", "status", 200, "took_ms", i)
+	for name, step := range map[string]time.Duration{"written": time.Second / usualLines, "left out": 0} {
+		b.Run(name, func(b *testing.B) {
+			at := time.Unix(1000, 0)
+			logger, w := loggerTo(io.Discard, func() time.Time { at = at.Add(step); return at })
+			defer w.Close()
+			b.ReportAllocs()
+			for i := range b.N {
+				logger.Info("request ended", "event", 8030, "request", "9c41d07be2a35f68", "route", "r-1", "status", 200, "took_ms", i)
+			}
+		})
 	}
 }
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/logging"
+	"github.com/comfreyfront/comfreyfront/internal/settings"
+	"github.com/comfreyfront/comfreyfront/platform"
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
@@ -52,6 +59,46 @@
 	})
 }
 
+// Rates of one node of 330 at the size to design for, and at twice its capacity:
+// 13,000 requests a second, and twice as many of which half are refused.
+const (
+	designRate   = 13_000.0 / 330
+	overloadRate = 2 * designRate
+)
+
+// BenchmarkEndOfRequest measures what the end of a request costs in counters and
+// log lines, and the share of a core that it takes at the design's rates.
+func BenchmarkEndOfRequest(b *testing.B) {
+	refused := platform.End{ID: "9c41d07be2a35f68", Route: "lookup", Status: http.StatusServiceUnavailable, Err: call.ErrFull.New("every endpoint is full")}
+	answered := platform.End{ID: "9c41d07be2a35f68", Route: "lookup", Status: http.StatusOK, Took: 30 * time.Millisecond}
+	for _, c := range []struct {
+		name  string
+		level slog.Level
+		ends  []platform.End
+		rate  float64
+	}{
+		{"info", slog.LevelInfo, []platform.End{answered}, designRate},
+		{"debug", slog.LevelDebug, []platform.End{answered}, designRate},
+		{"info, twice capacity", slog.LevelInfo, []platform.End{answered, refused}, overloadRate},
+		{"debug, twice capacity", slog.LevelDebug, []platform.End{answered, refused}, overloadRate},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			writer := logging.NewWriter(io.Discard)
+			defer writer.Close()
+			// Without the lines' budget, which would leave most out at this speed.
+			handler := slog.NewTextHandler(writer, &slog.HandlerOptions{Level: c.level})
+			n := build(settings.DefaultNode(), slog.New(handler))
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				n.Ended(c.ends[i%len(c.ends)])
+				i++
+			}
+			b.ReportMetric(100*c.rate*b.Elapsed().Seconds()/float64(b.N), "%core")
+		})
+	}
+}
+
 func benchSystem(b *testing.B) (*system, []*testNode) {
 	s := newSystem(b)
 	var nodes []*testNode
