--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -136,6 +136,18 @@
 	require.NotEqual(t, f.where[0], f.where[1])
 }
 
+// TestLateAnswerNamesWhoWasWaitedFor: the cause of an unknown outcome tells the
+// endpoints that were asked and did not answer, not those that refused.
+func TestLateAnswerNamesWhoWasWaitedFor(t *testing.T) {
+	f := &fakeCaller{script: []step{{err: call.ErrFull.New("full")}, {silent: true}}}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := serviceOf(f, 3).Do(ctx, routeOf(route.NonIdempotent, 1), &call.Request{ID: "x", URI: "/"})
+	require.True(t, call.Is(err, call.ErrEnded))
+	require.ErrorContains(t, err, f.where[1])
+	require.NotContains(t, err.Error(), f.where[0])
+}
+
 func TestFailureCountsIsTheAnswer(t *testing.T) {
 	f := &fakeCaller{script: []step{{status: 500}}}
 	answer, err := serviceOf(f, 3).Do(context.Background(), routeOf(route.Idempotent, 4), &call.Request{ID: "x", URI: "/", FailureCounts: true})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -68,7 +68,23 @@
 // anyPort is an address on loopback with a port that the kernel chooses.
 const anyPort = "127.0.0.1:0"
 
+// start starts a node and waits until it is ready.
 func (s *system) start(name string) *testNode {
+	s.t.Helper()
+	n := s.launch(name)
+	require.Eventually(s.t, func() bool {
+		response, err := s.client.Get("http://" + n.ready + "/ready")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, patience, pause)
+	return n
+}
+
+// launch starts a node.
+func (s *system) launch(name string) *testNode {
 	s.t.Helper()
 	chosen := settings.DefaultNode()
 	chosen.Name, chosen.FailureDomain = name, "z"
@@ -88,14 +104,6 @@
 		<-n.done
 		require.NoError(s.t, n.err)
 	})
-	require.Eventually(s.t, func() bool {
-		response, err := s.client.Get("http://" + n.ready + "/ready")
-		if err != nil {
-			return false
-		}
-		defer response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, patience, pause)
 	return n
 }
 
--- a/internal/node/slowhead.go
+++ b/internal/node/slowhead.go
@@ -61,3 +61,13 @@
 		c.began.Store(false)
 	}
 }
+
+// CloseWrite ends the answers; the caller can still read what was sent. Net/http
+// uses it before it closes a connection whose request it did not read to its end.
+func (c *headConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
