--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -46,4 +46,5 @@
 	RecordsKept          = define(8072, "records kept", slog.LevelWarn, "A submission that nobody may read any more could not be removed from the store.")
 	TextsTaken           = define(8073, "texts taken", slog.LevelInfo, "A leaving node handed over the texts that it had not listed.")
 	TextsNotTaken        = define(8074, "texts not taken", slog.LevelWarn, "A leaving node did not hand over its texts; they are generated again.")
+	PeerNotHeard         = define(8075, "peer not heard", slog.LevelInfo, "Another node did not take a word about crashing requests, or did not tell its figures; nothing waits for it.")
 )
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -144,6 +144,8 @@
 	defer cancel()
 	_, err := serviceOf(f, 3).Do(ctx, routeOf(route.NonIdempotent, 1), &call.Request{ID: "x", URI: "/"})
 	require.True(t, call.Is(err, call.ErrEnded))
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	require.ErrorContains(t, err, f.where[1])
 	require.NotContains(t, err.Error(), f.where[0])
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"io"
 	"log"
 	"log/slog"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -180,7 +179,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			if err := n.peers.crashed(ctx, node, fingerprint, life); err != nil {
-				event.ReadFailed.Log(ctx, n.logger, slog.String("peer", node.Name), slog.String("cause", err.Error()))
+				event.PeerNotHeard.Log(ctx, n.logger, slog.String("peer", node.Name), slog.String("cause", err.Error()))
 			}
 		}()
 	}
@@ -196,31 +195,6 @@
 	}
 }
 
-type listeners struct {
-	front, ready, peer net.Listener
-	// metrics is nil when there is no address for it.
-	metrics net.Listener
-}
-
-func listen(chosen *settings.Node) (l listeners, err error) {
-	if l.front, err = net.Listen("tcp", chosen.Listen); err != nil {
-		return l, ErrListen.Wrap(err, "callers")
-	}
-	if l.ready, err = net.Listen("tcp", chosen.ReadyListen); err != nil {
-		return l, ErrListen.Wrap(err, "readiness")
-	}
-	if l.peer, err = net.Listen("tcp", chosen.PeerListen); err != nil {
-		return l, ErrListen.Wrap(err, "other nodes")
-	}
-	if chosen.MetricsListen == "" {
-		return l, nil
-	}
-	if l.metrics, err = net.Listen("tcp", chosen.MetricsListen); err != nil {
-		return l, ErrListen.Wrap(err, "metrics")
-	}
-	return l, nil
-}
-
 // run serves on the listeners until ctx ends, and then leaves.
 func (n *Node) run(ctx context.Context, open listeners) error {
 	event.NodeStarted.Log(ctx, n.logger, slog.String("failure_domain", n.chosen.FailureDomain),
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -80,7 +80,7 @@
 		group.Go(func() error {
 			told, err := n.peers.figures(ctx, node)
 			if err != nil {
-				event.ReadFailed.Log(ctx, n.logger, slog.String("peer", node.Name), slog.String("cause", err.Error()))
+				event.PeerNotHeard.Log(ctx, n.logger, slog.String("peer", node.Name), slog.String("cause", err.Error()))
 				return nil
 			}
 			mu.Lock()
--- a/internal/routereport/recorder.go
+++ b/internal/routereport/recorder.go
@@ -3,6 +3,7 @@
 package routereport
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -43,12 +44,12 @@
 // OutcomeOf returns the outcome that an answer's status tells.
 func OutcomeOf(status int) Outcome {
 	switch status {
-	case 408, 421, 429, 503:
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return Refused
-	case 502, 504:
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
 		return Unknown
 	}
-	if status >= 400 && status < 500 {
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
 		return Rejected
 	}
 	return Answered
