Refusals for rate are not hammered; a ping no longer reads a node that changes

Change 1: 429 has an error of its own, also between nodes; a node that owns nothing doubles its pause up to 16 times the first, with jitter; an owner does not. Cause 2: the race detector, run on this change, found ping reading a member's record without the lock that its changes are made under (1 of 12 runs of the package's tests; a torn record could ask the wrong address). It is older than this change. Change 2: the record is copied under the lock. Tests: TestRefusalsForRateSpreadRetries, TestNodesComeInAfterRefusals, TestOverRateIsARefusal. 60 runs of the package with the detector, 6 at once: no race; TestOutageOfTheStoreKeepsOwners failed in 4 of them, being traced next.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -233,3 +233,36 @@
 	defer n.cluster.mu.Unlock()
 	require.Equal(t, n.cluster.lease.id, item.Lease)
 }
+
+// TestRefusalsForRateSpreadRetries: nodes that own nothing wait longer and longer,
+// an owner does not, and no two nodes wait alike.
+func TestRefusalsForRateSpreadRetries(t *testing.T) {
+	first := testTTL / retriesPerTTL
+	idle := New(Options{TTL: testTTL})
+	owner := New(Options{TTL: testTTL})
+	owner.held["u"] = Unit{Name: "u"}
+	for refused, factor := range []time.Duration{1, 2, 4, 8, 16, 16, 16} {
+		for range 50 {
+			require.GreaterOrEqual(t, idle.overRatePause(refused), first*factor/2)
+			require.Less(t, idle.overRatePause(refused), first*factor*3/2)
+			require.Less(t, owner.overRatePause(refused), first*3/2)
+		}
+	}
+}
+
+// TestNodesComeInAfterRefusals: while the store refuses all calls for their rate,
+// the nodes do not hammer it; afterwards all of them come in.
+func TestNodesComeInAfterRefusals(t *testing.T) {
+	f := newFakeNodes()
+	f.store.SetFaults(memory.Faults{OverRate: true})
+	const count = 8
+	for i := range count {
+		f.start(t, fmt.Sprintf("n%d", i), 1)
+	}
+	// One call of each that refuses for good, and the doublings, come first.
+	require.Eventually(t, func() bool { return f.store.Calls() >= count*(overRateDoublings+1) }, patience, pause)
+	f.store.SetFaults(memory.Faults{})
+	for _, n := range f.nodes {
+		require.Eventually(t, func() bool { return len(n.cluster.Nodes()) == count-1 }, patience, pause)
+	}
+}
--- a/internal/cluster/lease.go
+++ b/internal/cluster/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -17,6 +18,8 @@
 const (
 	renewalsPerTTL = 3
 	retriesPerTTL  = 8
+	// overRateDoublings bounds the pause after refusals: sixteen times the first.
+	overRateDoublings = 4
 	// idleFactor is how many times longer the lease of a node lasts that owns
 	// nothing: nobody waits for its successor, and renewals grow with the fleet.
 	idleFactor = 3
@@ -34,9 +37,17 @@
 
 // keepLease keeps the node's key in the store until ctx ends.
 func (c *Cluster) keepLease(ctx context.Context) error {
+	refused := 0 // calls in a row that the store refused for their rate
 	for ctx.Err() == nil {
 		pause := c.ttl() / renewalsPerTTL
-		if err := c.refreshLease(ctx); err != nil {
+		err := c.refreshLease(ctx)
+		if errorx.IsOfType(err, metastore.ErrOverRate) {
+			wait.For(ctx, c.overRatePause(refused))
+			refused++
+			continue
+		}
+		refused = 0
+		if err != nil {
 			pause = c.options.TTL / retriesPerTTL
 		}
 		c.waitForLease(ctx, pause)
@@ -44,6 +55,20 @@
 	return nil
 }
 
+// overRatePause returns how long to wait after the store refused a call for its
+// rate: many nodes that start at once must not keep each other refused. What owns
+// something waits the least.
+func (c *Cluster) overRatePause(refused int) time.Duration {
+	c.mu.Lock()
+	owns := len(c.held) > 0
+	c.mu.Unlock()
+	pause := c.options.TTL / retriesPerTTL
+	if !owns {
+		pause <<= min(refused, overRateDoublings)
+	}
+	return pause/2 + rand.N(pause)
+}
+
 // ttl returns how long the node's lease is to last now.
 func (c *Cluster) ttl() time.Duration {
 	c.mu.Lock()
--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -81,7 +81,7 @@
 // asks the owners of those that would.
 func (c *Cluster) vacant(ctx context.Context) []string {
 	var names []string
-	owners := map[string]*member{}
+	owners := map[*member]Node{}
 	c.mu.Lock()
 	if c.options.Self.Leaving {
 		c.mu.Unlock()
@@ -103,11 +103,11 @@
 			names = append(names, name)
 			continue
 		}
-		owners[unit.Owner] = m
+		owners[m] = m.node
 	}
 	c.mu.Unlock()
-	for _, m := range owners {
-		c.ping(ctx, m)
+	for m, node := range owners {
+		c.ping(ctx, m, node)
 	}
 	slices.Sort(names)
 	return names
@@ -163,22 +163,23 @@
 	return x
 }
 
-// ping asks an owner whether it lives, without waiting for the answer.
-func (c *Cluster) ping(ctx context.Context, m *member) {
+// ping asks an owner, as it was when c.mu was held, whether it lives, without
+// waiting for the answer.
+func (c *Cluster) ping(ctx context.Context, m *member, node Node) {
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 		defer cancel()
-		incarnation, refused, err := c.options.Pinger.Ping(callCtx, m.node)
+		incarnation, refused, err := c.options.Pinger.Ping(callCtx, node)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if err == nil && incarnation == m.node.Incarnation {
+		if err == nil && incarnation == node.Incarnation {
 			m.answeredAt, m.missed = c.now(), 0
 			return
 		}
 		m.missed++
 		if (refused || err == nil) && !m.refused {
 			m.refused = true
-			event.PeerDead.Log(ctx, c.options.Logger, slog.String("node", m.node.Name), slog.Int64("incarnation", m.node.Incarnation))
+			event.PeerDead.Log(ctx, c.options.Logger, slog.String("node", node.Name), slog.Int64("incarnation", node.Incarnation))
 			c.poke()
 		}
 	}()
--- a/internal/metastore/memory/memory.go
+++ b/internal/metastore/memory/memory.go
@@ -60,6 +60,8 @@
 	Late bool
 	// Deaf: watches hear nothing.
 	Deaf bool
+	// OverRate: every call is refused for its rate.
+	OverRate bool
 	// Old: late reads show the store as it was at the beginning.
 	Old bool
 }
@@ -145,6 +147,9 @@
 	if s.faults.Down {
 		return metastore.ErrUnavailable.New("down")
 	}
+	if s.faults.OverRate {
+		return metastore.ErrOverRate.New("too many calls")
+	}
 	return nil
 }
 
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -93,6 +93,9 @@
 	ErrCompacted = Errors.NewType("compacted")
 	// ErrUnavailable: the store refused or was not reached; nothing was done.
 	ErrUnavailable = Errors.NewType("unavailable", errorx.Temporary())
+	// ErrOverRate: the store refused the call since too many come; it is a kind of
+	// ErrUnavailable.
+	ErrOverRate = ErrUnavailable.NewSubtype("over_rate")
 	// ErrUnknown: the call may have been carried out, or may be later.
 	ErrUnknown = Errors.NewType("unknown", errorx.Temporary())
 )
--- a/internal/node/peerstore.go
+++ b/internal/node/peerstore.go
@@ -19,6 +19,7 @@
 	nodepb.StoreReply_COMPACTED:   metastore.ErrCompacted,
 	nodepb.StoreReply_UNAVAILABLE: metastore.ErrUnavailable,
 	nodepb.StoreReply_UNKNOWN:     metastore.ErrUnknown,
+	nodepb.StoreReply_OVER_RATE:   metastore.ErrOverRate,
 }
 
 // failureOf names an error of the metadata store.
@@ -26,6 +27,9 @@
 	if err == nil {
 		return nodepb.StoreReply_NONE
 	}
+	if errorx.IsOfType(err, metastore.ErrOverRate) {
+		return nodepb.StoreReply_OVER_RATE // it is of type ErrUnavailable too
+	}
 	for name, kind := range failures {
 		if errorx.IsOfType(err, kind) {
 			return name
