A node that just started leaves a unit to an owner whose record is on its way back

Safe, by the epoch, but the texts in flight are lost. Ruled out: the machine's load as such (the owner answered pings; it was not asked). Change: an owner without a record counts as dead once the record stayed away for the 700 ms that a known one's may. TestUnseenOwnerIsGivenTime fails before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -53,6 +53,12 @@
 	From *Node `json:"-"`
 }
 
+// unseen is since when a unit's owner has had no record.
+type unseen struct {
+	epoch int64
+	at    time.Time
+}
+
 // Errors of this layer.
 var (
 	Errors = errorx.NewNamespace("cluster")
@@ -107,7 +113,9 @@
 	// wanted are the units that someone must own.
 	wanted map[string]struct{}
 	// held are the units that this node believes to own.
-	held   map[string]Unit
+	held map[string]Unit
+	// unseen are the units whose owners this node never saw a record of.
+	unseen map[string]unseen
 	listed bool
 	lease  leaseState
 	kick   chan struct{}
@@ -122,6 +130,7 @@
 		units:   map[string]Unit{},
 		wanted:  map[string]struct{}{},
 		held:    map[string]Unit{},
+		unseen:  map[string]unseen{},
 		kick:    make(chan struct{}, 1),
 	}
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -266,3 +266,33 @@
 		require.Eventually(t, func() bool { return len(n.cluster.Nodes()) == count-1 }, patience, pause)
 	}
 }
+
+// TestUnseenOwnerIsGivenTime: a node that just started finds a unit whose owner
+// has no record, as after an outage of the store: it takes the unit only when the
+// record stays away.
+func TestUnseenOwnerIsGivenTime(t *testing.T) {
+	f := newFakeNodes()
+	f.live["n0"] = 1
+	now := time.Unix(1000, 0)
+	fresh := func() *Cluster {
+		c := New(Options{Self: Node{Name: "n1", Incarnation: 1}, Pinger: f, TTL: testTTL, Logger: slog.New(slog.DiscardHandler)})
+		c.now = func() time.Time { return now }
+		c.members["n1"] = &member{node: c.options.Self}
+		c.units["u"], c.wanted["u"] = Unit{Name: "u", Owner: "n0", Incarnation: 1, Epoch: 5}, struct{}{}
+		return c
+	}
+	ctx := context.Background()
+	c := fresh()
+	require.Empty(t, c.vacant(ctx))
+	now = now.Add(goneGrace)
+	require.Empty(t, c.vacant(ctx))
+	now = now.Add(time.Millisecond)
+	require.Equal(t, []string{"u"}, c.vacant(ctx), "its record stayed away")
+	c = fresh()
+	require.Empty(t, c.vacant(ctx))
+	c.members["n0"] = &member{node: Node{Name: "n0", Incarnation: 1}}
+	now = now.Add(time.Hour)
+	require.Empty(t, c.vacant(ctx), "it is back")
+	c.members["n0"] = &member{node: Node{Name: "n0", Incarnation: 2}}
+	require.Equal(t, []string{"u"}, c.vacant(ctx), "another process has its name")
+}
--- a/internal/cluster/own.go
+++ b/internal/cluster/own.go
@@ -99,6 +99,9 @@
 			continue
 		}
 		m := c.members[unit.Owner]
+		if owned && m == nil && !c.unseenLong(unit) {
+			continue
+		}
 		if !owned || m == nil || m.node.Incarnation != unit.Incarnation || c.dead(m) || m.node.Leaving {
 			names = append(names, name)
 			continue
@@ -113,6 +116,18 @@
 	return names
 }
 
+// unseenLong reports whether the owner of a unit has had no record for long, as
+// far as this node saw: a node that just started must not take a unit while the
+// record of its owner, lost in an outage, is being written again. c.mu is held.
+func (c *Cluster) unseenLong(unit Unit) bool {
+	first := c.unseen[unit.Name]
+	if first.epoch != unit.Epoch {
+		c.unseen[unit.Name] = unseen{epoch: unit.Epoch, at: c.now()}
+		return false
+	}
+	return c.now().Sub(first.at) > goneGrace
+}
+
 // dead reports whether a member counts as dead; c.mu is held.
 func (c *Cluster) dead(m *member) bool {
 	if m.refused {
