One piece of code where the change had two

Read once more as a whole. Waits that package wait already had: forward, front. Done twice: the end of each request looked its route up by name in the configuration; the end now carries the route that served it, and Configuration.Named is gone. The store in memory copied its whole history at each write once it was full. Left: memstore beside metastore/memory. They answer a dropped history and a swap of an existing key differently, and memstore's tests ask for its answers. Behaviour is as before, but that a stream's wait for full endpoints ends with its caller.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,12 +9,14 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/phone"
 )
 
 // Size of a story, so that it can be read on a phone.
 const (
-	Columns = 45
-	Lines   = 25
+	Columns = phone.Columns
+	Lines   = phone.Lines + 1 // a story has fewer
 )
 
 // line is one log line.
--- a/internal/explain/render.go
+++ b/internal/explain/render.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/phone"
 )
 
 // mergeWithin is how near to each other lines of the same event around a story
@@ -51,25 +53,25 @@
 // with a line of them each; what is left out of the middle is said.
 func render(id string, story []line, ids map[string]bool) []string {
 	if len(story) == 0 {
-		return []string{clip("no line tells of " + id)}
+		return []string{phone.Clip("no line tells of " + id)}
 	}
 	entries := merge(story, ids)
 	lines := tell(id, entries, wrap)
 	if len(lines) >= Lines {
-		lines = tell(id, entries, func(text string) []string { return []string{clip("  " + text)} })
+		lines = tell(id, entries, func(text string) []string { return []string{phone.Clip("  " + text)} })
 	}
 	if len(lines) < Lines {
 		return lines
 	}
 	head, tail := (Lines-2)/2, (Lines-2)/2
 	left := len(lines) - head - tail
-	return append(append(lines[:head:head], clip(fmt.Sprintf("... %d lines left out", left))), lines[len(lines)-tail:]...)
+	return append(append(lines[:head:head], phone.Clip(fmt.Sprintf("... %d lines left out", left))), lines[len(lines)-tail:]...)
 }
 
 func tell(id string, entries []told, details func(string) []string) []string {
-	lines := []string{clip("story of " + id)}
+	lines := []string{phone.Clip("story of " + id)}
 	for _, entry := range entries {
-		lines = append(lines, clip(entry.head(entries[0].at)))
+		lines = append(lines, phone.Clip(entry.head(entries[0].at)))
 		if text := entry.details(); text != "" {
 			lines = append(lines, details(text)...)
 		}
@@ -114,14 +116,7 @@
 	}
 	lines = append(lines, current)
 	for i := range lines {
-		lines[i] = clip(lines[i])
+		lines[i] = phone.Clip(lines[i])
 	}
 	return lines
 }
-
-func clip(text string) string {
-	if runes := []rune(text); len(runes) > Columns {
-		return string(runes[:Columns-1]) + "…"
-	}
-	return text
-}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Times of attempts.
@@ -65,10 +66,9 @@
 // Do returns an endpoint's whole answer, or an error that tells what is known.
 // The context ends with the caller or with the time that the request has.
 func (s *Service) Do(ctx context.Context, r *route.Route, request *call.Request) (*call.Answer, error) {
-	fingerprint := Fingerprint(request)
-	if s.Crashes.Held(fingerprint) {
-		event.RequestCrashes.Log(ctx, s.Logger, slog.String("request", request.ID))
-		return nil, call.ErrRejected.New("endpoints crashed while they ran it")
+	fingerprint, err := s.admit(ctx, request)
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -76,6 +76,17 @@
 	return x.loop(ctx, fingerprint)
 }
 
+// admit returns the request's fingerprint, or ErrRejected when the request is held
+// back since endpoints crashed.
+func (s *Service) admit(ctx context.Context, request *call.Request) (uint64, error) {
+	fingerprint := Fingerprint(request)
+	if s.Crashes.Held(fingerprint) {
+		event.RequestCrashes.Log(ctx, s.Logger, slog.String("request", request.ID))
+		return 0, call.ErrRejected.New("endpoints crashed while they ran it")
+	}
+	return fingerprint, nil
+}
+
 func (x *run) loop(ctx context.Context, fingerprint uint64) (*call.Answer, error) {
 	hedge := time.NewTimer(x.hedgeAfter())
 	defer hedge.Stop()
@@ -127,12 +138,8 @@
 		return false, nil
 	}
 	// No endpoint is left: offer it again to those that refused.
-	timer := time.NewTimer(fullPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !wait.For(ctx, fullPause) {
 		return true, x.end()
-	case <-timer.C:
 	}
 	x.refused++
 	x.tried = nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // stall is how long a resumable stream may be silent, as a multiple of the
@@ -20,10 +21,9 @@
 // event; the caller sees one answer with the first endpoint's head. Started
 // reports whether anything was handed on.
 func (s *Service) Stream(ctx context.Context, r *route.Route, request *call.Request, after int, receiver call.Receiver) (started bool, err error) {
-	fingerprint := Fingerprint(request)
-	if s.Crashes.Held(fingerprint) {
-		event.RequestCrashes.Log(ctx, s.Logger, slog.String("request", request.ID))
-		return false, call.ErrRejected.New("endpoints crashed while they ran it")
+	fingerprint, err := s.admit(ctx, request)
+	if err != nil {
+		return false, err
 	}
 	var tried []string
 	sent, refused := 0, 0
@@ -33,7 +33,7 @@
 		if !ok && refused > 0 && refused <= extraOffers && ctx.Err() == nil {
 			tried = nil
 			refused++
-			time.Sleep(fullPause)
+			wait.For(ctx, fullPause)
 			continue
 		}
 		if !ok {
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -116,10 +116,12 @@
 // reader returns how the range is read: late the first time, since the watch from
 // the page's revision brings what it lacks.
 func (f *Follower) reader() func(ctx context.Context, prefix, after string) (Page, error) {
-	if late, ok := f.Store.(LateReader); ok && f.position == 0 && !f.reread {
-		return late.RangeLate
+	if f.position > 0 || f.reread {
+		return f.Store.Range
+	}
+	return func(ctx context.Context, prefix, after string) (Page, error) {
+		return RangeLate(ctx, f.Store, prefix, after)
 	}
-	return f.Store.Range
 }
 
 // list reads the whole range again and reconciles by revision: a page that is
--- a/internal/metastore/memory/memory.go
+++ b/internal/metastore/memory/memory.go
@@ -329,7 +329,7 @@
 		return
 	}
 	s.dropped = s.history[excess-1].Revision
-	s.history = slices.Clone(s.history[excess:])
+	s.history = s.history[excess:]
 }
 
 // Grant implements metastore.Store.
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -106,6 +106,14 @@
 	RangeLate(ctx context.Context, prefix, after string) (Page, error)
 }
 
+// RangeLate reads a page cheaply and maybe late from a store that can, else surely.
+func RangeLate(ctx context.Context, store Store, prefix, after string) (Page, error) {
+	if late, ok := store.(LateReader); ok {
+		return late.RangeLate(ctx, prefix, after)
+	}
+	return store.Range(ctx, prefix, after)
+}
+
 // ListAll reads all pages of a range. A watch from the revision misses nothing.
 func ListAll(ctx context.Context, store Store, prefix string) ([]Item, int64, error) {
 	return listAll(ctx, store.Range, prefix)
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
 	"github.com/comfreyfront/comfreyfront/internal/logging"
+	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/platform"
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
@@ -69,8 +70,9 @@
 // BenchmarkEndOfRequest measures what the end of a request costs in counters and
 // log lines, and the share of a core that it takes at the design's rates.
 func BenchmarkEndOfRequest(b *testing.B) {
-	refused := platform.End{ID: "9c41d07be2a35f68", Route: "lookup", Status: http.StatusServiceUnavailable, Err: call.ErrFull.New("every endpoint is full")}
-	answered := platform.End{ID: "9c41d07be2a35f68", Route: "lookup", Status: http.StatusOK, Took: 30 * time.Millisecond}
+	lookup := &route.Route{Name: "lookup", Kind: route.Idempotent}
+	refused := platform.End{ID: "9c41d07be2a35f68", Matched: lookup, Status: http.StatusServiceUnavailable, Err: call.ErrFull.New("every endpoint is full")}
+	answered := platform.End{ID: "9c41d07be2a35f68", Matched: lookup, Status: http.StatusOK, Took: 30 * time.Millisecond}
 	for _, c := range []struct {
 		name  string
 		level slog.Level
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+	"github.com/comfreyfront/comfreyfront/internal/wait"
 	"github.com/comfreyfront/comfreyfront/platform"
 )
 
@@ -119,12 +120,7 @@
 	for _, s := range servers {
 		s.server.SetKeepAlivesEnabled(false)
 	}
-	timer := time.NewTimer(settleTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	wait.For(ctx, settleTime)
 	close(f.done)
 	for _, s := range servers {
 		if err := s.server.Shutdown(ctx); err != nil {
@@ -225,7 +221,7 @@
 func (n *Node) Ended(end platform.End) {
 	n.countEnd(end)
 	attrs := []slog.Attr{
-		slog.String("request", end.ID), slog.String("route", end.Route), slog.Int("status", end.Status),
+		slog.String("request", end.ID), slog.String("route", end.Route()), slog.Int("status", end.Status),
 		slog.Int64("took_ms", end.Took.Milliseconds()),
 	}
 	if end.Submission != "" {
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -28,8 +28,8 @@
 // steps end, not when they are taken.
 func (n *Node) countEnd(end platform.End) {
 	outcome := routereport.OutcomeOf(end.Status)
-	n.metrics.ended(end.Route, outcome, end.Status, end.Took)
-	r := n.routeNamed(end.Route)
+	n.metrics.ended(end.Route(), outcome, end.Status, end.Took)
+	r := end.Matched
 	if r == nil || r.Kind == route.Batch && outcome == routereport.Answered {
 		return
 	}
@@ -47,14 +47,6 @@
 	}
 }
 
-func (n *Node) routeNamed(name string) *route.Route {
-	configuration := n.routes.Load()
-	if configuration == nil {
-		return nil
-	}
-	return configuration.Named(name)
-}
-
 // serveReport answers with the report over all nodes.
 func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
 	report := n.report(r.Context())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,11 +142,7 @@
 // RangeLate implements metastore.LateReader; peers read surely.
 func (s *Store) RangeLate(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
 	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
-		read := store.Range
-		if late, ok := store.(metastore.LateReader); ok {
-			read = late.RangeLate
-		}
-		page, err = read(ctx, prefix, after)
+		page, err = metastore.RangeLate(ctx, store, prefix, after)
 		return err
 	})
 	return page, err
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -4,35 +4,24 @@
 	"fmt"
 	"strings"
 	"time"
-	"unicode/utf8"
-)
 
-// Size of the plain text: a screenful of a phone.
-const (
-	maxLines   = 24
-	maxColumns = 45
-	// maxModelLines bounds the lines about weights.
-	maxModelLines = 4
+	"github.com/comfreyfront/comfreyfront/internal/phone"
 )
 
+// maxModelLines bounds the lines about weights.
+const maxModelLines = 4
+
 // Text renders the report in less than 25 lines of at most 45 columns.
 func (r Report) Text() string {
 	head, tail := r.headLines(), append(r.StepLines(), r.modelLines()...)
-	body := r.classLines(maxLines - len(head) - len(tail))
+	body := r.classLines(phone.Lines - len(head) - len(tail))
 	lines := append(append(head, body...), tail...)
 	for i := range lines {
-		lines[i] = clip(lines[i])
+		lines[i] = phone.Clip(lines[i])
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
 
-func clip(line string) string {
-	if utf8.RuneCountInString(line) <= maxColumns {
-		return line
-	}
-	return string([]rune(line)[:maxColumns-1]) + "…"
-}
-
 func (r Report) headLines() []string {
 	lines := []string{
 		fmt.Sprintf("%s UTC, classes at revision %d", r.At.UTC().Format(time.TimeOnly), r.Revision),
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -128,16 +128,6 @@
 	return c
 }
 
-// Named returns the route of a name, or nil.
-func (c *Configuration) Named(name string) *Route {
-	for _, r := range c.Routes {
-		if r.Name == name {
-			return r
-		}
-	}
-	return nil
-}
-
 // Match returns the route of the host with the longest prefix of the path.
 func (c *Configuration) Match(host, path string) (*Route, bool) {
 	if name, _, found := strings.Cut(host, ":"); found {
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -5,13 +5,8 @@
 	"html"
 	"strings"
 	"time"
-	"unicode/utf8"
-)
 
-// Size of the plain text: a screenful of a phone.
-const (
-	maxLines   = 24
-	maxColumns = 45
+	"github.com/comfreyfront/comfreyfront/internal/phone"
 )
 
 // Text renders the report in less than 25 lines of at most 45 columns.
@@ -20,14 +15,14 @@
 	for i, l := range r.Lines {
 		block := l.lines()
 		left := len(r.Lines) - i
-		if len(lines)+len(block)+min(left-1, 1) > maxLines {
+		if len(lines)+len(block)+min(left-1, 1) > phone.Lines {
 			lines = append(lines, fmt.Sprintf("... and %d more routes", left))
 			break
 		}
 		lines = append(lines, block...)
 	}
 	for i := range lines {
-		lines[i] = clip(lines[i])
+		lines[i] = phone.Clip(lines[i])
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
@@ -39,13 +34,6 @@
 		`<title>comfreyfront report</title></head><body><pre style="font-size:3.4vmin">` + html.EscapeString(r.Text()) + `</pre></body></html>`
 }
 
-func clip(line string) string {
-	if utf8.RuneCountInString(line) <= maxColumns {
-		return line
-	}
-	return string([]rune(line)[:maxColumns-1]) + "…"
-}
-
 func (r Report) head() []string {
 	lines := []string{
 		fmt.Sprintf("%s UTC, configuration %d", r.At.UTC().Format(time.TimeOnly), r.Version),
--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -116,10 +116,7 @@
 		if err != nil || h.Ended {
 			return // the head, when it is seen, brings it back
 		}
-		s.mu.Lock()
-		owner := s.owners[h.Unit]
-		s.mu.Unlock()
-		if owner != nil {
+		if owner := s.ownerHere(h.Unit); owner != nil {
 			s.openNew(owner, record, h)
 		}
 	}()
--- a/internal/submission/read.go
+++ b/internal/submission/read.go
@@ -41,10 +41,7 @@
 
 // readOwned reads from the submission's owner, here or on another node.
 func (s *Service) readOwned(ctx context.Context, h head, id string, after int, patience time.Duration) ([]*recordpb.Result, bool) {
-	s.mu.Lock()
-	owner := s.owners[h.Unit]
-	s.mu.Unlock()
-	if owner != nil {
+	if owner := s.ownerHere(h.Unit); owner != nil {
 		_, results, known := s.readSure(ctx, owner, id, after, patience)
 		return results, known
 	}
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// ownerHere returns the owner of a unit if that is on this node.
+func (s *Service) ownerHere(unit string) *Owner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[unit]
+}
+
 // known returns the head of a submission that this node has heard of.
 func (s *Service) known(id string) (head, bool) {
 	s.mu.Lock()
