A hub answers only what the store confirmed; a broken stream never counts as answered

Cause 1: the first reading of a prefix is the late one, which may be seconds old, and a hub's cache counted as confirmed by it until the first watch returned (a second): other nodes could take it for what stands now. Change 1: after a late reading the cache is not confirmed; the next watch waits 1 ms only, so that the store confirms it at once. Cause 2: a stream that broke midway ends with status 0, and an answer whose writing failed with the endpoint's 200; the report and the latency histogram counted both as answered. Change 2: an end with an error never counts as answered. Tests: TestHubAnswersOnlyWhatTheStoreConfirmed and rows of TestOutcomes fail before.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -44,7 +44,7 @@
 			cache.Changed(e)
 			changed(e)
 		},
-		Confirmed: func(position int64) { cache.Confirmed(position, source.direct) },
+		Confirmed: func(position int64) { cache.Confirmed(position, source.confirmed()) },
 	}
 	if prefix == platform.KeyEndpoints {
 		f.Lost = func(error) { n.directory.StoreLost() }
--- a/internal/node/hubs.go
+++ b/internal/node/hubs.go
@@ -100,10 +100,21 @@
 type followed struct {
 	*relay.Store
 	hubs *hubs
-	// direct is read and written by the follower's goroutine only.
+	// direct and late are read and written by the follower's goroutine only.
 	direct bool
+	// late: the range was read late, and no watch of the store has told since
+	// what that reading lacks.
+	late bool
 }
 
+// firstWatch is how long the watch after a late reading waits: this node's cache
+// answers others only once the store confirmed it.
+const firstWatch = time.Millisecond
+
+// confirmed reports whether the store itself vouches for what the last answer
+// completed.
+func (f *followed) confirmed() bool { return f.direct && !f.late }
+
 // Range implements metastore.Store.
 func (f *followed) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
 	return f.read(ctx, prefix, after, f.Store.Range)
@@ -111,7 +122,9 @@
 
 // RangeLate implements metastore.LateReader.
 func (f *followed) RangeLate(ctx context.Context, prefix, after string) (metastore.Page, error) {
-	return f.read(ctx, prefix, after, f.Store.RangeLate)
+	page, err := f.read(ctx, prefix, after, f.Store.RangeLate)
+	f.late = f.direct
+	return page, err
 }
 
 // read reads a page from a hub, or else directly.
@@ -137,13 +150,20 @@
 		events, revision, err := f.hubs.peers.cached(hub).Watch(callCtx, prefix, after, min(wait, followWait))
 		cancel()
 		if err == nil || errorx.IsOfType(err, metastore.ErrCompacted) {
-			f.direct = false
+			f.direct, f.late = false, false
 			return events, revision, err
 		}
 		f.hubs.fail(hub)
 	}
 	f.direct = true
-	return f.Store.Watch(ctx, prefix, after, min(wait, hubWait))
+	if f.late {
+		wait = firstWatch
+	}
+	events, revision, err := f.Store.Watch(ctx, prefix, after, min(wait, hubWait))
+	if err == nil {
+		f.late = false
+	}
+	return events, revision, err
 }
 
 // cached returns what another node follows of the store.
--- /dev/null
+++ b/internal/node/hubs_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+	"github.com/comfreyfront/comfreyfront/internal/relay"
+	"github.com/comfreyfront/comfreyfront/internal/watchcache"
+)
+
+// TestHubAnswersOnlyWhatTheStoreConfirmed: the first reading of a prefix may be
+// seconds old. A hub must not hand it to other nodes as what stands now.
+func TestHubAnswersOnlyWhatTheStoreConfirmed(t *testing.T) {
+	const prefix = "a/"
+	store := memory.New(nil)
+	store.Write("a/config", []byte("new"))
+	store.SetFaults(memory.Faults{Old: true, Deaf: true})
+
+	cache := watchcache.New(time.Minute)
+	source := &followed{
+		Store: relay.New(store, func() []metastore.Store { return nil }),
+		hubs:  &hubs{cluster: cluster.New(cluster.Options{Logger: slog.New(slog.DiscardHandler)})},
+	}
+	read := make(chan struct{}, 1)
+	f := &metastore.Follower{
+		Store: source, Prefix: prefix, Logger: slog.New(slog.DiscardHandler), Wait: time.Minute,
+		Changed: cache.Changed,
+		Settled: func() {},
+		Confirmed: func(position int64) {
+			cache.Confirmed(position, source.confirmed())
+			select {
+			case read <- struct{}{}:
+			default:
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }() // it ends with the context
+	defer func() { cancel(); <-done }()
+
+	<-read
+	page, err := cache.Range(prefix, "")
+	require.True(t, err != nil || len(page.Items) == 1, "the late reading was handed on as confirmed")
+
+	store.SetFaults(memory.Faults{})
+	require.Eventually(t, func() bool {
+		page, err := cache.Range(prefix, "")
+		return err == nil && len(page.Items) == 1
+	}, patience, pause, "the watch after the late reading confirms it at once")
+}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -27,7 +27,7 @@
 // countEnd counts the end of a caller's request. Submissions count when their
 // steps end, not when they are taken.
 func (n *Node) countEnd(end platform.End) {
-	outcome := routereport.OutcomeOf(end.Status)
+	outcome := routereport.OutcomeOf(end.Status, end.Err)
 	n.metrics.ended(end.Route(), outcome, end.Status, end.Took)
 	r := end.Matched
 	if r == nil || r.Kind == route.Batch && outcome == routereport.Answered {
--- a/internal/routereport/recorder.go
+++ b/internal/routereport/recorder.go
@@ -41,8 +41,9 @@
 	return [...]string{"answered", "refused", "unknown", "rejected"}[o]
 }
 
-// OutcomeOf returns the outcome that an answer's status tells.
-func OutcomeOf(status int) Outcome {
+// OutcomeOf returns the outcome of an answer with a status; err is what kept it
+// from being whole, or the reason of a refusal.
+func OutcomeOf(status int, err error) Outcome {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return Refused
@@ -52,6 +53,9 @@
 	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
 		return Rejected
 	}
+	if err != nil {
+		return Unknown // the answer began, and its caller did not get all of it
+	}
 	return Answered
 }
 
--- a/internal/routereport/report_test.go
+++ b/internal/routereport/report_test.go
@@ -1,6 +1,7 @@
 package routereport
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -50,8 +51,13 @@
 		200: Answered, 500: Answered, 400: Rejected, 404: Rejected, 413: Rejected, 431: Rejected,
 		408: Refused, 421: Refused, 429: Refused, 503: Refused, 502: Unknown, 504: Unknown,
 	} {
-		require.Equal(t, want, OutcomeOf(status), status)
+		require.Equal(t, want, OutcomeOf(status, nil), status)
 	}
+	broken := errors.New("the connection broke")
+	require.Equal(t, Unknown, OutcomeOf(0, broken), "a stream that broke midway")
+	require.Equal(t, Unknown, OutcomeOf(200, broken), "an answer that was not written whole")
+	require.Equal(t, Refused, OutcomeOf(503, broken), "a refusal keeps its promise")
+	require.Equal(t, Rejected, OutcomeOf(404, broken))
 }
 
 func configuration(routes ...*route.Route) *route.Configuration {
