A hub that missed history sends its followers to read anew

A key came and went while the hub missed the store's history; a node that had read the store itself in between knew the key, watched the hub from that revision, and was never told that it was gone. An endpoint that left could so stay in a node's choice until the next change of its key. Ruled out: the order of changes (the log of the node shows each once and in order), the follower of the store (the hub's own keys were right), the patience of the test. Change: a follower tells when it read the range anew; the cache then answers watches from before that revision with 'compacted', so that their nodes read anew, from the hub.

--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -36,6 +36,9 @@
 	// Settled is called after each round of changes; the first call tells that
 	// the whole range was read.
 	Settled func()
+	// Listed is called when the whole range was read anew, with its revision: what
+	// came and went since the one before was not told. It may be nil.
+	Listed func(revision int64)
 	// Confirmed is called after each answer of the store with the revision up to
 	// which all changes are known; it may be nil.
 	Confirmed func(position int64)
@@ -147,6 +150,9 @@
 		}
 	}
 	f.position, f.reread = revision, false
+	if f.Listed != nil {
+		f.Listed(revision)
+	}
 	event.KeysRead.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.Int("keys", len(items)), slog.Int64("revision", revision))
 	f.Settled()
 	return nil
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -44,6 +44,7 @@
 			cache.Changed(e)
 			changed(e)
 		},
+		Listed:    cache.Listed,
 		Confirmed: func(position int64) { cache.Confirmed(position, source.confirmed()) },
 	}
 	if prefix == platform.KeyEndpoints {
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -63,14 +63,20 @@
 	}
 }
 
+// Listed tells that the whole range was read anew at a revision. Keys that came and
+// went since the last confirmation are not in the history, and a watch from a
+// revision in between may know them: only a new reading tells that they are gone.
+func (c *Cache) Listed(revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.oldest = max(c.oldest, revision)
+}
+
 // Confirmed tells that all changes up to a revision are in. Direct says that the
 // store itself said so: only then does the cache answer others.
 func (c *Cache) Confirmed(position int64, direct bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.position == 0 {
-		c.oldest = position
-	}
 	moved := position > c.position
 	c.position = max(c.position, position)
 	if direct {
--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -49,7 +49,7 @@
 		logger := slog.New(slog.DiscardHandler)
 		hub := &metastore.Follower{
 			Store: store, Prefix: "a/", Wait: 3 * time.Millisecond, Logger: logger, Settled: func() {},
-			Changed: cache.Changed, Confirmed: func(position int64) { cache.Confirmed(position, true) },
+			Changed: cache.Changed, Listed: cache.Listed, Confirmed: func(position int64) { cache.Confirmed(position, true) },
 		}
 		var mu sync.Mutex
 		got := map[string]string{}
@@ -92,6 +92,28 @@
 	})
 }
 
+// TestWatchFromWithinAGapIsToldToReadAnew: a node knows a key that the hub never
+// saw, since it came and went while the hub missed the store's history. The hub's
+// changes do not tell that it is gone.
+func TestWatchFromWithinAGapIsToldToReadAnew(t *testing.T) {
+	c := New(time.Minute)
+	c.Listed(8)
+	c.Confirmed(8, true)
+	// a/3 is written at 9 and removed at 10; the hub reads the range anew at 11.
+	c.Changed(metastore.Event{Item: metastore.Item{Key: "a/2", Revision: 11}})
+	c.Listed(11)
+	c.Confirmed(11, true)
+	for after := int64(8); after < 11; after++ {
+		_, _, err := c.Watch(context.Background(), "a/", after, 0)
+		require.ErrorContains(t, err, "compacted", after)
+	}
+	c.Changed(metastore.Event{Item: metastore.Item{Key: "a/2", Revision: 12}})
+	c.Confirmed(12, true)
+	events, _, err := c.Watch(context.Background(), "a/", 11, 0)
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+}
+
 func TestUnconfirmedCacheDoesNotAnswer(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	c := New(time.Second)
@@ -113,6 +135,7 @@
 
 func TestHistoryIsBounded(t *testing.T) {
 	c := New(time.Minute)
+	c.Listed(1)
 	c.Confirmed(1, true)
 	for i := range 3 * historyMost {
 		c.Changed(metastore.Event{Item: metastore.Item{Key: "a/1", Revision: int64(i + 2)}})
