--- a/internal/cluster/lease.go
+++ b/internal/cluster/lease.go
@@ -18,8 +18,11 @@
 const (
 	renewalsPerTTL = 3
 	retriesPerTTL  = 8
-	// overRateDoublings bounds the pause after refusals: sixteen times the first.
-	overRateDoublings = 4
+	// refusedDoublings and lostDoublings bound the pause after refusals for rate,
+	// and after calls that the store did not serve: sixteen and eight times the
+	// first.
+	refusedDoublings = 4
+	lostDoublings    = 3
 	// idleFactor is how many times longer the lease of a node lasts that owns
 	// nothing: nobody waits for its successor, and renewals grow with the fleet.
 	idleFactor = 3
@@ -37,34 +40,34 @@
 
 // keepLease keeps the node's key in the store until ctx ends.
 func (c *Cluster) keepLease(ctx context.Context) error {
-	refused := 0 // calls in a row that the store refused for their rate
+	failed := 0 // calls in a row
 	for ctx.Err() == nil {
-		pause := c.ttl() / renewalsPerTTL
 		err := c.refreshLease(ctx)
-		if errorx.IsOfType(err, metastore.ErrOverRate) {
-			wait.For(ctx, c.overRatePause(refused))
-			refused++
-			continue
+		switch {
+		case err == nil:
+			failed = 0
+			c.waitForLease(ctx, c.ttl()/renewalsPerTTL)
+		case errorx.IsOfType(err, metastore.ErrOverRate):
+			wait.For(ctx, c.retryPause(failed, refusedDoublings))
+			failed++
+		default:
+			c.waitForLease(ctx, c.retryPause(failed, lostDoublings))
+			failed++
 		}
-		refused = 0
-		if err != nil {
-			pause = c.options.TTL / retriesPerTTL
-		}
-		c.waitForLease(ctx, pause)
 	}
 	return nil
 }
 
-// overRatePause returns how long to wait after the store refused a call for its
-// rate: many nodes that start at once must not keep each other refused. What owns
-// something waits the least.
-func (c *Cluster) overRatePause(refused int) time.Duration {
+// retryPause returns how long to wait after a call that failed: many nodes that
+// start at once must not keep each other refused, nor all of them hammer a store
+// that is away. What owns something waits the least.
+func (c *Cluster) retryPause(failed, doublings int) time.Duration {
 	c.mu.Lock()
 	owns := len(c.held) > 0
 	c.mu.Unlock()
 	pause := c.options.TTL / retriesPerTTL
 	if !owns {
-		pause <<= min(refused, overRateDoublings)
+		pause <<= min(failed, doublings)
 	}
 	return pause/2 + rand.N(pause)
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -58,6 +58,10 @@
 	if request.GetCached() && (method == nodepb.StoreRequest_RANGE || method == nodepb.StoreRequest_WATCH) {
 		return s.node.caches.serve(ctx, request), nil
 	}
+	if !s.node.store.InTouch() {
+		// The call would fail here as it did there, at the price of one more.
+		return &nodepb.StoreReply{Failure: nodepb.StoreReply_UNAVAILABLE, Detail: "this node does not reach the store either"}, nil
+	}
 	return serveStore(ctx, s.node.direct, request), nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,9 +18,11 @@
 	directTimeout = 1100 * time.Millisecond
 	// relayedTimeout bounds one call through a peer that does not wait.
 	relayedTimeout = 900 * time.Millisecond
-	// probeEvery is how often a direct call is tried while the store does not
-	// answer this node.
-	probeEvery = 500 * time.Millisecond
+	// probeFirst is the pause before a direct call is tried again while the store
+	// does not answer this node. It doubles up to probeMost: in an outage the
+	// calls that fail grow with the fleet.
+	probeFirst = 500 * time.Millisecond
+	probeMost  = time.Second
 	// failuresToTurn is how many calls in a row must fail before calls go
 	// through peers.
 	failuresToTurn = 2
@@ -42,6 +44,8 @@
 	mu       sync.Mutex
 	failures int
 	probeAt  time.Time
+	// probePause is the pause before the probe after the next one.
+	probePause time.Duration
 	// turned is closed when calls begin to go through peers.
 	turned chan struct{}
 }
@@ -73,10 +77,16 @@
 	if s.now().Before(s.probeAt) {
 		return false
 	}
-	s.probeAt = s.now().Add(probeEvery)
+	s.schedule()
 	return true
 }
 
+// schedule sets the time of the next probe; s.mu is held.
+func (s *Store) schedule() {
+	s.probeAt = s.now().Add(s.probePause)
+	s.probePause = min(2*s.probePause, probeMost)
+}
+
 // note records how a direct call ended.
 func (s *Store) note(err error) {
 	s.mu.Lock()
@@ -90,7 +100,8 @@
 	}
 	s.failures++
 	if s.failures == failuresToTurn {
-		s.probeAt = s.now().Add(probeEvery)
+		s.probePause = probeFirst
+		s.schedule()
 		close(s.turned)
 	}
 }
