Long texts survive their owner: what grew is saved to the store each second

At 25.6 s the steps in flight had listed 142, 140 and 85 of 144, 144 and 88 items; the next owner opened them 0.3 s later and generated the rest anew, which took until 32 s: the longest texts run for 5 s and more. Ruled out: the takeover (0.3 s), the reading of records (0.4 s for three steps). Change: an owner saves to the store, on the condition of its epoch, once a second what grew of texts that run for 2 s; the next owner opens the submissions at once and lets their items go on from the saved texts as the pages come. Found by the stateful test: parts of two texts of one item could be joined when the records between were removed; a part names its text now. Found while reading: a run that ended well at the moment at which its text was dropped would have completed an empty text; the run's end is not heard any more (TestDroppedTextIsNotCompletedByItsRun). Tests: TestNextOwnerGoesOnWithSavedTexts, TestSavedTextsAreNeverMixed (owner, store and its faults against an oracle), TestSavesArriveOnlyFromTheOwner, TestShortTextsAreNotSaved, TestJoin, TestResume.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -46,5 +46,8 @@
 	RecordsKept          = define(8072, "records kept", slog.LevelWarn, "A submission that nobody may read any more could not be removed from the store.")
 	TextsTaken           = define(8073, "texts taken", slog.LevelInfo, "A leaving node handed over the texts that it had not listed.")
 	TextsNotTaken        = define(8074, "texts not taken", slog.LevelWarn, "A leaving node did not hand over its texts; they are generated again.")
+	TextsRestored        = define(8076, "texts restored", slog.LevelInfo, "A new owner read the texts that the owner before had saved; they go on where they were.")
+	TextsNotRestored     = define(8077, "texts not restored", slog.LevelWarn, "A new owner could not read the saved texts; they are generated again.")
+	TextsNotSaved        = define(8078, "texts not saved", slog.LevelWarn, "The store did not confirm a write of running texts; the next write holds them too.")
 	PeerNotHeard         = define(8075, "peer not heard", slog.LevelInfo, "Another node did not take a word about crashing requests, or did not tell its figures; nothing waits for it.")
 )
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -74,6 +74,7 @@
 		owner.Seed(n.takeTexts(ctx, unit))
 	}
 	n.submissions.Gain(owner)
+	go owner.Restore()
 	go func() { _ = manager.Run(ctx) }() // it ends with its context, without an error
 }
 
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -27,6 +27,10 @@
 	events   []string
 	versions []int64
 	complete bool
+	// saved is how many of the events checkpoints hold, and base the number of the
+	// one with the first of them.
+	saved int
+	base  int
 }
 
 // fits reports whether the text may be used under a submission's bounds.
@@ -55,7 +59,13 @@
 	orphanedAt time.Time
 	state      state
 	text       text
-	score      string
+	// begunAt is when this owner first ran it; restarts counts how often its text
+	// was dropped.
+	begunAt  time.Time
+	restarts int
+	// restored: its text is a former owner's, and its submission is not open yet.
+	restored bool
+	score    string
 	// scoreOpen: a scoring call is under way.
 	scoreOpen bool
 	// scoreFailures counts the failures that endpoints reported of scoring calls.
@@ -68,6 +78,8 @@
 	run       *run
 	result    *recordpb.Result
 	readyAt   time.Time
+	// listed: the result lasts in the store.
+	listed bool
 	// carried: it comes back from a submission that ended before it was listed.
 	carried bool
 }
@@ -112,6 +124,16 @@
 	moved bool
 }
 
+// drop ends the item's run, if there is one, and whatever it brings yet is not
+// heard: the text that it belongs to is replaced.
+func (i *item) drop() {
+	if i.run != nil {
+		i.run.cancel()
+		i.run = nil
+	}
+	i.state = waiting
+}
+
 // expected estimates how many tokens are still to be generated: the order in
 // which items are started, the longest first.
 func (i *item) expected() int64 {
--- a/internal/submission/list.go
+++ b/internal/submission/list.go
@@ -57,6 +57,9 @@
 	defer o.mu.Unlock()
 	s.writing = false
 	s.show(results)
+	for _, i := range items {
+		i.listed = true
+	}
 	s.ready = slices.DeleteFunc(s.ready, func(i *item) bool { return slices.Contains(items, i) })
 	o.forget(s, items)
 	event.ResultsListed.Log(o.ctx, o.options.Logger, slog.String("submission", s.id), slog.Int("results", len(results)),
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -52,6 +52,7 @@
 	items       map[string]*item
 	// scoresOpen counts the scoring calls that are under way.
 	scoresOpen int
+	saved      checkpoints
 }
 
 // NewOwner returns an owner; Run must run.
@@ -64,6 +65,7 @@
 		kick:        make(chan struct{}, 1),
 		submissions: map[string]*open{},
 		items:       map[string]*item{},
+		saved:       checkpoints{items: map[int][]string{}},
 	}
 }
 
@@ -110,6 +112,7 @@
 	o.move(engines, now)
 	o.startScores(now)
 	o.list(now)
+	o.startCheckpoint(now)
 }
 
 // Open takes a submission with the results that it has already.
@@ -152,7 +155,10 @@
 		return false
 	}
 	sameReward := old.record.GetReward().GetId() == record.GetReward().GetId()
-	old.of, old.record, old.carried = s, record, true
+	if !old.restored {
+		old.text.saved = 0 // the keys with its text may be gone by now
+	}
+	old.of, old.record, old.carried, old.restored = s, record, true, false
 	if !old.text.fits(s.record.GetMinVersion(), o.single(s)) {
 		o.restart(old)
 		return true
@@ -173,14 +179,9 @@
 
 // restart drops an item's text.
 func (o *Owner) restart(i *item) {
-	if i.run != nil {
-		i.run.moved = true
-		i.run.cancel()
-	}
+	i.drop()
 	i.text = text{}
-	if i.state != running {
-		i.state = waiting
-	}
+	i.restarts++
 	i.result, i.score = nil, ""
 }
 
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -80,6 +80,9 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	r := &run{endpoint: e, cancel: cancel, startedAt: now, lastEvent: now}
 	i.run, i.state = r, running
+	if i.begunAt.IsZero() {
+		i.begunAt = now
+	}
 	request := o.request(i)
 	after := len(i.text.events)
 	minVersion := i.of.record.GetMinVersion()
--- a/internal/submission/world_test.go
+++ b/internal/submission/world_test.go
@@ -45,8 +45,10 @@
 	// version is what engines generate under, by endpoint.
 	version map[string]int64
 	runs    map[string]int
-	begun   []string
-	scored  map[string]int
+	// after are the events that each run of an item was told to go on after.
+	after  map[string][]int
+	begun  []string
+	scored map[string]int
 	// scoredEarly are items whose scoring call came before their last event.
 	scoredEarly []string
 	written     map[string]int
@@ -59,7 +61,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	w := &world{
 		store: memory.New(nil), directory: fleet.NewDirectory(logger), routes: &route.Holder{},
-		fails: map[string]error{}, version: map[string]int64{}, runs: map[string]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
+		fails: map[string]error{}, version: map[string]int64{}, runs: map[string]int{}, after: map[string][]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
 	}
 	for i := range endpoints {
 		id := fmt.Sprintf("e%d", i)
@@ -76,6 +78,7 @@
 func (w *world) Stream(ctx context.Context, e *fleet.Endpoint, request *call.Request, after int, receiver call.Receiver) error {
 	w.mu.Lock()
 	w.runs[request.ID]++
+	w.after[request.ID] = append(w.after[request.ID], after)
 	w.begun = append(w.begun, request.ID)
 	failure, breakAfter, hold, version, events := w.fails[request.ID], w.breakAfter, w.hold, w.version[e.ID], w.events
 	w.mu.Unlock()
@@ -121,18 +124,20 @@
 // owner takes the unit and returns its owner.
 func (w *world) owner(t *testing.T, node string) *Owner {
 	t.Helper()
-	unit := w.takeUnit(t, node)
-	o := NewOwner(context.Background(), OwnerOptions{
+	o := w.ownerOf(w.takeUnit(t, node))
+	t.Cleanup(o.Stop)
+	return o
+}
+
+func (w *world) ownerOf(unit cluster.Unit) *Owner {
+	return NewOwner(context.Background(), OwnerOptions{
 		Unit: unit, Service: "s", Zone: "z", Store: w.store, Directory: w.directory, Routes: w.routes,
 		Streamer: w, Scorer: w.score, ScoreSlots: func() int { return 8 }, Status: time.Minute, Logger: slog.New(slog.DiscardHandler),
 	})
-	t.Cleanup(o.Stop)
-	return o
 }
 
 // takeUnit writes the unit's key as the cluster does.
-func (w *world) takeUnit(t *testing.T, node string) cluster.Unit {
-	t.Helper()
+func (w *world) takeUnit(t require.TestingT, node string) cluster.Unit {
 	unit := cluster.Unit{Name: testUnit, Owner: node}
 	unit.Epoch = w.store.Write(unit.Condition().Key, []byte(fmt.Sprintf(`{"owner":%q}`, node)))
 	return unit
