Writes are no probes: a node cut off from the store sends all calls through peers

Ruled out: the peers (they reached the store all the while). Change: while the store does not answer this node, no call of its own goes there; probes are reads of their own. Tests: TestWritesAreNoProbes fails before; the tests of probing count reads now, with the same bounds.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,13 +18,15 @@
 	directTimeout = 1100 * time.Millisecond
 	// relayedTimeout bounds one call through a peer that does not wait.
 	relayedTimeout = 900 * time.Millisecond
-	// probeFirst is the pause before a direct call is tried again while the store
-	// does not answer this node. It doubles up to probeMost: in an outage the
-	// calls that fail grow with the fleet.
+	// probeFirst is the pause before the store is probed again while it does not
+	// answer this node. It doubles up to probeMost: in an outage the calls that
+	// fail grow with the fleet.
 	probeFirst = 500 * time.Millisecond
 	probeMost  = time.Second
 	// probeUrgent is the pause of a node on whose calls others wait.
 	probeUrgent = 200 * time.Millisecond
+	// probeKey is what a probe reads; it need not exist.
+	probeKey = "probe"
 	// failuresToTurn is how many calls in a row must fail before calls go
 	// through peers.
 	failuresToTurn = 2
@@ -49,6 +51,8 @@
 	probeAt  time.Time
 	// probePause is the pause before the probe after the next one.
 	probePause time.Duration
+	// probing: a probe is under way.
+	probing bool
 	// turned is closed when calls begin to go through peers.
 	turned chan struct{}
 }
@@ -74,7 +78,9 @@
 	return s.failures < failuresToTurn
 }
 
-// tryDirect reports whether the next call is to go directly.
+// tryDirect reports whether the next call is to go directly. While the store does
+// not answer here, none does: a write that was lost on the way would have to be
+// waited for, and read back. Probes find out when that is over.
 func (s *Store) tryDirect() bool {
 	urgent := s.urgent()
 	s.mu.Lock()
@@ -82,11 +88,23 @@
 	if s.failures < failuresToTurn {
 		return true
 	}
-	if s.now().Before(s.probeAt) {
-		return false
+	if !s.probing && !s.now().Before(s.probeAt) {
+		s.probing = true
+		s.schedule(urgent)
+		go s.probe()
 	}
-	s.schedule(urgent)
-	return true
+	return false
+}
+
+// probe asks the store itself for a key.
+func (s *Store) probe() {
+	ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
+	defer cancel()
+	_, err := s.direct.Get(ctx, probeKey)
+	s.note(err)
+	s.mu.Lock()
+	s.probing = false
+	s.mu.Unlock()
 }
 
 // schedule sets the time of the next probe; s.mu is held.
