A fault soak of real nodes: faults from outside, answers checked against what ran

Change: internal/soak starts nodes as processes, each behind its own way to the store, before stand-ins of the store and of endpoints; plays sixteen kinds of faults, one or two at a time (kills of one, half and all nodes, freezes, leaving, cuts and slow ways, outages, lost and late writes, refusals, a dropped history, broken streams, endpoints that crash and drain); and lets two trainers, lookups, updates that may run once at most and an operator go on meanwhile. Nodes listen on loopback addresses of their own, so that no other process takes their ports. Tests: the checks themselves find each kind of breach (TestChecksOfUpdates, TestChecksOfSteps).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of this project. Each works on a fresh machine with Go and make.
 GO ?= go
 
-.PHONY: build test lint generate check-generated race fuzz demo measure bench overhead
+.PHONY: build test lint generate check-generated race fuzz demo measure bench overhead soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -41,3 +41,6 @@
 
 overhead:
 	$(GO) run ./cmd/overhead
+
+soak:
+	$(GO) run ./cmd/soak
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -40,6 +40,8 @@
 	Env []string
 	// Log receives what the process writes to its error output; nil discards it.
 	Log io.Writer
+	// Silent: the process prints no ready line, and its output goes to Log as well.
+	Silent bool
 	// ReadyTimeout bounds the wait for the ready line; DefaultReadyTimeout if zero.
 	ReadyTimeout time.Duration
 }
@@ -74,6 +76,10 @@
 		return nil, err
 	}
 	p := &Process{Name: spec.Name, command: command, done: make(chan struct{})}
+	if spec.Silent {
+		go p.watch(io.TeeReader(output, newLineWriter(spec.Name, spec.Log)), nil)
+		return p, nil
+	}
 	ready := make(chan []string, 1)
 	go p.watch(output, ready)
 	return p, p.awaitReady(ready, spec.ReadyTimeout)
