A soak's node is not started twice when two faults kill it

Two faults at once may kill one node; both ends then started a process, and the first was left without an owner. Start does nothing while a process runs.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -176,7 +176,11 @@
 
 func (n *node) callers() string { return fmt.Sprintf("%s:%d", n.host, portCallers) }
 
+// start starts the node's process unless one runs.
 func (n *node) start() error {
+	if n.running() != nil {
+		return nil
+	}
 	process, err := proctest.Start(proctest.Spec{
 		Name: n.name, Path: n.world.options.Binary, Log: n.world.options.Log, Silent: true,
 		Args: []string{
