Writes whose answers are lost are made again soon; a silent way to the store is found by a probe

Ruled out: the applying of late writes (each names its condition). Change: a direct call waits some times what answers took lately, 200 ms at least and 1.1 s at most, longer for large writes and after each miss. A call that was given up counts for nothing by itself: a probe, a read, tells whether the store is reached, and turns the node to its peers if not, within 0.9 s. Tests: TestPatienceFollowsTheStore, TestLostAnswersDoNotTurnANodeAway.

--- /dev/null
+++ b/internal/relay/patience_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+)
+
+func TestPatienceFollowsTheStore(t *testing.T) {
+	var p patience
+	require.Equal(t, leastPatience, p.timeout(0))
+	p.answered(4 * time.Millisecond)
+	require.Equal(t, leastPatience, p.timeout(0))
+	require.Equal(t, leastPatience+250*time.Millisecond, p.timeout(250*sendRate), "a large write takes its time")
+	require.Equal(t, mostPatience, p.timeout(rangeBytes))
+	p.missed()
+	require.Equal(t, 2*leastPatience, p.timeout(0), "the store may have become slow")
+	for range 10 {
+		p.missed()
+	}
+	require.Equal(t, mostPatience, p.timeout(0))
+	for range 20 {
+		p.answered(100 * time.Millisecond)
+	}
+	require.InDelta(t, usualFactor*100, p.timeout(0).Milliseconds(), 20)
+	for range 40 {
+		p.answered(4 * time.Millisecond)
+	}
+	require.Equal(t, leastPatience, p.timeout(0))
+}
+
+// silent is a way to the store on which the answers of some writes are lost.
+type silent struct {
+	metastore.Store
+	// lose reports whether the answer to the n-th write is lost.
+	lose   func(n int) bool
+	writes int
+}
+
+func (s *silent) Commit(ctx context.Context, txn metastore.Txn) (int64, error) {
+	s.writes++
+	revision, err := s.Store.Commit(ctx, txn)
+	if s.lose(s.writes) {
+		<-ctx.Done()
+		return 0, metastore.ErrUnknown.Wrap(ctx.Err(), "no answer")
+	}
+	return revision, err
+}
+
+// TestLostAnswersDoNotTurnANodeAway: the store is reached, and every second answer to a
+// write is lost. Each such write is given up within the least patience, and the
+// node goes on calling the store itself.
+func TestLostAnswersDoNotTurnANodeAway(t *testing.T) {
+	direct := &silent{Store: memory.New(nil), lose: func(n int) bool { return n%2 == 1 }}
+	s := New(direct, func() []metastore.Store { return nil }, nil)
+	for i := range 4 {
+		key := fmt.Sprint(i)
+		_, err := s.Commit(context.Background(), put(key))
+		require.ErrorContains(t, err, "no answer")
+		settled(t, s)
+		require.True(t, s.InTouch())
+		_, err = s.Commit(context.Background(), put(key))
+		require.ErrorContains(t, err, "conflict", "the write took effect")
+	}
+	require.Equal(t, 8, direct.writes)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,8 +14,10 @@
 
 // Limits of calls.
 const (
-	// directTimeout bounds one direct call that does not wait.
+	// directTimeout bounds one direct reading of a range, which may be large, and
+	// probeTimeout a probe.
 	directTimeout = 1100 * time.Millisecond
+	probeTimeout  = 700 * time.Millisecond
 	// relayedTimeout bounds one call through a peer that does not wait.
 	relayedTimeout = 900 * time.Millisecond
 	// probeFirst is the pause before the store is probed again while it does not
@@ -52,7 +54,8 @@
 	// probePause is the pause before the probe after the next one.
 	probePause time.Duration
 	// probing: a probe is under way.
-	probing bool
+	probing  bool
+	patience patience
 	// turned is closed when calls begin to go through peers.
 	turned chan struct{}
 }
@@ -88,23 +91,39 @@
 	if s.failures < failuresToTurn {
 		return true
 	}
-	if !s.probing && !s.now().Before(s.probeAt) {
-		s.probing = true
+	if !s.now().Before(s.probeAt) {
 		s.schedule(urgent)
-		go s.probe()
+		s.startProbe()
 	}
 	return false
 }
 
-// probe asks the store itself for a key.
-func (s *Store) probe() {
-	ctx, cancel := context.WithTimeout(context.Background(), directTimeout)
-	defer cancel()
-	_, err := s.direct.Get(ctx, probeKey)
-	s.note(err)
+// startProbe probes the store unless that is under way; s.mu is held.
+func (s *Store) startProbe() {
+	if s.probing {
+		return
+	}
+	s.probing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		_, err := s.direct.Get(ctx, probeKey)
+		s.note(err)
+		s.mu.Lock()
+		s.probing = false
+		s.mu.Unlock()
+	}()
+}
+
+// missed records a direct call that was given up without an answer. Either its
+// answer was lost, and the call is to be made again at once, or nothing comes here
+// from the store any more: a probe tells.
+func (s *Store) missed() {
 	s.mu.Lock()
-	s.probing = false
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.patience.missed()
+	s.failures = max(s.failures, failuresToTurn-1)
+	s.startProbe()
 }
 
 // schedule sets the time of the next probe; s.mu is held.
@@ -142,15 +161,35 @@
 	return err != nil && (errorx.IsOfType(err, metastore.ErrUnavailable) || errorx.IsOfType(err, metastore.ErrUnknown))
 }
 
+// directly makes one call at the store itself, and waits as long as answers take
+// there lately; bytes is the size of what is sent.
+func (s *Store) directly(ctx context.Context, bytes int, call func(context.Context, metastore.Store) error) error {
+	s.mu.Lock()
+	timeout := s.patience.timeout(bytes)
+	s.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	began := s.now()
+	err := call(callCtx, s.direct)
+	if lost(err) && callCtx.Err() != nil && ctx.Err() == nil {
+		s.missed()
+		return err
+	}
+	s.note(err)
+	if !lost(err) {
+		s.mu.Lock()
+		s.patience.answered(s.now().Sub(began))
+		s.mu.Unlock()
+	}
+	return err
+}
+
 // do makes one call, directly or through a peer. A call that changes something
 // and may have been done is not repeated here.
-func (s *Store) do(ctx context.Context, changes bool, call func(context.Context, metastore.Store) error) error {
+func (s *Store) do(ctx context.Context, changes bool, bytes int, call func(context.Context, metastore.Store) error) error {
 	var err error
 	if s.tryDirect() {
-		callCtx, cancel := context.WithTimeout(ctx, directTimeout)
-		err = call(callCtx, s.direct)
-		cancel()
-		s.note(err)
+		err = s.directly(ctx, bytes, call)
 		if !lost(err) || changes && errorx.IsOfType(err, metastore.ErrUnknown) {
 			return err
 		}
@@ -174,7 +213,7 @@
 
 // Get implements metastore.Store.
 func (s *Store) Get(ctx context.Context, key string) (item metastore.Item, err error) {
-	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+	err = s.do(ctx, false, 0, func(ctx context.Context, store metastore.Store) (err error) {
 		item, err = store.Get(ctx, key)
 		return err
 	})
@@ -183,7 +222,7 @@
 
 // RangeLate implements metastore.LateReader; peers read surely.
 func (s *Store) RangeLate(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
-	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+	err = s.do(ctx, false, rangeBytes, func(ctx context.Context, store metastore.Store) (err error) {
 		page, err = metastore.RangeLate(ctx, store, prefix, after)
 		return err
 	})
@@ -192,7 +231,7 @@
 
 // Range implements metastore.Store.
 func (s *Store) Range(ctx context.Context, prefix, after string) (page metastore.Page, err error) {
-	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+	err = s.do(ctx, false, rangeBytes, func(ctx context.Context, store metastore.Store) (err error) {
 		page, err = store.Range(ctx, prefix, after)
 		return err
 	})
@@ -201,7 +240,7 @@
 
 // Commit implements metastore.Store.
 func (s *Store) Commit(ctx context.Context, txn metastore.Txn) (revision int64, err error) {
-	err = s.do(ctx, true, func(ctx context.Context, store metastore.Store) (err error) {
+	err = s.do(ctx, true, sizeOf(txn), func(ctx context.Context, store metastore.Store) (err error) {
 		revision, err = store.Commit(ctx, txn)
 		return err
 	})
@@ -211,7 +250,7 @@
 // Grant implements metastore.Store. A lease that may have been granted ends by
 // itself, so that another can be asked for.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (lease int64, err error) {
-	err = s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+	err = s.do(ctx, false, 0, func(ctx context.Context, store metastore.Store) (err error) {
 		lease, err = store.Grant(ctx, ttl)
 		return err
 	})
@@ -220,12 +259,12 @@
 
 // Renew implements metastore.Store.
 func (s *Store) Renew(ctx context.Context, lease int64) error {
-	return s.do(ctx, false, func(ctx context.Context, store metastore.Store) error { return store.Renew(ctx, lease) })
+	return s.do(ctx, false, 0, func(ctx context.Context, store metastore.Store) error { return store.Renew(ctx, lease) })
 }
 
 // End implements metastore.Store.
 func (s *Store) End(ctx context.Context, lease int64) error {
-	return s.do(ctx, false, func(ctx context.Context, store metastore.Store) error { return store.End(ctx, lease) })
+	return s.do(ctx, false, 0, func(ctx context.Context, store metastore.Store) error { return store.End(ctx, lease) })
 }
 
 // Watch implements metastore.Store. A watch that waits directly is given up when
@@ -239,7 +278,7 @@
 	}
 	var events []metastore.Event
 	var revision int64
-	err := s.do(ctx, false, func(ctx context.Context, store metastore.Store) (err error) {
+	err := s.do(ctx, false, 0, func(ctx context.Context, store metastore.Store) (err error) {
 		events, revision, err = store.Watch(ctx, prefix, after, min(wait, relayedWait/2))
 		return err
 	})
