Results of any group are listed within 700 ms; texts are saved from 1.2 s on

Complete groups waited 250 ms and others 2 s, and groups of 8 or 16 are complete late; long texts were saved only from 2 s on. Ruled out: the takeover (0.15 s) and the reading of saved texts (0.2 s). Change: one rule: results wait 700 ms for one another whatever their group, and those of complete groups are written at once when the trainer's target is reached. Texts are saved from 1.2 s on; 250 KB a write as before, the longest first.

--- a/internal/relay/patience_test.go
+++ b/internal/relay/patience_test.go
@@ -65,8 +65,25 @@
 		require.ErrorContains(t, err, "no answer")
 		settled(t, s)
 		require.True(t, s.InTouch())
+		s.mu.Lock()
+		require.Zero(t, s.patience.misses, "the probe was answered: the store is not slow")
+		s.mu.Unlock()
 		_, err = s.Commit(context.Background(), put(key))
 		require.ErrorContains(t, err, "conflict", "the write took effect")
 	}
 	require.Equal(t, 8, direct.writes)
 }
+
+// TestCallersWhoGiveUpDoNotTurnANodeAway: a caller that ends its calls says nothing
+// about the store.
+func TestCallersWhoGiveUpDoNotTurnANodeAway(t *testing.T) {
+	direct := &silent{Store: memory.New(nil), lose: func(int) bool { return true }}
+	s := New(direct, func() []metastore.Store { return nil }, nil)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := range 2 * failuresToTurn {
+		_, err := s.Commit(gone, put(fmt.Sprint(i)))
+		require.Error(t, err)
+	}
+	require.True(t, s.InTouch())
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -107,11 +108,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
+		began := s.now()
 		_, err := s.direct.Get(ctx, probeKey)
 		s.note(err)
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.probing = false
-		s.mu.Unlock()
+		if !lost(err) {
+			s.patience.answered(s.now().Sub(began))
+		}
 	}()
 }
 
@@ -171,12 +176,14 @@
 	defer cancel()
 	began := s.now()
 	err := call(callCtx, s.direct)
-	if lost(err) && callCtx.Err() != nil && ctx.Err() == nil {
+	switch ended := callCtx.Err(); {
+	case lost(err) && errors.Is(ended, context.DeadlineExceeded):
 		s.missed()
-		return err
-	}
-	s.note(err)
-	if !lost(err) {
+	case lost(err) && ended != nil: // the caller gave it up
+	case lost(err):
+		s.note(err)
+	default:
+		s.note(err)
 		s.mu.Lock()
 		s.patience.answered(s.now().Sub(began))
 		s.mu.Unlock()
--- a/internal/submission/checkpoint.go
+++ b/internal/submission/checkpoint.go
@@ -31,7 +31,7 @@
 	// checkpointAge is how long an item must have been running: most are listed
 	// before a write of their texts would pay, and a new owner reads what is saved
 	// in the time that it wants to win.
-	checkpointAge = 2 * time.Second
+	checkpointAge = 1200 * time.Millisecond
 	// checkpointBytes is the most of texts in one write; the rest comes next.
 	checkpointBytes = 250 << 10
 	restoreTimeout  = 3 * time.Second
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -172,14 +172,12 @@
 	// listed are the results that last in the store, in their order.
 	listed []*recordpb.Result
 	// batch is the number of the next write of results.
-	batch int
-	ready []*item
-	left  map[string]int // unfinished items by group
-	// completedAt is when groups became complete.
-	completedAt map[string]time.Time
-	writing     bool
-	ended       bool
-	endedAt     time.Time
+	batch   int
+	ready   []*item
+	left    map[string]int // unfinished items by group
+	writing bool
+	ended   bool
+	endedAt time.Time
 	// changed is closed when results were listed.
 	changed chan struct{}
 }
@@ -191,25 +189,22 @@
 	return "item/" + record.GetId()
 }
 
-// Times for which results may wait to share a write.
-const (
-	// flushAfter is for results of an incomplete group, which nobody waits for:
-	// they are written so that a new owner need not make them again.
-	flushAfter = 2 * time.Second
-	// gatherGroups is for complete groups while the trainer waits for more.
-	gatherGroups = 250 * time.Millisecond
-)
+// gatherResults is how long results wait to share a write while the trainer's
+// target is not reached: nobody waits for them, but a new owner would have to make
+// them again.
+const gatherResults = 700 * time.Millisecond
 
 // due returns the results to write now: those of complete groups once the
-// trainer's target is reached or they have waited, and all when one has waited
-// for long.
+// trainer's target is reached, and all when one has waited.
 func (o *open) due(now time.Time) []*item {
 	if o.ended || len(o.ready) == 0 {
 		return nil
 	}
-	all := now.Sub(o.ready[0].readyAt) >= flushAfter
+	all := now.Sub(o.ready[0].readyAt) >= gatherResults
+	if !all && !o.enough() {
+		return nil
+	}
 	var due []*item
-	var oldest time.Time
 	bytes := 0
 	for _, i := range o.ready {
 		if !all && o.left[groupOf(i.record)] > 0 {
@@ -220,12 +215,6 @@
 			break
 		}
 		due = append(due, i)
-		if at := o.completedAt[groupOf(i.record)]; !at.IsZero() && (oldest.IsZero() || at.Before(oldest)) {
-			oldest = at
-		}
-	}
-	if !all && !o.enough() && now.Sub(oldest) < gatherGroups {
-		return nil
 	}
 	return due
 }
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -123,7 +123,7 @@
 	if _, known := o.submissions[id]; known {
 		return
 	}
-	s := &open{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, left: map[string]int{}, completedAt: map[string]time.Time{}, changed: make(chan struct{})}
+	s := &open{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, left: map[string]int{}, changed: make(chan struct{})}
 	o.submissions[id] = s
 	done := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -302,9 +302,6 @@
 func (o *Owner) finish(i *item) {
 	group := groupOf(i.record)
 	i.of.left[group]--
-	if i.of.left[group] == 0 {
-		i.of.completedAt[group] = time.Now()
-	}
 	i.of.ready = append(i.of.ready, i)
 }
 
