--- a/internal/relay/patience_test.go
+++ b/internal/relay/patience_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,6 +36,56 @@
 	require.Equal(t, leastPatience, p.timeout(0))
 }
 
+// TestPatienceAgainstAFixedWait plays a store that answers fast, loses a third of the
+// answers for a while, becomes slow, and recovers. Calls that are made until one is
+// answered take a quarter of the time that a fixed wait of the longest patience takes
+// while answers are lost, and half as much again at most while it is slow.
+func TestPatienceAgainstAFixedWait(t *testing.T) {
+	const (
+		fast, slow = 5 * time.Millisecond, 250 * time.Millisecond
+		lost       = 0.35
+		calls      = 400
+	)
+	type waits interface {
+		timeout(bytes int) time.Duration
+		answered(took time.Duration)
+		missed()
+	}
+	play := func(w waits, latency time.Duration, lost float64) time.Duration {
+		random := rand.New(rand.NewPCG(1, 2))
+		total := time.Duration(0)
+		for range calls {
+			for done := false; !done; {
+				timeout := w.timeout(0)
+				done = latency <= timeout && random.Float64() >= lost
+				if done {
+					total += latency
+					w.answered(latency)
+					continue
+				}
+				total += timeout
+				w.missed()
+				if latency <= probeTimeout {
+					w.answered(latency) // the probe's
+				}
+			}
+		}
+		return total
+	}
+	ours, fixed := &patience{}, fixedWait(mostPatience)
+	require.Equal(t, play(fixed, fast, 0), play(ours, fast, 0))
+	require.Less(t, 4*play(ours, fast, lost), play(fixed, fast, lost))
+	require.LessOrEqual(t, play(ours, slow, 0), play(fixed, slow, 0)*3/2)
+	require.Equal(t, play(fixed, fast, 0), play(ours, fast, 0))
+}
+
+// fixedWait is the naive version.
+type fixedWait time.Duration
+
+func (f fixedWait) timeout(int) time.Duration { return time.Duration(f) }
+func (f fixedWait) answered(time.Duration)    {}
+func (f fixedWait) missed()                   {}
+
 // silent is a way to the store on which the answers of some writes are lost.
 type silent struct {
 	metastore.Store
