--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -69,24 +69,25 @@
 // look sends lookups: an answer is the one to the caller's own request.
 func (w *world) look(ctx context.Context, random *rand.Rand) {
 	for i := 0; wait.For(ctx, lookupPause); i++ {
-		id := fmt.Sprintf("lookup-%d", i)
-		status, body := w.send(w.any(random), http.MethodPost, "/lookup/x", id, []byte("q"))
-		w.report.count("lookups " + outcome(status))
-		if status == http.StatusOK && string(body) != platformtest.Answer(id) {
-			w.report.breach("%s got %q", id, body)
-		}
+		w.call(random, "lookup", fmt.Sprintf("lookup-%d", i))
 	}
 }
 
+// call sends a request to any node and checks that an answer is its own.
+func (w *world) call(random *rand.Rand, kind, id string) (status int) {
+	status, body := w.send(w.any(random), http.MethodPost, "/"+kind+"/x", id, []byte("body"))
+	w.report.count(kind + "s " + outcome(status))
+	if status == http.StatusOK && string(body) != platformtest.Answer(id) {
+		w.report.breach("%s got %q", id, body)
+	}
+	return status
+}
+
 // update sends requests that may run once at most.
 func (w *world) update(ctx context.Context, random *rand.Rand) {
 	for i := 0; wait.For(ctx, updatePause); i++ {
 		id := fmt.Sprintf("update-%d", i)
-		status, body := w.send(w.any(random), http.MethodPost, "/update/x", id, []byte("u"))
-		w.report.count("updates " + outcome(status))
-		if status == http.StatusOK && string(body) != platformtest.Answer(id) {
-			w.report.breach("%s got %q", id, body)
-		}
+		status := w.call(random, "update", id)
 		w.mu.Lock()
 		w.updates[id] = status
 		w.mu.Unlock()
--- a/internal/soak/trainer.go
+++ b/internal/soak/trainer.go
@@ -17,15 +17,12 @@
 	stepItems  = 12
 	readPause  = 150 * time.Millisecond
 	retryPause = 150 * time.Millisecond
-	// itemBytes is the body of each item of the played submissions.
-	itemBytes = 2
 )
 
 // step is one submission as its trainer sees it.
 type step struct {
 	id         string
 	minVersion int
-	accepted   bool
 	// results are those read so far, by position.
 	results []platformtest.Result
 }
