Records of a former owner's submissions are removed, and removal is tried again

Change: an owner notes ended submissions that it never opened, and those that could not be removed, and removes them after the time in which they can be read; keys that it does not know are read first. Tests: TestEndedSubmissionsAreRemoved by a later owner and after a refusal, both fail before. Ruled out: reading the keys always (it reads all texts again).

--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -53,6 +53,9 @@
 	// scoresOpen counts the scoring calls that are under way.
 	scoresOpen int
 	saved      checkpoints
+	// leftovers are ended submissions that an owner before ran, and when their
+	// records may go.
+	leftovers map[string]time.Time
 }
 
 // NewOwner returns an owner; Run must run.
@@ -66,6 +69,7 @@
 		submissions: map[string]*open{},
 		items:       map[string]*item{},
 		saved:       checkpoints{items: map[int][]string{}},
+		leftovers:   map[string]time.Time{},
 	}
 }
 
@@ -216,11 +220,15 @@
 func (o *Owner) End(id string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := time.Now()
 	s := o.submissions[id]
-	if s == nil || s.ended {
+	if s == nil {
+		o.leave(id, now)
+		return
+	}
+	if s.ended {
 		return
 	}
-	now := time.Now()
 	s.ended, s.endedAt = true, now
 	var left []string
 	for _, one := range s.record.GetItems() {
@@ -240,6 +248,13 @@
 	}
 }
 
+// leave notes an ended submission that this owner never opened; o.mu is held.
+func (o *Owner) leave(id string, now time.Time) {
+	if _, known := o.leftovers[id]; !known {
+		o.leftovers[id] = now.Add(o.options.Status)
+	}
+}
+
 // expire drops texts that no submission brought back, and what readers had time
 // to read.
 func (o *Owner) expire(now time.Time) {
@@ -255,7 +270,13 @@
 	for id, s := range o.submissions {
 		if s.ended && now.Sub(s.endedAt) > o.options.Status {
 			delete(o.submissions, id)
-			go o.remove(s)
+			go o.remove(id, s.keys())
+		}
+	}
+	for id, at := range o.leftovers {
+		if now.After(at) {
+			delete(o.leftovers, id)
+			go o.removeLeftover(id)
 		}
 	}
 }
--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -306,26 +307,54 @@
 	require.True(t, call.Is(err, ErrNotFound))
 }
 
-// TestEndedSubmissionsAreRemoved once nobody may read them any more.
+// TestEndedSubmissionsAreRemoved once nobody may read them any more, by the owner
+// that ran them or by a later one, and also when the store refuses at first.
 func TestEndedSubmissionsAreRemoved(t *testing.T) {
-	w := newWorld(3)
-	s := w.service()
-	o := w.owner(t, "n")
-	s.Gain(o)
-	require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("a", 3, 2, 1)))
-	allResults(t, s, "a", 6)
-	require.NoError(t, s.End(context.Background(), "a"))
-	o.mu.Lock()
-	o.submissions["a"].endedAt = o.submissions["a"].endedAt.Add(-2 * o.options.Status)
-	o.mu.Unlock()
-	require.Eventually(t, func() bool {
-		_, err := w.store.Get(context.Background(), headKey("a"))
-		return call.Is(err, metastore.ErrNotFound)
-	}, patience, pause)
-	for _, prefix := range []string{recordPrefix, resultPrefix} {
-		page, err := w.store.Range(context.Background(), prefix, "")
-		require.NoError(t, err)
-		require.Empty(t, page.Items)
+	for _, row := range []struct {
+		name    string
+		later   bool
+		refused bool
+	}{{"by the owner that ran it", false, false}, {"by a later owner", true, false}, {"when the store answers again", false, true}} {
+		t.Run(row.name, func(t *testing.T) {
+			w := newWorld(3)
+			s := w.service()
+			o := w.owner(t, "n")
+			s.Gain(o)
+			require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("a", 3, 2, 1)))
+			allResults(t, s, "a", 6)
+			require.NoError(t, s.End(context.Background(), "a"))
+			if row.later {
+				o = w.owner(t, "later")
+				s.Gain(o)
+				require.Eventually(t, func() bool { o.mu.Lock(); defer o.mu.Unlock(); return len(o.leftovers) == 1 }, patience, pause)
+			}
+			w.store.SetFaults(memory.Faults{Down: row.refused})
+			pass := func() {
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				if s := o.submissions["a"]; s != nil {
+					s.endedAt = s.endedAt.Add(-2 * o.options.Status)
+				}
+				for id := range o.leftovers {
+					o.leftovers[id] = time.Now().Add(-time.Second)
+				}
+			}
+			pass()
+			if row.refused {
+				require.Eventually(t, func() bool { o.mu.Lock(); defer o.mu.Unlock(); return len(o.leftovers) == 1 }, patience, pause)
+				w.store.SetFaults(memory.Faults{})
+				pass()
+			}
+			require.Eventually(t, func() bool {
+				_, err := w.store.Get(context.Background(), headKey("a"))
+				return call.Is(err, metastore.ErrNotFound)
+			}, patience, pause)
+			for _, prefix := range []string{recordPrefix, resultPrefix} {
+				page, err := w.store.Range(context.Background(), prefix, "")
+				require.NoError(t, err)
+				require.Empty(t, page.Items)
+			}
+		})
 	}
 }
 
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -154,7 +154,7 @@
 	s.owners[unit] = owner
 	mine := map[string]head{}
 	for id, h := range s.heads {
-		if h.Unit == unit && !h.Ended {
+		if h.Unit == unit {
 			mine[id] = h
 		}
 	}
