--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,10 +21,8 @@
 // run makes a request run at an endpoint itself.
 func run(t *testing.T, w *world, id string) {
 	t.Helper()
-	e := w.all[0]
-	request, err := platformtest.Request(http.MethodPost, e.Address(), "/update/x", id, nil)
+	request, err := w.all[0].Request(http.MethodPost, "/update/x", id)
 	require.NoError(t, err)
-	request.Header.Set("X-Expect-Instance", e.ID)
 	response, err := w.client.Do(request)
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
