Saved texts are read in four ranges side by side

Change: the keys of a unit form four ranges, which are read at the same time; the parts are put together in order once all are there. Tests: those of saved texts as before, 20,000 cases of the stateful one.

--- a/internal/submission/checkpoint.go
+++ b/internal/submission/checkpoint.go
@@ -62,8 +62,18 @@
 	until int
 }
 
+// checkpointShards is how many ranges the keys of a unit form: one connection
+// brings about 3 MB a second between failure domains, and they are read side by
+// side.
+const checkpointShards = 4
+
 func checkpointKey(unit string, number int) string {
-	return fmt.Sprintf("%s%08d", checkpointKeys(unit), number)
+	return fmt.Sprintf("%s%08d", checkpointShard(unit, number%checkpointShards), number)
+}
+
+// checkpointShard returns the prefix of one range of keys.
+func checkpointShard(unit string, shard int) string {
+	return fmt.Sprintf("%s%d/", checkpointKeys(unit), shard)
 }
 
 func checkpointKeys(unit string) string { return checkpointPrefix + unit + "/" }
--- a/internal/submission/restore.go
+++ b/internal/submission/restore.go
@@ -1,12 +1,15 @@
 package submission
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
@@ -15,113 +18,130 @@
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
-// Times of reading saved texts, page by page.
+// Times of reading one page of saved texts.
 const (
 	restoreTimeout = 3 * time.Second
 	restorePause   = 200 * time.Millisecond
 )
 
-// Restore takes the texts that the owners before saved, page by page. Submissions
-// may be open already: their items go on from where they were. It returns once all
-// were read, or when the owner stops.
+// Restore takes the texts that the owners before saved. Submissions may be open
+// already: their items go on from where they were. It returns once all were read, or
+// when the owner stops.
 func (o *Owner) Restore() {
 	began := time.Now()
-	r := restoring{texts: map[string]text{}}
-	for o.ctx.Err() == nil {
-		page, err := o.readCheckpoints(r.after)
+	var shards [checkpointShards][]saved
+	var group errgroup.Group
+	for i := range shards {
+		group.Go(func() (err error) {
+			shards[i], err = o.readShard(i)
+			return err
+		})
+	}
+	if group.Wait() != nil {
+		return // the owner stopped
+	}
+	all := slices.Concat(shards[:]...)
+	slices.SortFunc(all, func(a, b saved) int { return cmp.Compare(a.number, b.number) })
+	o.resumeAll(all, began)
+}
+
+// saved is what one key holds.
+type saved struct {
+	number int
+	texts  *recordpb.Texts
+	bytes  int
+}
+
+// readShard reads one range of keys, page by page, until that worked or the owner
+// stops.
+func (o *Owner) readShard(shard int) ([]saved, error) {
+	prefix := checkpointShard(o.options.Unit.Name, shard)
+	var all []saved
+	after := ""
+	for {
+		page, err := o.readPage(prefix, after)
+		if o.ctx.Err() != nil {
+			return nil, o.ctx.Err()
+		}
 		if err != nil {
 			event.TextsNotRestored.Log(o.ctx, o.options.Logger, slog.String("unit", o.options.Unit.Name), slog.String("cause", err.Error()))
 			wait.For(o.ctx, restorePause)
 			continue
 		}
-		o.resumePage(&r, page.Items)
+		for _, one := range page.Items {
+			after = one.Key
+			s, err := decodeCheckpoint(prefix, one)
+			if err != nil {
+				event.RecordBroken.Log(o.ctx, o.options.Logger, slog.String("key", one.Key), slog.String("cause", err.Error()))
+				continue
+			}
+			all = append(all, s)
+		}
 		if !page.More || len(page.Items) == 0 {
-			o.restored(&r, began)
-			return
+			return all, nil
 		}
 	}
 }
 
-// restoring is what was read of saved texts so far.
-type restoring struct {
-	texts map[string]text // by item
-	after string          // the last key
-	keys  int
-	bytes int
-	// resumed counts how often an item went on from a saved text.
-	resumed int
-}
-
-func (o *Owner) readCheckpoints(after string) (metastore.Page, error) {
+func (o *Owner) readPage(prefix, after string) (metastore.Page, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, restoreTimeout)
 	defer cancel()
-	return o.options.Store.Range(ctx, checkpointKeys(o.options.Unit.Name), after)
+	return o.options.Store.Range(ctx, prefix, after)
+}
+
+func decodeCheckpoint(prefix string, one metastore.Item) (saved, error) {
+	number, err := strconv.Atoi(strings.TrimPrefix(one.Key, prefix))
+	if err != nil {
+		return saved{}, ErrMalformed.Wrap(err, "key of texts")
+	}
+	texts := &recordpb.Texts{}
+	if err := proto.Unmarshal(one.Value, texts); err != nil {
+		return saved{}, ErrMalformed.Wrap(err, "texts")
+	}
+	return saved{number: number, texts: texts, bytes: len(one.Value)}, nil
 }
 
-// resumePage puts saved parts together, in order of their keys, and lets items go
+// resumeAll puts saved parts together, in order of their numbers, and lets items go
 // on from what they make.
-func (o *Owner) resumePage(r *restoring, found []metastore.Item) {
+func (o *Owner) resumeAll(all []saved, began time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	grown := map[string]struct{}{}
-	for _, one := range found {
-		r.after = one.Key
-		r.keys++
-		r.bytes += len(one.Value)
-		number, saved, err := decodeCheckpoint(o.options.Unit.Name, one)
-		if err != nil {
-			event.RecordBroken.Log(o.ctx, o.options.Logger, slog.String("key", one.Key), slog.String("cause", err.Error()))
-			continue
-		}
-		o.saved.next = max(o.saved.next, number+1)
-		for _, p := range saved.GetTexts() {
-			o.saved.items[number] = append(o.saved.items[number], p.GetItemId())
-			if r.join(p) {
-				grown[p.GetItemId()] = struct{}{}
-			}
+	texts := joined{}
+	bytes := 0
+	for _, s := range all {
+		bytes += s.bytes
+		o.saved.next = max(o.saved.next, s.number+1)
+		for _, p := range s.texts.GetTexts() {
+			o.saved.items[s.number] = append(o.saved.items[s.number], p.GetItemId())
+			texts.add(p)
 		}
 	}
 	now := time.Now()
-	for id := range grown {
-		if o.resume(id, r.texts[id], now) {
-			r.resumed++
+	resumed := 0
+	for id, t := range texts {
+		if o.resume(id, t, now) {
+			resumed++
 		}
 	}
+	o.saved.known = true
 	o.Poke()
+	event.TextsRestored.Log(o.ctx, o.options.Logger, slog.String("unit", o.options.Unit.Name), slog.Int("keys", len(all)),
+		slog.Int("bytes", bytes), slog.Int("texts", len(texts)), slog.Int("resumed", resumed), slog.Int64("took_ms", now.Sub(began).Milliseconds()))
 }
 
-// join adds a part to the text that it goes on, or begins one; false when it
-// belongs to none.
-func (r *restoring) join(p *recordpb.Text) bool {
+// joined are texts that were put together so far, by item.
+type joined map[string]text
+
+// add adds a part to the text that it goes on, or begins one; a part that belongs to
+// none is passed over.
+func (j joined) add(p *recordpb.Text) {
 	before := text{base: int(p.GetBase())}
 	if p.GetSkipped() > 0 {
-		before = r.texts[p.GetItemId()]
-	}
-	joined, ok := before.join(p)
-	if ok {
-		r.texts[p.GetItemId()] = joined
+		before = j[p.GetItemId()]
 	}
-	return ok
-}
-
-func (o *Owner) restored(r *restoring, began time.Time) {
-	o.mu.Lock()
-	o.saved.known = true
-	o.mu.Unlock()
-	event.TextsRestored.Log(o.ctx, o.options.Logger, slog.String("unit", o.options.Unit.Name), slog.Int("keys", r.keys),
-		slog.Int("bytes", r.bytes), slog.Int("texts", len(r.texts)), slog.Int("resumed", r.resumed), slog.Int64("took_ms", time.Since(began).Milliseconds()))
-}
-
-func decodeCheckpoint(unit string, one metastore.Item) (int, *recordpb.Texts, error) {
-	number, err := strconv.Atoi(strings.TrimPrefix(one.Key, checkpointKeys(unit)))
-	if err != nil {
-		return 0, nil, ErrMalformed.Wrap(err, "key of texts")
-	}
-	texts := &recordpb.Texts{}
-	if err := proto.Unmarshal(one.Value, texts); err != nil {
-		return 0, nil, ErrMalformed.Wrap(err, "texts")
+	if t, ok := before.join(p); ok {
+		j[p.GetItemId()] = t
 	}
-	return number, texts, nil
 }
 
 // resume lets an item go on from a saved text, if that is more than the item has;
