--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,27 +38,34 @@
 	{"half of the nodes killed", func(w *world, random *rand.Rand) func() error { return w.kill(w.some(random, len(w.nodes)/2)) }},
 	{"all nodes killed", func(w *world, random *rand.Rand) func() error { return w.kill(w.nodes) }},
 	{"node leaves and comes back", func(w *world, random *rand.Rand) func() error {
-		n := w.some(random, 1)[0]
-		n.leave()
-		return n.start
+		nodes := w.some(random, 1)
+		if len(nodes) == 0 {
+			return nothing
+		}
+		nodes[0].leave()
+		return nodes[0].start
 	}},
 	{"node frozen", func(w *world, random *rand.Rand) func() error {
-		process := w.some(random, 1)[0].running()
+		nodes := w.some(random, 1)
+		if len(nodes) == 0 {
+			return nothing
+		}
+		process := nodes[0].running()
 		process.Pause()
 		return func() error { process.Resume(); return nil }
 	}},
 	{"node cut off from the store", func(w *world, random *rand.Rand) func() error {
-		link := w.some(random, 1)[0].link
+		link := w.any(random).link
 		link.Cut()
 		return func() error { link.Restore(); return nil }
 	}},
 	{"way to the store silent", func(w *world, random *rand.Rand) func() error {
-		link := w.some(random, 1)[0].link
+		link := w.any(random).link
 		link.Hold()
 		return func() error { link.Restore(); return nil }
 	}},
 	{"way to the store slow", func(w *world, random *rand.Rand) func() error {
-		link := w.some(random, 1)[0].link
+		link := w.any(random).link
 		link.SetDelay(slowLink)
 		return func() error { link.SetDelay(0); return nil }
 	}},
@@ -106,7 +113,7 @@
 	return least + time.Duration(random.Int64N(int64(most-least)))
 }
 
-// some draws nodes whose processes run.
+// some draws nodes whose processes run; none when another fault killed all.
 func (w *world) some(random *rand.Rand, count int) []*node {
 	var running []*node
 	for _, i := range random.Perm(len(w.nodes)) {
