A write of texts that failed is logged in one place

Read once more: the same line stood twice, for refusals and for writes without an answer. Behaviour is as before; lint and the tests of internal/submission pass. Left: the soak tells refusals from answers by itself, beside routereport.OutcomeOf, since it checks the product and must not take its word.

--- a/internal/submission/checkpoint.go
+++ b/internal/submission/checkpoint.go
@@ -206,16 +206,17 @@
 // confirmed saves nothing: the next holds its texts too, under a higher number,
 // so that it may as well take effect late.
 func (o *Owner) wroteCheckpoint(c checkpoint, err error) {
-	if err != nil && !errorx.IsOfType(err, metastore.ErrUnknown) {
+	if err != nil {
 		event.TextsNotSaved.Log(o.ctx, o.options.Logger, slog.String("unit", o.options.Unit.Name), slog.String("cause", err.Error()))
+	}
+	if err != nil && !errorx.IsOfType(err, metastore.ErrUnknown) {
 		return
 	}
 	for _, p := range c.parts {
 		o.saved.items[c.number] = append(o.saved.items[c.number], p.text.GetItemId())
 	}
 	if err != nil {
-		event.TextsNotSaved.Log(o.ctx, o.options.Logger, slog.String("unit", o.options.Unit.Name), slog.String("cause", err.Error()))
-		return
+		return // the key may stand, or come to stand: it is removed in its time
 	}
 	for _, p := range c.parts {
 		if p.item.restarts == p.restarts {
