--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/phone"
 )
 
@@ -45,17 +46,13 @@
 	return l, true
 }
 
-// idFields lists the fields that identify the subject of a line.
-var idFields = []string{"request", "submission", "item"}
-
-// about reports whether the subject of a line is one of the ids.
+// about reports whether a line belongs to the timeline of the ids. A line of an item belongs
+// only to the item itself, not to others of its submission.
 func (l line) about(ids map[string]bool) bool {
-	for _, name := range idFields {
-		if ids[l.fields[name]] {
-			return true
-		}
+	if item := l.fields["item"]; item != "" {
+		return ids[item]
 	}
-	return false
+	return ids[l.fields["request"]] || ids[l.fields["submission"]]
 }
 
 // contextEvents lists events that explain the outcome of many requests at once.
@@ -108,12 +105,19 @@
 	}
 }
 
-// related returns the id and, if it is an item, the submissions that it belongs to.
+// related returns the id and what its timeline includes: the submissions of an item; of a
+// submission the item that was ready last, and the items that were abandoned.
 func related(id string, lines []line) map[string]bool {
 	ids := map[string]bool{id: true}
 	for _, l := range lines {
-		if l.fields["item"] == id && l.fields["submission"] != "" {
-			ids[l.fields["submission"]] = true
+		item, submission := l.fields["item"], l.fields["submission"]
+		switch {
+		case item == id && submission != "":
+			ids[submission] = true
+		case submission == id && l.fields["msg"] == event.ItemAbandoned.Name:
+			ids[item] = true
+		case submission == id && l.fields["slowest"] != "":
+			ids[l.fields["slowest"]] = true
 		}
 	}
 	return ids
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -114,3 +114,53 @@
 `)
 	require.Equal(t, "timeline of r1\n+0.00s n1: store lost\n+15.95s n1: request failed\n  status 503\n", text)
 }
+
+// TestTimelineOfAnItemHasNoOtherItems checks that lines about other items of the same
+// submission are not shown.
+func TestTimelineOfAnItemHasNoOtherItems(t *testing.T) {
+	text := timeline(t, "i7", `time=2026-03-02T18:46:46.000Z msg="submission opened" node=n1 submission=s1 items=48
+time=2026-03-02T18:46:46.100Z msg="item scored" node=n1 item=i8 submission=s1
+time=2026-03-02T18:46:46.200Z msg="item abandoned" node=n1 item=i9 submission=s1 cause="failed on every attempt"
+time=2026-03-02T18:46:46.300Z msg="item scored" node=n1 item=i7 submission=s1
+`)
+	require.Equal(t, "timeline of i7\n+0.00s n1: submission opened\n  items 48\n+0.30s n1: item scored\n", text)
+}
+
+// TestOutcomeOfAnItemIsNotCut checks that the cause of an item's outcome is printed in full
+// however much else happened.
+func TestOutcomeOfAnItemIsNotCut(t *testing.T) {
+	var log strings.Builder
+	for i := range 60 {
+		fmt.Fprintf(&log, "time=2026-03-02T18:46:%02d.000Z msg=\"store lost\" node=n%d cause=\"metastore.unknown: no response from the store\"\n", i/2, i)
+		fmt.Fprintf(&log, "time=2026-03-02T18:46:%02d.500Z msg=\"attempt failed\" node=n1 item=i7 cause=\"call.broken: no complete answer\"\n", i/2)
+	}
+	log.WriteString(`time=2026-03-02T18:46:30.000Z msg="item abandoned" node=n1 item=i7 submission=s1 cause="the scoring call failed on every attempt"` + "\n")
+	text := timeline(t, "i7", log.String())
+	require.Contains(t, text, "n1: item abandoned\n  cause the scoring call failed on every\n  attempt\n")
+	require.Less(t, strings.Count(text, "\n"), Lines)
+	require.Contains(t, text, "lines left out")
+}
+
+// TestTimelineOfAStepSaysWhereItsTimeWent checks that the timeline of a submission has the
+// parts of its time, what happened to its slowest item, and which items were abandoned.
+func TestTimelineOfAStepSaysWhereItsTimeWent(t *testing.T) {
+	text := timeline(t, "s1", `time=2026-03-02T18:46:46.000Z msg="submission opened" node=n1 submission=s1 items=48
+time=2026-03-02T18:46:47.000Z msg="item moved" node=n1 item=i3 endpoint=e1 events=20 cause="slower than another engine"
+time=2026-03-02T18:46:48.000Z msg="item moved" node=n1 item=i7 endpoint=e3 events=60 cause=stalled
+time=2026-03-02T18:46:50.000Z msg="item abandoned" node=n1 item=i9 submission=s1 cause="permanently rejected"
+time=2026-03-02T18:46:55.000Z msg="step timed" node=n1 submission=s1 listed=48 slowest=i7 text_events=189 moves=1 total_ms=9000 bound_ms=7000 waiting_ms=15 loading_ms=0 moving_ms=320 generating_ms=6900 slower_ms=1500 scoring_ms=265
+`)
+	require.Equal(t, `timeline of s1
++0.00s n1: submission opened
+  items 48
++2.00s n1: item moved
+  cause stalled, endpoint e3, events 60
++4.00s n1: item abandoned
+  cause permanently rejected
++9.00s n1: step timed
+  listed 48, slowest i7, text_events 189,
+  moves 1, total_ms 9000, bound_ms 7000,
+  moving_ms 320, generating_ms 6900,
+  slower_ms 1500, scoring_ms 265
+`, text)
+}
