Placing by expected finish, loads that wait, and where a step's time goes

(1) fleet.Pace and LoadSlope: the usual time per event of each engine as a low quantile, the influence of the load by quantile regression over the service, and whether something disturbs the engine now; a first try with means took the reading of prompts for load (slope 0.06 where 0.003 is true). (2) lengths: the expected rest of a text, from its hint and what it has so far. (3) engines choose and move by expected finish; fixed cost of a slot, factor for slow and the tail's share are gone. (4) weights: with a lag, half of a model's endpoints load a version promptly, the most useful first, the others within 6 s. (5) timing: each item's time by what it was spent on; event 8063, metric step_seconds.

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -32,6 +32,7 @@
 	SubmissionEnded       = define(8043, "submission ended", slog.LevelInfo, "The submission was ended; no further item of it is started.")
 	ResultsListed         = define(8044, "results listed", slog.LevelDebug, "Results are durable in the store and visible to readers.")
 	ResultsDelayed        = define(8045, "results delayed", slog.LevelWarn, "The store did not confirm results; the same write is retried.")
+	StepTimed             = define(8063, "step timed", slog.LevelInfo, "Where the time of the submission's slowest item went; bound_ms is what the fastest engine needs for its longest text alone.")
 	ItemMoved             = define(8046, "item moved", slog.LevelInfo, "An item continues at another endpoint with the text generated so far.")
 	ItemAbandoned         = define(8047, "item abandoned", slog.LevelWarn, "The item is listed without a text.")
 	ReadFailed            = define(8048, "read failed", slog.LevelWarn, "A reader must retry: neither the owner nor the store answered.")
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -52,11 +52,10 @@
 	failures   atomic.Int64
 	avoidUntil atomic.Int64 // Unix nanoseconds
 	fullUntil  atomic.Int64 // Unix nanoseconds
-	// loadingUntil is until when an order to load weights is assumed to be running,
-	// in Unix nanoseconds.
-	loadingUntil atomic.Int64
-	pace         atomic.Int64 // nanoseconds per event
-	paceAt       atomic.Int64 // Unix nanoseconds
+	// loading is the load of weights that is assumed to be running; nil if there is none.
+	loading atomic.Pointer[modelLoad]
+	// Pace is how fast the endpoint generates, if it is a model engine.
+	Pace Pace
 
 	mu       sync.Mutex
 	versions map[string]int64
@@ -115,31 +114,25 @@
 // IsFull reports whether the endpoint refused work recently.
 func (l *Live) IsFull(now time.Time) bool { return l.fullUntil.Load() > now.UnixNano() }
 
-// MarkLoading records until when the endpoint is assumed to load weights.
-func (l *Live) MarkLoading(until time.Time) { l.loadingUntil.Store(until.UnixNano()) }
-
-// IsLoading reports whether the endpoint is assumed to load weights.
-func (l *Live) IsLoading(now time.Time) bool { return l.loadingUntil.Load() > now.UnixNano() }
-
-// paceWeight divides the difference between a new value and the moving average of
-// the pace.
-const paceWeight = 6
+// modelLoad is a load of weights that an endpoint is assumed to carry out.
+type modelLoad struct {
+	model string
+	until time.Time
+}
 
-// ObservePace records the time between two events of a stream.
-func (l *Live) ObservePace(gap time.Duration, now time.Time) {
-	l.paceAt.Store(now.UnixNano())
-	old := l.pace.Load()
-	if old == 0 {
-		l.pace.Store(int64(gap))
-		return
-	}
-	l.pace.Store(old + (int64(gap)-old)/paceWeight)
+// MarkLoading records the model whose weights the endpoint is assumed to load, and until
+// when.
+func (l *Live) MarkLoading(model string, until time.Time) {
+	l.loading.Store(&modelLoad{model: model, until: until})
 }
 
-// Pace returns the moving average of the time between two events and when it was
-// last updated. A zero duration means that it is not known.
-func (l *Live) Pace() (time.Duration, time.Time) {
-	return time.Duration(l.pace.Load()), time.Unix(0, l.paceAt.Load())
+// LoadingEnded records that the endpoint does not load weights.
+func (l *Live) LoadingEnded() { l.loading.Store(nil) }
+
+// IsLoading reports whether the endpoint is assumed to load weights of the model.
+func (l *Live) IsLoading(model string, now time.Time) bool {
+	load := l.loading.Load()
+	return load != nil && load.model == model && now.Before(load.until)
 }
 
 // ObserveVersion records a weight version that the endpoint itself reported.
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/routereport"
+	"github.com/comfreyfront/comfreyfront/internal/submission"
 	"github.com/comfreyfront/comfreyfront/platform"
 )
 
@@ -36,14 +37,16 @@
 	n.figures.Ended(r.Name, outcome, end.Duration, routereport.TargetOf(r))
 }
 
-// submissionEnded counts the end of a submission.
-func (n *Node) submissionEnded(host, path string, age time.Duration) {
+// submissionEnded counts the end of a submission and where the time of its slowest item
+// went.
+func (n *Node) submissionEnded(host, path string, age time.Duration, times submission.StepTimes) {
 	configuration := n.routes.Load()
 	if configuration == nil {
 		return
 	}
 	if r, ok := configuration.Match(host, path); ok {
 		n.figures.Ended(r.Name, routereport.Answered, age, routereport.TargetOf(r))
+		n.metrics.stepTimed(r.Name, times)
 	}
 }
 
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -59,11 +59,12 @@
 	})
 	manager := weights.NewManager(weights.Options{
 		Service: service, Directory: n.directory, Engines: n.endpoints, Targets: n.targets,
-		Models:    func() []string { return n.modelsOf(service) },
-		Mode:      func(model string) weights.Mode { return modeFor(owner, model) },
-		Confirmed: n.cluster.Confirmed,
-		Changed:   owner.Wake,
-		Holder:    n.config.Name, Epoch: unit.Epoch, Logger: n.logger,
+		Models:     func() []string { return n.modelsOf(service) },
+		MinVersion: owner.MinVersion,
+		Mode:       func(model string) weights.Mode { return modeFor(owner, model) },
+		Confirmed:  n.cluster.Confirmed,
+		Changed:    owner.Wake,
+		Holder:     n.config.Name, Epoch: unit.Epoch, Logger: n.logger,
 	})
 	n.mu.Lock()
 	old := n.units[unit.Name]
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -80,6 +80,7 @@
 	run       *run
 	result    *recordpb.Result
 	readyAt   time.Time
+	timing    timing
 	// listed means that the result is stored.
 	listed bool
 	// carriedOver means that the item was carried over from a submission that ended before
@@ -122,8 +123,6 @@
 	startedAt time.Time
 	lastEvent time.Time
 	events    int
-	// slowSince is when the run's engine was first found slow; zero if it is not slow.
-	slowSince time.Time
 	// moved means that the owner cancelled the run so that the item resumes on another
 	// engine.
 	moved bool
@@ -183,6 +182,9 @@
 	writing    bool
 	ended      bool
 	endedAt    time.Time
+	times      stepTimes
+	// readAt is when the last listed result was first read.
+	readAt time.Time
 	// changed is closed and replaced when results are listed.
 	changed chan struct{}
 }
@@ -241,19 +243,10 @@
 	return n
 }
 
-// inTail reports whether so few items are unfinished that they determine when the
-// submission completes. Only then is it worth moving one of them to finish it sooner.
-func (o *ownedSubmission) inTail() bool {
-	unfinished := 0
-	for _, n := range o.unfinished {
-		unfinished += n
-	}
-	return float64(unfinished) <= tailFraction*float64(o.head.Total)
-}
-
 // appendListed adds a batch of results that is now stored and notifies waiting readers.
 func (o *ownedSubmission) appendListed(results []*recordpb.Result) {
 	o.listed = append(o.listed, results...)
+	o.readAt = time.Time{}
 	o.batch++
 	close(o.changed)
 	o.changed = make(chan struct{})
--- a/internal/submission/list.go
+++ b/internal/submission/list.go
@@ -58,13 +58,15 @@
 	defer o.mu.Unlock()
 	s.writing = false
 	s.appendListed(results)
+	now := time.Now()
 	for _, i := range items {
 		i.listed = true
+		s.times.list(i, now)
 	}
 	s.ready = slices.DeleteFunc(s.ready, func(i *item) bool { return slices.Contains(items, i) })
 	o.dropListed(s, items)
 	event.ResultsListed.Log(o.ctx, o.options.Logger, slog.String("submission", s.id), slog.Int("results", len(results)),
-		slog.Int("listed", len(s.listed)), slog.Int64("write_ms", time.Since(began).Milliseconds()))
+		slog.Int("listed", len(s.listed)), slog.Int64("write_ms", now.Sub(began).Milliseconds()))
 	o.Wake()
 }
 
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -35,8 +35,9 @@
 	ScoreSlots func() int
 	// Status is how long an ended submission stays readable before it is removed.
 	Status time.Duration
-	// Ended, if not nil, is called when a submission ends, with its host, path and age.
-	Ended  func(host, path string, age time.Duration)
+	// Ended, if not nil, is called when a submission ends, with its host, path and age, and
+	// with the times of its slowest item; these have no parts if no result was listed.
+	Ended  func(host, path string, age time.Duration, times StepTimes)
 	Logger *slog.Logger
 }
 
@@ -53,6 +54,11 @@
 	items       map[string]*item
 	// scoresOpen counts the scoring calls in flight.
 	scoresOpen int
+	// lengths, loadSlope and fastestGap (the lowest usual time per event of an engine) are
+	// learned from the texts and engines of the unit.
+	lengths    lengths
+	loadSlope  *fleet.LoadSlope
+	fastestGap time.Duration
 	saved      checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
 	// yet, to the times at which their records may be removed.
@@ -69,6 +75,7 @@
 		wake:        make(chan struct{}, 1),
 		submissions: map[string]*ownedSubmission{},
 		items:       map[string]*item{},
+		loadSlope:   fleet.NewLoadSlope(),
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
 	}
@@ -113,7 +120,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.expire(now)
-	engines := newEngines(o.options.Directory.Of(o.options.Service), o.options.Zone, now)
+	engines := newEngines(o.options.Directory.Of(o.options.Service), o.loadSlope, o.options.Zone, now)
+	o.fastestGap = engines.least
 	o.place(engines, now)
 	o.move(engines, now)
 	o.startScores(now)
@@ -159,7 +167,7 @@
 func (o *Owner) attachItem(s *ownedSubmission, record *recordpb.Item) bool {
 	old := o.items[record.GetId()]
 	if old == nil || old.submission != nil {
-		o.items[record.GetId()] = &item{record: record, submission: s}
+		o.items[record.GetId()] = &item{record: record, submission: s, timing: newTiming(s.head.acceptedAt())}
 		return false
 	}
 	sameReward := old.record.GetReward().GetId() == record.GetReward().GetId()
@@ -167,6 +175,7 @@
 		old.text.saved = 0 // its checkpoints may have been deleted
 	}
 	old.submission, old.record, old.carriedOver, old.restored = s, record, true, false
+	old.timing = newTiming(time.Now())
 	if !old.text.fits(s.record.GetMinVersion(), o.requiresSingleVersion(s)) {
 		o.restart(old)
 		return true
@@ -221,6 +230,19 @@
 	return false
 }
 
+// MinVersion returns the highest minimum version of the open submissions for the model,
+// and false if there is none.
+func (o *Owner) MinVersion(model string) (highest int64, open bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.submissions {
+		if !s.ended && s.record.GetModel() == model {
+			highest, open = max(highest, s.record.GetMinVersion()), true
+		}
+	}
+	return highest, open
+}
+
 // End stops a submission: no further items of it are started. Runs in flight continue
 // for a while, because a later submission may contain the same items.
 func (o *Owner) End(id string) {
@@ -249,9 +271,23 @@
 	event.SubmissionEnded.Log(o.ctx, o.options.Logger, slog.String("submission", id), slog.Int("listed", len(s.listed)),
 		slog.Int("unlisted", len(unlisted)), slog.Int64("age_ms", age.Milliseconds()),
 		slog.String("missing", strings.Join(unlisted[:min(len(unlisted), maxDescribedItems)], "; ")))
+	times := o.reportTimes(s)
 	if o.options.Ended != nil {
-		o.options.Ended(s.record.GetHost(), s.record.GetPath(), age)
+		o.options.Ended(s.record.GetHost(), s.record.GetPath(), age, times)
+	}
+}
+
+// reportTimes logs and returns where the time of a submission's slowest item went. The
+// caller holds o.mu.
+func (o *Owner) reportTimes(s *ownedSubmission) StepTimes {
+	if s.times.slowest == nil {
+		return StepTimes{}
 	}
+	times := s.times.end(s.readAt, o.fastestGap)
+	attrs := []slog.Attr{slog.String("submission", s.id), slog.String("model", s.record.GetModel()), slog.Int("listed", s.times.listed)}
+	event.StepTimed.Log(o.ctx, o.options.Logger, append(attrs, s.times.attributes(times)...)...)
+	s.times = stepTimes{}
+	return times
 }
 
 // scheduleRemoval schedules the removal of an ended submission that this owner never
@@ -301,6 +337,9 @@
 		total, changed, ended := s.head.Total, s.changed, s.ended
 		if after < len(s.listed) {
 			results = s.listed[after:len(s.listed):len(s.listed)]
+			if s.readAt.IsZero() {
+				s.readAt = time.Now()
+			}
 		}
 		o.mu.Unlock()
 		if len(results) > 0 || ended || after >= total {
--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -188,6 +188,33 @@
 	require.Empty(t, f.scored, "nothing is scored for an ended submission")
 }
 
+// TestEndedSubmissionReportsItsTimes checks that the end of a submission reports where the
+// time of its slowest item went, and that a submission without results reports none.
+func TestEndedSubmissionReportsItsTimes(t *testing.T) {
+	f := newFixture(1)
+	s := f.service()
+	o := f.owner(t, "n")
+	reported := make(chan StepTimes, 2)
+	o.options.Ended = func(_, _ string, _ time.Duration, times StepTimes) { reported <- times }
+	s.StartOwner(o)
+	require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("a", 1, 2, 1)))
+	allResults(t, s, "a", 2)
+	require.NoError(t, s.End(context.Background(), "a"))
+	times := <-reported
+	require.Len(t, times.Parts, int(phaseCount))
+	sum := time.Duration(0)
+	for _, spent := range times.Parts {
+		sum += spent
+	}
+	require.Equal(t, times.Total, sum)
+	require.Positive(t, times.Bound)
+	f.gate = make(chan struct{}) // nothing of the next submission is generated
+	require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("b", 1, 1, 1)))
+	require.Eventually(t, func() bool { return o.HasSubmission("b") }, testTimeout, pause)
+	require.NoError(t, s.End(context.Background(), "b"))
+	require.Equal(t, StepTimes{}, <-reported)
+}
+
 // TestCarriedItemsKeepTheirText checks that items contained in a later submission resume
 // from their current text if its weight versions are allowed, and restart otherwise.
 func TestCarriedItemsKeepTheirText(t *testing.T) {
@@ -395,25 +422,30 @@
 func TestChoicePrefersFastEngines(t *testing.T) {
 	f := newFixture(3)
 	now := testNow()
+	slope := fleet.NewLoadSlope()
 	for _, e := range f.directory.Of("s") {
-		pace := 30
+		gap := 30
 		if e.ID == "e0" {
-			pace = 110
+			gap = 110
 		}
-		e.Live.ObservePace(millis(pace), now)
+		e.Live.Pace.Observe(millis(gap), 1, slope, now)
 	}
-	engines := newEngines(f.directory.Of("s"), "z", now)
+	const events = 20
+	engines := newEngines(f.directory.Of("s"), slope, "z", now)
 	count := map[string]int{}
 	for range 8 {
-		e, ok := engines.choose(need{model: "m", minVersion: 1})
+		e, ok := engines.choose(need{model: "m", minVersion: 1}, events)
 		require.True(t, ok)
 		count[e.ID]++
 	}
 	require.Equal(t, map[string]int{"e1": 4, "e2": 4}, count)
-	e, ok := engines.choose(need{model: "m", minVersion: 1})
+	e, ok := engines.choose(need{model: "m", minVersion: 1}, events)
 	require.True(t, ok)
 	require.Equal(t, "e0", e.ID)
-	require.True(t, engines.slow(e))
-	_, ok = engines.chooseMoveTarget(&fleet.Endpoint{ID: "e0"}, need{model: "m", minVersion: 1})
-	require.False(t, ok, "a full engine is not worth a move")
+	_, ok = engines.betterEngine(e, need{model: "m", minVersion: 1}, events)
+	require.False(t, ok, "the faster engines are full")
+	engines.runs["e1"]--
+	better, ok := engines.betterEngine(e, need{model: "m", minVersion: 1}, events)
+	require.True(t, ok)
+	require.Equal(t, "e1", better.ID)
 }
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -12,54 +12,77 @@
 const (
 	// defaultSlots is the number of slots assumed for an engine that does not report its own.
 	defaultSlots = 8
-	// slotCost is the fraction by which each run is assumed to slow down the others on its
-	// engine.
-	slotCost = 0.04
-	// remoteZoneCost is added to the score of an engine in another failure domain.
-	remoteZoneCost = 0.02
-	// slowFactor is the time per event, relative to the median, above which an engine is
-	// slow and its runs are moved.
-	slowFactor = 1.7
-	// paceMaxAge is how long a measured pace is used without a newer measurement.
-	paceMaxAge = 3 * time.Second
+	// initialGap is the time per event assumed until an engine of the service is observed.
+	initialGap = 40 * time.Millisecond
+	// remoteZoneCost is the fraction by which an engine in another failure domain counts as
+	// slower, so that equal engines are chosen nearby.
+	remoteZoneCost = 0.01
+	// A disturbance of an engine is expected to last as long again as it has lasted, within
+	// these bounds.
+	minDisturbance = 300 * time.Millisecond
+	maxDisturbance = 4 * time.Second
 )
 
 // engines is a snapshot of a service's endpoints for one scheduling round.
 type engines struct {
 	endpoints []*fleet.Endpoint
 	// runs is the number of runs on each endpoint, by ID.
-	runs   map[string]int
-	median time.Duration
-	zone   string
-	now    time.Time
+	runs    map[string]int
+	samples map[string]fleet.PaceSample
+	// usual is the median of the engines' usual times per event, and least the lowest.
+	usual, least time.Duration
+	loadSlope    *fleet.LoadSlope
+	zone         string
+	now          time.Time
 }
 
-func newEngines(endpoints []*fleet.Endpoint, zone string, now time.Time) *engines {
-	p := &engines{endpoints: endpoints, runs: make(map[string]int, len(endpoints)), zone: zone, now: now}
-	var measured []time.Duration
+func newEngines(endpoints []*fleet.Endpoint, loadSlope *fleet.LoadSlope, zone string, now time.Time) *engines {
+	p := &engines{
+		endpoints: endpoints, runs: make(map[string]int, len(endpoints)), samples: make(map[string]fleet.PaceSample, len(endpoints)),
+		usual: initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
+	}
+	var observed []fleet.PaceSample
 	for _, e := range endpoints {
 		p.runs[e.ID] = int(e.Live.InFlight())
-		if pace, at := e.Live.Pace(); pace > 0 && !e.Draining && now.Sub(at) < paceMaxAge {
-			measured = append(measured, pace)
+		sample := e.Live.Pace.Sample(now)
+		p.samples[e.ID] = sample
+		if sample.Gap > 0 {
+			observed = append(observed, sample)
 		}
 	}
-	if len(measured) > 0 {
-		slices.Sort(measured)
-		p.median = measured[(len(measured)-1)/2]
+	if len(observed) > 0 {
+		slices.SortFunc(observed, func(a, b fleet.PaceSample) int { return cmp.Compare(a.Gap, b.Gap) })
+		p.usual, p.least = observed[(len(observed)-1)/2].Gap, observed[0].Gap
 	}
 	return p
 }
 
-// factor returns an engine's time per event relative to the median.
-func (p *engines) factor(e *fleet.Endpoint) float64 {
-	pace, at := e.Live.Pace()
-	if pace <= 0 || p.median <= 0 || p.now.Sub(at) > paceMaxAge {
-		return 1
+// usualGap returns an engine's usual time per event with the given number of runs. An
+// engine that was not observed yet counts as an average one.
+func (p *engines) usualGap(e *fleet.Endpoint, runs int) time.Duration {
+	gap := p.samples[e.ID].Gap
+	if gap <= 0 {
+		gap = p.usual
 	}
-	return max(float64(pace)/float64(p.median), 0.5)
+	return time.Duration(float64(gap) * p.loadSlope.Factor(runs))
 }
 
-func (p *engines) slow(e *fleet.Endpoint) bool { return p.factor(e) > slowFactor }
+// finishTime estimates how long an engine with the given number of runs, the new one
+// included, takes for a number of events: at its usual pace, plus what it loses by the
+// present disturbance.
+func (p *engines) finishTime(e *fleet.Endpoint, runs int, events float64) time.Duration {
+	usual := time.Duration(events * float64(p.usualGap(e, runs)))
+	if e.Zone != p.zone {
+		usual += time.Duration(remoteZoneCost * float64(usual))
+	}
+	s := p.samples[e.ID]
+	if s.Slowdown <= 1 {
+		return usual
+	}
+	lasts := min(max(s.DisturbedFor, minDisturbance), maxDisturbance) - s.Age
+	disturbed := min(lasts, time.Duration(float64(usual)*s.Slowdown))
+	return usual + max(time.Duration(float64(disturbed)*(1-1/s.Slowdown)), 0)
+}
 
 // need is what an item requires of an engine.
 type need struct {
@@ -79,7 +102,7 @@
 
 // accepts reports whether the engine can accept a run now.
 func (p *engines) accepts(e *fleet.Endpoint, n need) bool {
-	if e.Draining || e.Live.Avoided(p.now) || e.Live.IsFull(p.now) || e.Live.IsLoading(p.now) {
+	if e.Draining || e.Live.Avoided(p.now) || e.Live.IsFull(p.now) || e.Live.IsLoading(n.model, p.now) {
 		return false
 	}
 	slots := e.Slots
@@ -89,53 +112,101 @@
 	return p.runs[e.ID] < slots && n.satisfiedBy(e)
 }
 
-// score estimates the relative time per token on the engine; lower is better.
-func (p *engines) score(e *fleet.Endpoint) float64 {
-	score := p.factor(e) * (1 + slotCost*float64(p.runs[e.ID]))
-	if e.Zone != p.zone {
-		score += remoteZoneCost
+// anyLoading reports whether an engine is loading weights of the model.
+func (p *engines) anyLoading(model string) bool {
+	return slices.ContainsFunc(p.endpoints, func(e *fleet.Endpoint) bool {
+		return !e.Draining && e.Live.IsLoading(model, p.now)
+	})
+}
+
+// choose picks the engine that is expected to finish the given number of events first, and
+// adds the run to the engine's number of runs. It returns false if no engine can accept
+// the run.
+func (p *engines) choose(n need, events float64) (*fleet.Endpoint, bool) {
+	best, _ := p.fastest(n, events, nil)
+	if best == nil {
+		return nil, false
+	}
+	p.runs[best.ID]++
+	return best, true
+}
+
+// Parameters of moves.
+const (
+	// moveCost is the time that a run loses by a move: a connection, its prompt is read
+	// again, and an event that was begun is generated again.
+	moveCost = 120 * time.Millisecond
+	// minMoveGain is the expected gain beyond moveCost from which a move is worth its
+	// connection.
+	minMoveGain = 150 * time.Millisecond
+	// minMoveShare is the same, as a fraction of the remaining time: estimates are not
+	// exact.
+	minMoveShare = 0.08
+)
+
+// betterEngine returns an engine that is expected to finish the given number of events of a
+// run sooner than its present engine by more than a move costs. It returns false if there
+// is none. The caller moves the run: the numbers of runs are changed accordingly.
+func (p *engines) betterEngine(from *fleet.Endpoint, n need, events float64) (*fleet.Endpoint, bool) {
+	present := p.finishTime(from, p.runs[from.ID], events)
+	best, after := p.fastest(n, events, from)
+	if best == nil || present-after < moveCost+max(minMoveGain, time.Duration(minMoveShare*float64(present))) {
+		return nil, false
 	}
-	return score
+	p.move(from, best)
+	return best, true
 }
 
-// choose picks the engine with the lowest expected time per token and adds the run to the
-// engine's number of runs.
-func (p *engines) choose(n need) (*fleet.Endpoint, bool) {
-	return p.pick(n, func(*fleet.Endpoint) bool { return true })
+// otherEngine returns the engine other than the present one that is expected to finish
+// the run first.
+func (p *engines) otherEngine(from *fleet.Endpoint, n need, events float64) (*fleet.Endpoint, bool) {
+	best, _ := p.fastest(n, events, from)
+	if best == nil {
+		return nil, false
+	}
+	p.move(from, best)
+	return best, true
 }
 
-// chooseMoveTarget picks an engine that a run is worth moving to: it has a free slot, is
-// not slow and is not loading weights.
-func (p *engines) chooseMoveTarget(from *fleet.Endpoint, n need) (*fleet.Endpoint, bool) {
-	return p.pick(n, func(e *fleet.Endpoint) bool { return e.ID != from.ID && !p.slow(e) })
+func (p *engines) move(from, to *fleet.Endpoint) {
+	p.runs[from.ID]--
+	p.runs[to.ID]++
 }
 
-// pick returns the engine with the lowest score among the allowed ones that can accept
-// the run, and adds the run to its number of runs. It returns false if there is no such
-// engine.
-func (p *engines) pick(n need, allowed func(*fleet.Endpoint) bool) (*fleet.Endpoint, bool) {
+// fastest returns the engine, other than the excluded one, that can accept the run and is
+// expected to finish it first, and the expected time. It returns nil if there is none.
+func (p *engines) fastest(n need, events float64, excluded *fleet.Endpoint) (*fleet.Endpoint, time.Duration) {
 	var best *fleet.Endpoint
+	var bestTime time.Duration
 	for _, e := range p.endpoints {
-		if allowed(e) && p.accepts(e, n) && (best == nil || p.score(e) < p.score(best)) {
-			best = e
+		if excluded != nil && e.ID == excluded.ID || !p.accepts(e, n) {
+			continue
+		}
+		if t := p.finishTime(e, p.runs[e.ID]+1, events); best == nil || t < bestTime {
+			best, bestTime = e, t
 		}
 	}
-	if best == nil {
-		return nil, false
-	}
-	p.runs[best.ID]++
-	return best, true
+	return best, bestTime
+}
+
+// candidate is an item that is to be placed or moved, with the expected number of events
+// that it lacks.
+type candidate struct {
+	*item
+	remaining float64
 }
 
-// sortByPriority sorts waiting items: older submissions first; within a submission
-// carried-over items first, then the longest expected, so that no long item is left for
-// the end of the step.
-func sortByPriority(items []*item) {
-	slices.SortStableFunc(items, func(a, b *item) int {
+// sortByPriority sorts items: older submissions first; within a submission carried-over
+// items first, then those that lack most, so that no long item is left for the end of the
+// step.
+func sortByPriority(items []candidate) {
+	slices.SortFunc(items, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.submission.head.AcceptedMillis, b.submission.head.AcceptedMillis),
 			compareBool(b.carriedOver, a.carriedOver),
-			cmp.Compare(b.expected(), a.expected()))
+			cmp.Compare(b.remaining, a.remaining),
+			cmp.Compare(b.expected(), a.expected()),
+			cmp.Compare(a.record.GetId(), b.record.GetId()))
 	})
 }
 
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -23,13 +23,9 @@
 	minStall          = 350 * time.Millisecond
 	stallPaces        = 8
 	firstEventTimeout = 800 * time.Millisecond
-	// slowBeforeMove is how long an engine must have been slow before runs are moved
-	// away: a move costs a connection, and other load on the engine's machine slows it
-	// down only briefly in most cases.
-	slowBeforeMove = 250 * time.Millisecond
-	// tailFraction is the fraction of a submission's items at or below which the
-	// unfinished ones determine when it completes.
-	tailFraction = 0.35
+	// minRunTime is how long a run stays on its engine before it may be moved to a faster
+	// one.
+	minRunTime = 300 * time.Millisecond
 	// breakPause is the pause after a run that broke before its first event; it doubles
 	// with each such run in a row. From run number breaksBeforeLongPause on, the pause
 	// starts at longBreakPause and doubles again.
@@ -42,7 +38,7 @@
 
 // place starts waiting items in priority order while engines have free slots.
 func (o *Owner) place(engines *engines, now time.Time) {
-	var items []*item
+	var items []candidate
 	for _, i := range o.items {
 		if i.submission == nil || i.state != waiting || now.Before(i.notBefore) {
 			continue
@@ -51,17 +47,24 @@
 			o.abandon(i, "not completed within the route's limit")
 			continue
 		}
-		items = append(items, i)
+		items = append(items, o.candidateOf(i))
 	}
 	sortByPriority(items)
-	for _, i := range items {
-		e, ok := engines.choose(o.needOf(i))
-		if ok {
-			o.start(i, e, now)
+	for _, c := range items {
+		n := o.needOf(c.item)
+		e, ok := engines.choose(n, c.remaining)
+		if !ok {
+			c.timing.wait(engines.anyLoading(n.model), now)
+			continue
 		}
+		o.start(c.item, e, now)
 	}
 }
 
+func (o *Owner) candidateOf(i *item) candidate {
+	return candidate{item: i, remaining: o.lengths.remaining(i.expected(), len(i.text.events))}
+}
+
 func (o *Owner) overdue(i *item, now time.Time) bool {
 	limit := defaultMaxQueue
 	if r, ok := o.routeOf(i.submission); ok && r.MaxQueue > 0 {
@@ -83,6 +86,7 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	r := &run{endpoint: e, cancel: cancel, startedAt: now, lastEvent: now}
 	i.run, i.state = r, running
+	i.timing.start(i.firstRunAt.IsZero(), now)
 	if i.firstRunAt.IsZero() {
 		i.firstRunAt = now
 	}
@@ -149,10 +153,11 @@
 		return call.ErrEnded.New("the run was ended")
 	}
 	if gap := now.Sub(r.lastEvent); r.events > 0 && gap < maxPaceGap {
-		r.endpoint.Live.ObservePace(gap, now)
+		r.endpoint.Live.Pace.Observe(gap, int(r.endpoint.Live.InFlight()), o.loadSlope, now)
 	}
 	r.events++
 	r.lastEvent = now
+	i.timing.event(o.fastestGap, now)
 	i.breaks = 0
 	i.text.add(data, version)
 	return nil
@@ -168,10 +173,12 @@
 	i.run = nil
 	i.state = waiting
 	now := time.Now()
+	i.timing.enter(phaseMoving, now)
 	switch {
 	case err == nil:
 		r.endpoint.Live.Succeed()
 		i.text.complete = true
+		o.lengths.observe(i.expected(), len(i.text.events))
 		event.ItemWritten.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("submission", i.submissionID()),
 			slog.String("endpoint", r.endpoint.ID), slog.Int("events", len(i.text.events)), slog.Int64("expected_tokens", i.record.GetExpectedTokens()), slog.Int64("run_ms", now.Sub(r.startedAt).Milliseconds()))
 		if i.submission != nil {
@@ -232,58 +239,62 @@
 	return 1
 }
 
-// move cancels runs that stall, or that progress much more slowly than they would on
-// another engine, so that they resume there with their current text.
+// Causes of moves.
+const (
+	causeLoading = "loading weights"
+	causeStalled = "stalled"
+	causeSlower  = "slower than another engine"
+)
+
+// move cancels runs that stall, and runs that another engine is expected to finish sooner,
+// so that they resume there with their current text. Those that lack most come first.
 func (o *Owner) move(engines *engines, now time.Time) {
+	var running []candidate
 	for _, i := range o.items {
-		r := i.run
-		if r == nil || r.moved {
-			continue
+		if i.submission != nil && i.run != nil && !i.run.moved {
+			running = append(running, o.candidateOf(i))
 		}
-		cause := o.moveCause(i, r, engines, now)
+	}
+	sortByPriority(running)
+	for _, c := range running {
+		cause := o.moveCause(c, engines, now)
 		if cause == "" {
 			continue
 		}
+		r := c.run
 		r.moved = true
+		c.timing.enter(phaseMoving, now)
 		r.cancel()
-		if cause == "stalled" {
+		if cause == causeStalled {
 			r.endpoint.Live.Fail(now)
 		}
-		event.ItemMoved.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("endpoint", r.endpoint.ID),
-			slog.String("cause", cause), slog.Int("events", len(i.text.events)), slog.Int64("silent_ms", now.Sub(r.lastEvent).Milliseconds()))
+		event.ItemMoved.Log(o.ctx, o.options.Logger, slog.String("item", c.record.GetId()), slog.String("endpoint", r.endpoint.ID),
+			slog.String("cause", cause), slog.Int("events", len(c.text.events)), slog.Int64("silent_ms", now.Sub(r.lastEvent).Milliseconds()))
 	}
 }
 
-func (o *Owner) moveCause(i *item, r *run, engines *engines, now time.Time) string {
-	if i.submission == nil {
-		return ""
-	}
-	n := o.needOf(i)
-	if r.endpoint.Live.IsLoading(now) {
-		if _, ok := engines.chooseMoveTarget(r.endpoint, n); ok {
-			return "loading weights"
+// moveCause returns why a run must be moved, or an empty string if it stays.
+func (o *Owner) moveCause(c candidate, engines *engines, now time.Time) string {
+	r, n := c.run, o.needOf(c.item)
+	if r.endpoint.Live.IsLoading(n.model, now) && o.requiresSingleVersion(c.submission) {
+		// The engine loads only after its runs have ended.
+		if _, ok := engines.otherEngine(r.endpoint, n, c.remaining); ok {
+			return causeLoading
 		}
 		return ""
 	}
-	limit := max(minStall, stallPaces*engines.median)
+	limit := max(minStall, stallPaces*engines.usual)
 	if r.events == 0 {
 		limit = firstEventTimeout
 	}
 	if now.Sub(r.lastEvent) > limit {
-		return "stalled"
-	}
-	if !engines.slow(r.endpoint) {
-		r.slowSince = time.Time{}
-		return ""
-	}
-	if r.slowSince.IsZero() {
-		r.slowSince = now
+		return causeStalled
 	}
-	if now.Sub(r.slowSince) < slowBeforeMove || !i.submission.inTail() {
+	if now.Sub(r.startedAt) < minRunTime {
 		return ""
 	}
-	if _, ok := engines.chooseMoveTarget(r.endpoint, n); ok {
-		return "slow"
+	if _, ok := engines.betterEngine(r.endpoint, n, c.remaining); ok {
+		return causeSlower
 	}
 	return ""
 }
@@ -306,6 +317,7 @@
 // finish queues an item's result for listing. The caller holds o.mu.
 func (o *Owner) finish(i *item) {
 	group := groupOf(i.record)
+	i.timing.enter(phaseWriting, i.readyAt)
 	i.submission.unfinished[group]--
 	i.submission.ready = append(i.submission.ready, i)
 }
--- a/internal/submission/scoring.go
+++ b/internal/submission/scoring.go
@@ -18,6 +18,7 @@
 // startScoring marks a complete text for scoring, or completes the item if it needs no
 // score. The caller holds o.mu.
 func (o *Owner) startScoring(i *item) {
+	i.timing.enter(phaseScoring, time.Now())
 	if i.record.GetReward() == nil {
 		o.complete(i, "")
 		return
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -20,6 +20,9 @@
 	Targets   *Targets
 	// Models returns the models that the service serves.
 	Models func() []string
+	// MinVersion returns the highest minimum version of the open submissions for a model, and
+	// false if there is none.
+	MinVersion func(model string) (int64, bool)
 	// Mode returns what happens to a model's runs while an endpoint loads weights.
 	Mode func(model string) Mode
 	// Confirmed reports whether the ownership of the unit is confirmed; orders are sent
@@ -42,6 +45,49 @@
 
 	mu     sync.Mutex
 	states map[string]*orderState
+	models map[string]*modelState
+}
+
+// modelState is what the manager has observed of a model's trainer.
+type modelState struct {
+	target  int64
+	namedAt time.Time
+	// minVersion is the minimum version of the newest step, and lags are by how much the last
+	// two steps allowed versions behind the target.
+	minVersion int64
+	lags       [2]int64
+	steps      int
+}
+
+// maxLag bounds the lag that loads are planned with: at least every second version is
+// loaded, so that samples stay fresh.
+const maxLag = 1
+
+// lag returns by how many versions the model's steps may be behind the target: the larger
+// of the last two, since the target may be known later than the step. maxLag is assumed
+// until a step is seen.
+func (s *modelState) lag() int64 {
+	switch s.steps {
+	case 0:
+		return maxLag
+	case 1:
+		return s.lags[0]
+	}
+	return max(s.lags[0], s.lags[1])
+}
+
+// observe updates the state with the present target and the minimum version of the newest
+// step.
+func (s *modelState) observe(target, minVersion int64, open bool, now time.Time) {
+	if target != s.target {
+		s.target, s.namedAt = target, now
+	}
+	if !open || minVersion <= s.minVersion {
+		return
+	}
+	s.minVersion = minVersion
+	s.lags[s.steps%2] = min(max(target-minVersion, 0), maxLag)
+	s.steps++
 }
 
 // orderState is the state of the orders to one endpoint.
@@ -62,7 +108,7 @@
 
 // NewManager returns a manager; the caller must call Run.
 func NewManager(options Options) *Manager {
-	return &Manager{options: options, wake: make(chan struct{}, 1), states: map[string]*orderState{}}
+	return &Manager{options: options, wake: make(chan struct{}, 1), states: map[string]*orderState{}, models: map[string]*modelState{}}
 }
 
 // reconcileInterval is the time between reconciliations that nothing else triggers.
@@ -91,13 +137,6 @@
 	}
 }
 
-// job is an order that is due to be sent.
-type job struct {
-	endpoint *fleet.Endpoint
-	model    string
-	version  int64
-}
-
 // reconcile checks the endpoints that load and sends orders up to the limit of parallel
 // loads.
 func (m *Manager) reconcile(ctx context.Context, now time.Time) {
@@ -111,12 +150,17 @@
 			loading++
 		}
 	}
-	for _, j := range m.due(endpoints, now) {
+	ordered := map[string]bool{}
+	for _, l := range m.due(endpoints, now) {
 		if loading >= maxParallelLoads(len(endpoints)) {
 			return
 		}
+		if ordered[l.endpoint.ID] {
+			continue // one order at a time
+		}
+		ordered[l.endpoint.ID] = true
 		loading++
-		m.sendOrder(ctx, j)
+		m.sendOrder(ctx, l)
 	}
 }
 
@@ -144,7 +188,7 @@
 		m.loadFinished(ctx, e, t, now)
 		return false
 	}
-	e.Live.MarkLoading(now.Add(assumedLoadTime))
+	e.Live.MarkLoading(t.loading.Model, now.Add(assumedLoadTime))
 	if !now.Before(t.nextCall) {
 		t.callInFlight = true
 		go m.pollReport(ctx, e, t)
@@ -157,35 +201,45 @@
 	event.WeightsLoaded.Log(ctx, m.options.Logger, slog.String("endpoint", e.ID), slog.String("model", t.loading.Model),
 		slog.Int64("version", t.loading.Version), slog.Int64("took_ms", now.Sub(t.acceptedAt).Milliseconds()))
 	t.loading = nil
-	e.Live.MarkLoading(time.Time{})
+	e.Live.LoadingEnded()
 	m.options.Changed()
 	m.Wake()
 }
 
-// due returns the orders to send, those to the endpoints with the fewest requests in
-// flight first.
-func (m *Manager) due(endpoints []*fleet.Endpoint, now time.Time) []job {
+// due returns the loads to order, the most urgent first.
+func (m *Manager) due(endpoints []*fleet.Endpoint, now time.Time) []load {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var jobs []job
-	models := slices.Sorted(slices.Values(m.options.Models()))
-	for model, assigned := range m.assignments.assign(endpoints, models) {
-		target := m.options.Targets.Of(model)
-		for _, e := range assigned {
-			t := m.states[e.ID]
-			if t == nil || t.loading != nil || t.callInFlight || t.fenced || now.Before(t.nextCall) || e.Version(model) >= target {
-				continue
-			}
-			jobs = append(jobs, job{endpoint: e, model: model, version: target})
-		}
+	names := slices.Sorted(slices.Values(m.options.Models()))
+	var loads []load
+	for name, assigned := range m.assignments.assign(endpoints, names) {
+		state := m.observeModel(name, now)
+		model := Model{Target: state.target, NamedAt: state.namedAt, Lag: state.lag(), Finish: m.options.Mode(name) == Finish}
+		loads = append(loads, dueLoads(name, model, assigned, now)...)
 	}
-	slices.SortFunc(jobs, func(a, b job) int {
-		return cmp.Or(
-			cmp.Compare(boolInt(a.endpoint.Live.Avoided(now)), boolInt(b.endpoint.Live.Avoided(now))),
-			cmp.Compare(a.endpoint.Live.InFlight(), b.endpoint.Live.InFlight()),
-			cmp.Compare(a.endpoint.ID, b.endpoint.ID))
+	loads = slices.DeleteFunc(loads, func(l load) bool { return !m.idle(l.endpoint, now) })
+	slices.SortFunc(loads, func(a, b load) int {
+		return cmp.Or(cmp.Compare(boolInt(a.endpoint.Live.Avoided(now)), boolInt(b.endpoint.Live.Avoided(now))), compareLoads(a, b))
 	})
-	return jobs
+	return loads
+}
+
+// observeModel returns the updated state of a model. The caller holds m.mu.
+func (m *Manager) observeModel(name string, now time.Time) *modelState {
+	state := m.models[name]
+	if state == nil {
+		state = &modelState{}
+		m.models[name] = state
+	}
+	minVersion, open := m.options.MinVersion(name)
+	state.observe(m.options.Targets.Of(name), minVersion, open, now)
+	return state
+}
+
+// idle reports whether an endpoint may be sent an order now. The caller holds m.mu.
+func (m *Manager) idle(e *fleet.Endpoint, now time.Time) bool {
+	t := m.states[e.ID]
+	return t != nil && t.loading == nil && !t.callInFlight && !t.fenced && !now.Before(t.nextCall)
 }
 
 func boolInt(b bool) int {
@@ -196,27 +250,27 @@
 }
 
 // sendOrder sends one order in a separate goroutine.
-func (m *Manager) sendOrder(ctx context.Context, j job) {
+func (m *Manager) sendOrder(ctx context.Context, l load) {
 	m.mu.Lock()
-	t := m.states[j.endpoint.ID]
+	t := m.states[l.endpoint.ID]
 	t.callInFlight = true
 	accepted := t.accepted
 	m.mu.Unlock()
 	go func() {
-		if accepted < 0 && !m.readAcceptedCount(ctx, j.endpoint, t) {
+		if accepted < 0 && !m.readAcceptedCount(ctx, l.endpoint, t) {
 			return
 		}
 		m.mu.Lock()
 		order := Order{
-			Model: j.model, Version: j.version, Mode: m.options.Mode(j.model),
+			Model: l.model, Version: l.version, Mode: m.options.Mode(l.model),
 			Holder: m.options.Holder, Epoch: m.options.Epoch, Accepted: t.accepted,
 		}
 		m.mu.Unlock()
-		j.endpoint.Live.MarkLoading(time.Now().Add(assumedLoadTime))
-		event.OrderSent.Log(ctx, m.options.Logger, slog.String("endpoint", j.endpoint.ID), slog.String("model", j.model),
-			slog.Int64("version", j.version), slog.Int64("epoch", order.Epoch), slog.Int64("accepted", order.Accepted))
-		verdict, err := m.options.Engines.Order(ctx, j.endpoint, order)
-		m.handleVerdict(ctx, j.endpoint, t, order, verdict, err)
+		l.endpoint.Live.MarkLoading(l.model, time.Now().Add(assumedLoadTime))
+		event.OrderSent.Log(ctx, m.options.Logger, slog.String("endpoint", l.endpoint.ID), slog.String("model", l.model),
+			slog.Int64("version", l.version), slog.Int64("epoch", order.Epoch), slog.Int64("accepted", order.Accepted))
+		verdict, err := m.options.Engines.Order(ctx, l.endpoint, order)
+		m.handleVerdict(ctx, l.endpoint, t, order, verdict, err)
 	}()
 }
 
@@ -260,7 +314,7 @@
 		// The order may have been accepted, or may still be: the count in the next report shows it.
 		t.accepted = -1
 	}
-	e.Live.MarkLoading(time.Time{})
+	e.Live.LoadingEnded()
 	t.nextCall = now.Add(refusedPause)
 	cause := "refused"
 	if err != nil {
@@ -292,6 +346,6 @@
 	case !report.Busy:
 		// The endpoint is idle without the version: it did not carry out the order.
 		t.loading = nil
-		e.Live.MarkLoading(time.Time{})
+		e.Live.LoadingEnded()
 	}
 }
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -140,7 +140,7 @@
 	targets := &Targets{}
 	m := NewManager(Options{
 		Service: "s", Directory: directory, Engines: s, Targets: targets,
-		Models: func() []string { return []string{"m"} }, Mode: func(string) Mode { return Continue },
+		Models: func() []string { return []string{"m"} }, MinVersion: func(string) (int64, bool) { return 0, false }, Mode: func(string) Mode { return Continue },
 		Confirmed: func() bool { return true }, Changed: func() {}, Holder: "node", Epoch: epoch, Logger: logger,
 	})
 	return s, m, targets
