Endpoints are assigned to models by pace; a moving item keeps its slot

And a slot that a run was moved to could be given to another item before the run had ended.

Endpoints are assigned when the first version is named, dealt by their pace; a new owner keeps what was loaded. The target's slot of a move is reserved for 0.2 s.

TestFastEndpointsAreSharedAlike, TestNewOwnerKeepsAssignments and TestReservedSlotIsKept fail before.

--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -78,9 +78,11 @@
 	breaks    int
 	notBefore time.Time
 	run       *run
-	result    *recordpb.Result
-	readyAt   time.Time
-	timing    timing
+	// reserved is the slot that is kept for the item while it moves.
+	reserved reservation
+	result   *recordpb.Result
+	readyAt  time.Time
+	timing   timing
 	// listed means that the result is stored.
 	listed bool
 	// carriedOver means that the item was carried over from a submission that ended before
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -102,14 +102,19 @@
 
 // accepts reports whether the engine can accept a run now.
 func (p *engines) accepts(e *fleet.Endpoint, n need) bool {
-	if e.Draining || e.Live.Avoided(p.now) || e.Live.IsFull(p.now) || e.Live.IsLoading(n.model, p.now) {
-		return false
-	}
-	slots := e.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	return p.runs[e.ID] < slotsOf(e) && p.usable(e, n)
+}
+
+// usable reports whether the engine can run an item if it has a free slot.
+func (p *engines) usable(e *fleet.Endpoint, n need) bool {
+	return !e.Draining && !e.Live.Avoided(p.now) && !e.Live.IsFull(p.now) && !e.Live.IsLoading(n.model, p.now) && n.satisfiedBy(e)
+}
+
+func slotsOf(e *fleet.Endpoint) int {
+	if e.Slots <= 0 {
+		return defaultSlots
 	}
-	return p.runs[e.ID] < slots && n.satisfiedBy(e)
+	return e.Slots
 }
 
 // anyLoading reports whether an engine is loading weights of the model.
@@ -157,6 +162,29 @@
 	return best, true
 }
 
+// reservationTime is how long a slot is kept for an item that moves; its old run ends within
+// milliseconds.
+const reservationTime = 200 * time.Millisecond
+
+// reservation is a slot that is kept for an item until it runs there or the time is over.
+type reservation struct {
+	endpoint string
+	until    time.Time
+}
+
+// reserve counts a reserved slot as taken, and release as free again.
+func (p *engines) reserve(r reservation, now time.Time) {
+	if now.Before(r.until) {
+		p.runs[r.endpoint]++
+	}
+}
+
+func (p *engines) release(r reservation, now time.Time) {
+	if now.Before(r.until) {
+		p.runs[r.endpoint]--
+	}
+}
+
 // otherEngine returns the engine other than the present one that is expected to finish
 // the run first.
 func (p *engines) otherEngine(from *fleet.Endpoint, n need, events float64) (*fleet.Endpoint, bool) {
--- a/internal/submission/placing_test.go
+++ b/internal/submission/placing_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
 )
 
 // simSites are services of engines under different loads: few slots and a small influence
@@ -96,3 +98,24 @@
 	require.Equal(t, millis(600), sum)
 	require.Equal(t, 1, tm.moves)
 }
+
+// TestReservedSlotIsKept checks that the slot to which an item moves is not given to
+// another one meanwhile, and not kept for long.
+func TestReservedSlotIsKept(t *testing.T) {
+	f := newFixture(1) // one engine with four slots
+	now := testNow()
+	engines := newEngines(f.directory.Of("s"), fleet.NewLoadSlope(), "z", now)
+	n := need{model: "m", minVersion: 1}
+	moving := reservation{endpoint: "e0", until: now.Add(reservationTime)}
+	engines.reserve(moving, now)
+	engines.reserve(reservation{endpoint: "e0", until: now}, now) // is over
+	for range 3 {
+		_, ok := engines.choose(n, 10)
+		require.True(t, ok)
+	}
+	_, ok := engines.choose(n, 10)
+	require.False(t, ok, "the last slot is reserved")
+	engines.release(moving, now)
+	_, ok = engines.choose(n, 10)
+	require.True(t, ok)
+}
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -40,6 +40,7 @@
 func (o *Owner) place(engines *engines, now time.Time) {
 	var items []candidate
 	for _, i := range o.items {
+		engines.reserve(i.reserved, now)
 		if i.submission == nil || i.state != waiting || now.Before(i.notBefore) {
 			continue
 		}
@@ -52,6 +53,7 @@
 	sortByPriority(items)
 	for _, c := range items {
 		n := o.needOf(c.item)
+		engines.release(c.reserved, now)
 		e, ok := engines.choose(n, c.remaining)
 		if !ok {
 			c.timing.wait(engines.anyLoading(n.model), now)
@@ -85,7 +87,7 @@
 func (o *Owner) start(i *item, e *fleet.Endpoint, now time.Time) {
 	ctx, cancel := context.WithCancel(o.ctx)
 	r := &run{endpoint: e, cancel: cancel, startedAt: now, lastEvent: now}
-	i.run, i.state = r, running
+	i.run, i.state, i.reserved = r, running, reservation{}
 	i.timing.start(i.firstRunAt.IsZero(), now)
 	if i.firstRunAt.IsZero() {
 		i.firstRunAt = now
@@ -257,46 +259,54 @@
 	}
 	sortByPriority(running)
 	for _, c := range running {
-		cause := o.moveCause(c, engines, now)
-		if cause == "" {
-			continue
-		}
-		r := c.run
-		r.moved = true
-		c.timing.enter(phaseMoving, now)
-		r.cancel()
-		if cause == causeStalled {
-			r.endpoint.Live.Fail(now)
+		if cause, to := o.moveCause(c, engines, now); cause != "" {
+			o.moveRun(c.item, cause, to, now)
 		}
-		event.ItemMoved.Log(o.ctx, o.options.Logger, slog.String("item", c.record.GetId()), slog.String("endpoint", r.endpoint.ID),
-			slog.String("cause", cause), slog.Int("events", len(c.text.events)), slog.Int64("silent_ms", now.Sub(r.lastEvent).Milliseconds()))
 	}
 }
 
-// moveCause returns why a run must be moved, or an empty string if it stays.
-func (o *Owner) moveCause(c candidate, engines *engines, now time.Time) string {
+// moveRun cancels a run so that its item resumes on another engine. If that engine is
+// given, a slot of it is reserved for the item.
+func (o *Owner) moveRun(i *item, cause string, to *fleet.Endpoint, now time.Time) {
+	r := i.run
+	r.moved = true
+	r.cancel()
+	i.timing.enter(phaseMoving, now)
+	if to != nil {
+		i.reserved = reservation{endpoint: to.ID, until: now.Add(reservationTime)}
+	}
+	if cause == causeStalled {
+		r.endpoint.Live.Fail(now)
+	}
+	event.ItemMoved.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("endpoint", r.endpoint.ID),
+		slog.String("cause", cause), slog.Int("events", len(i.text.events)), slog.Int64("silent_ms", now.Sub(r.lastEvent).Milliseconds()))
+}
+
+// moveCause returns why a run must be moved, or an empty string if it stays, and the engine
+// to move it to if one was chosen.
+func (o *Owner) moveCause(c candidate, engines *engines, now time.Time) (string, *fleet.Endpoint) {
 	r, n := c.run, o.needOf(c.item)
 	if r.endpoint.Live.IsLoading(n.model, now) && o.requiresSingleVersion(c.submission) {
 		// The engine loads only after its runs have ended.
-		if _, ok := engines.otherEngine(r.endpoint, n, c.remaining); ok {
-			return causeLoading
+		if to, ok := engines.otherEngine(r.endpoint, n, c.remaining); ok {
+			return causeLoading, to
 		}
-		return ""
+		return "", nil
 	}
 	limit := max(minStall, stallPaces*engines.usual)
 	if r.events == 0 {
 		limit = firstEventTimeout
 	}
 	if now.Sub(r.lastEvent) > limit {
-		return causeStalled
+		return causeStalled, nil
 	}
 	if now.Sub(r.startedAt) < minRunTime {
-		return ""
+		return "", nil
 	}
-	if _, ok := engines.betterEngine(r.endpoint, n, c.remaining); ok {
-		return causeSlower
+	if to, ok := engines.betterEngine(r.endpoint, n, c.remaining); ok {
+		return causeSlower, to
 	}
-	return ""
+	return "", nil
 }
 
 // complete sets the result of a successful item. The caller holds o.mu.
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -211,9 +211,16 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	names := slices.Sorted(slices.Values(m.options.Models()))
+	named := false
+	for _, name := range names {
+		named = m.observeModel(name, now).target > 0 || named
+	}
+	if !named {
+		return nil // endpoints are assigned once their paces are known
+	}
 	var loads []load
-	for name, assigned := range m.assignments.assign(endpoints, names) {
-		state := m.observeModel(name, now)
+	for name, assigned := range m.assignments.assign(endpoints, names, now) {
+		state := m.models[name]
 		model := Model{Target: state.target, NamedAt: state.namedAt, Lag: state.lag(), Finish: m.options.Mode(name) == Finish}
 		loads = append(loads, dueLoads(name, model, assigned, now)...)
 	}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -29,7 +29,7 @@
 			for _, id := range rapid.SliceOfNDistinct(rapid.IntRange(0, 14), 1, 12, rapid.ID).Draw(t, "ids") {
 				live = append(live, &fleet.Endpoint{ID: fmt.Sprint(id), Live: &fleet.Live{}})
 			}
-			byModel := h.assign(live, models)
+			byModel := h.assign(live, models, planTime)
 			total, least, most := 0, len(live), 0
 			for _, model := range models {
 				n := len(byModel[model])
@@ -55,6 +55,48 @@
 	})
 }
 
+// TestFastEndpointsAreSharedAlike checks that no model gets all the slow endpoints.
+func TestFastEndpointsAreSharedAlike(t *testing.T) {
+	var endpoints []*fleet.Endpoint
+	slope := fleet.NewLoadSlope()
+	for i := range 9 {
+		e := &fleet.Endpoint{ID: fmt.Sprint(i), Live: &fleet.Live{}}
+		gap := 37 * time.Millisecond
+		if i >= 6 {
+			gap = 48 * time.Millisecond
+		}
+		e.Live.Pace.Observe(gap, 1, slope, planTime)
+		endpoints = append(endpoints, e)
+	}
+	var h assignments
+	for model, assigned := range h.assign(endpoints, []string{"a", "b"}, planTime) {
+		slow := 0
+		for _, e := range assigned {
+			if e.ID >= "6" {
+				slow++
+			}
+		}
+		require.Contains(t, []int{1, 2}, slow, "slow endpoints of model %s", model)
+	}
+}
+
+// TestNewOwnerKeepsAssignments checks that a new owner, which knows no pace, assigns each
+// endpoint to the model that the previous owner loaded on it.
+func TestNewOwnerKeepsAssignments(t *testing.T) {
+	targets := map[string]int64{"a": 9, "b": 4}
+	var endpoints []*fleet.Endpoint
+	want := map[string]string{}
+	for i, model := range []string{"a", "a", "b", "b", "a", "b", "a", "b", "a"} {
+		e := &fleet.Endpoint{ID: fmt.Sprint(i), Versions: map[string]int64{"a": 1, "b": 1}, Live: &fleet.Live{}}
+		e.Versions[model] = targets[model] - int64(i%2)
+		endpoints = append(endpoints, e)
+		want[e.ID] = model
+	}
+	var h assignments
+	h.assign(endpoints, []string{"a", "b"}, planTime)
+	require.Equal(t, want, h.model)
+}
+
 // fakeEngines simulates endpoints that carry out orders.
 type fakeEngines struct {
 	mu         sync.Mutex
