An outage of the store ends when the store answers: overlapping probes, fresh connections

Two probes that began after the return had no answer in 0.7 s each: they went over kept connections that stay silent for good, one probe at a time. Then writers slept for up to 0.75 s more.

Ruled out: the peers (they were no sooner), the lease (it paused), the size of the write.

Idle connections to the store are closed when a call gets no answer. A node on which others wait probes each 0.2 s without waiting for older probes; a probe that began before the last answer says nothing. Writers of results and followers of an outage wake at the reconnection (metastore.Pause). A node on which a caller waits for a submission to be accepted or ended counts as one on which others wait.

TestUrgentProbesOverlap and TestSilentConnectionsAreClosed fail before.

--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -118,6 +118,31 @@
 	return store.Range(ctx, prefix, after)
 }
 
+// Reconnector is implemented by stores that notice when an unreachable store answers again.
+type Reconnector interface {
+	// Reconnected returns a channel that is closed when the store answers again, or nil if
+	// it answers now.
+	Reconnected() <-chan struct{}
+}
+
+// Pause waits before a failed call is retried: for the given time, or until the store
+// answers again if store implements Reconnector. It returns false if ctx ends first.
+func Pause(ctx context.Context, store Store, pause time.Duration) bool {
+	var reconnected <-chan struct{}
+	if r, ok := store.(Reconnector); ok {
+		reconnected = r.Reconnected()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-reconnected:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // ListAll reads all pages of a range. It returns a revision from which a watch misses no
 // change.
 func ListAll(ctx context.Context, store Store, prefix string) ([]Item, int64, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,8 +166,11 @@
 }
 
 // needsStore reports whether callers or other nodes depend on this node reaching
-// the store: it has no configuration yet, or it owns a unit.
-func (n *Node) needsStore() bool { return n.routes.Load() == nil || n.ownsUnits() }
+// the store: it has no configuration yet, it owns a unit, or a caller waits for a
+// submission to be accepted or ended.
+func (n *Node) needsStore() bool {
+	return n.routes.Load() == nil || n.ownsUnits() || n.submissions.CallersWait()
+}
 
 // relays returns stores that call the metadata store through other nodes, at most
 // relayPeers of them and those of this node's failure domain first.
--- a/internal/proctest/proctest_test.go
+++ b/internal/proctest/proctest_test.go
@@ -106,7 +106,7 @@
 func TestControlInjectsStoreFaults(t *testing.T) {
 	cluster := newCluster(t)
 	client := platform.NewNamedStoreClient(cluster.Store.Addresses[0], "a")
-	defer client.Close()
+	defer client.CloseIdleConnections()
 	require.NoError(t, cluster.StoreControl().Put("/faults", fault.Fault{Client: "a", Down: true}))
 	_, err := client.Grant(t.Context(), time.Second)
 	require.Error(t, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,16 +41,20 @@
 	probeAt  time.Time
 	// probeDelay is the delay after the next probe.
 	probeDelay time.Duration
-	// probing reports whether a probe is in flight.
-	probing   bool
-	waitLimit waitLimit
-	// relaying is closed when calls start to go through peers.
-	relaying chan struct{}
+	// openProbes is the number of probes in flight.
+	openProbes int
+	// answeredAt is when a direct call or probe was last answered.
+	answeredAt time.Time
+	waitLimit  waitLimit
+	// relaying is closed when calls start to go through peers, and reconnected when they go
+	// directly again; reconnected is nil while they do.
+	relaying, reconnected chan struct{}
 }
 
 var (
 	_ metastore.Store       = (*Store)(nil)
 	_ metastore.StaleReader = (*Store)(nil)
+	_ metastore.Reconnector = (*Store)(nil)
 )
 
 // New returns a store on top of a direct one. urgent reports whether others wait for this
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -64,7 +64,7 @@
 // waitForProbe waits until no probe is in flight.
 func waitForProbe(t *testing.T, s *Store) {
 	t.Helper()
-	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return !s.probing }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.openProbes == 0 }, time.Minute, time.Millisecond)
 }
 
 func put(key string) metastore.Txn {
@@ -189,6 +189,65 @@
 	require.Zero(t, probes())
 }
 
+// deaf is a connection to a store. While it is down, calls get no answer, not even after
+// it is up again; idle connections stay silent until they are closed.
+type deaf struct {
+	metastore.Store
+	down   atomic.Bool
+	silent atomic.Bool
+	closed atomic.Int64
+}
+
+func (l *deaf) Get(ctx context.Context, key string) (metastore.Item, error) {
+	if l.down.Load() || l.silent.Load() {
+		<-ctx.Done()
+		return metastore.Item{}, metastore.ErrUnknown.Wrap(ctx.Err(), "no answer")
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *deaf) CloseIdleConnections() {
+	l.closed.Add(1)
+	if !l.down.Load() {
+		l.silent.Store(false)
+	}
+}
+
+// TestUrgentProbesOverlap checks that an urgent node does not wait for the probes that it
+// sent during an outage before it sends the next one.
+func TestUrgentProbesOverlap(t *testing.T) {
+	l := &deaf{Store: memory.New(nil)}
+	l.down.Store(true)
+	s := New(l, func() []metastore.Store { return nil }, func() bool { return true })
+	s.failures = failuresToRelay
+	s.reconnected = make(chan struct{})
+	var elapsed atomic.Int64
+	s.now = func() time.Time { return time.Unix(1_700_000_000, elapsed.Load()) }
+	require.False(t, s.tryDirect())
+	reconnected := s.Reconnected()
+	l.down.Store(false)
+	elapsed.Add(int64(urgentProbeDelay))
+	require.False(t, s.tryDirect())
+	<-reconnected
+	require.True(t, s.Connected())
+	require.Nil(t, s.Reconnected())
+	waitForProbe(t, s)
+	require.True(t, s.Connected(), "the probe of the outage fails later and says nothing")
+}
+
+// TestSilentConnectionsAreClosed checks that connections that may be silent for good are
+// closed when a call gets no answer, so that the next one uses a new connection.
+func TestSilentConnectionsAreClosed(t *testing.T) {
+	l := &deaf{Store: memory.New(nil)}
+	l.silent.Store(true)
+	s := New(l, func() []metastore.Store { return nil }, func() bool { return true })
+	_, err := s.Get(context.Background(), "a")
+	require.Error(t, err)
+	require.Positive(t, l.closed.Load())
+	_, err = s.Get(context.Background(), "a")
+	require.ErrorContains(t, err, "not_found")
+}
+
 // TestWritesAreNotUsedAsProbes checks that, once the direct connection has lost answers,
 // all writes go through a peer, so that none of them ends with an unknown outcome.
 func TestWritesAreNotUsedAsProbes(t *testing.T) {
--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -58,6 +58,8 @@
 func (s *Service) commitOnce(ctx context.Context, txn metastore.Txn, id string) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
 	unknown := false
 	for {
 		callCtx, cancelCall := context.WithTimeout(ctx, acceptCall)
--- a/internal/submission/end.go
+++ b/internal/submission/end.go
@@ -12,6 +12,8 @@
 func (s *Service) End(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
 	h, err := s.findHead(ctx, id)
 	for err == nil && !h.Ended {
 		h, err = s.endOnce(ctx, id, h)
--- a/internal/submission/list.go
+++ b/internal/submission/list.go
@@ -14,7 +14,6 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
-	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Timeout and retry pauses of writes to the store.
@@ -86,7 +85,7 @@
 			}
 		}
 		event.ResultsDelayed.Log(o.ctx, o.options.Logger, slog.String("submission", id), slog.String("cause", err.Error()))
-		wait.For(o.ctx, pause/2+rand.N(pause))
+		metastore.Pause(o.ctx, o.options.Store, pause/2+rand.N(pause))
 		pause = min(2*pause, writePauseMax)
 	}
 	return false
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -39,6 +40,8 @@
 // safe for concurrent use.
 type Service struct {
 	options Options
+	// waiting is the number of callers whose submission is being accepted or ended.
+	waiting atomic.Int64
 
 	mu     sync.Mutex
 	heads  map[string]head
@@ -82,6 +85,9 @@
 	}
 }
 
+// CallersWait reports whether a caller waits for the store to accept or end a submission.
+func (s *Service) CallersWait() bool { return s.waiting.Load() > 0 }
+
 // Changed handles a change of a submission's head.
 func (s *Service) Changed(e metastore.Event) {
 	id := strings.TrimPrefix(e.Key, cluster.OpenPrefix)
