Endpoints follow what the steps of a model ask for

Ruled out: the order of items (longest first already), the price of loads (with loads that wait, half of what is free is used).

Owners tell how many tokens the steps of a model ask for (moving average); endpoints are assigned in that proportion, at least half of an equal share each, and stay until a share changes by a quarter. The times of a step have a part 'opening': what lies before this owner opened it was counted as waiting.

TestEndpointsFollowDemand fails before.

--- a/internal/explain/render.go
+++ b/internal/explain/render.go
@@ -182,7 +182,7 @@
 // partFields lists the parts of a step's time; parts of less than minPart of the total
 // are not shown.
 var partFields = []string{
-	"waiting_ms", "loading_ms", "starting_ms", "moving_ms", "generating_ms", "slower_ms", "scoring_ms", "writing_ms", "reading_ms",
+	"opening_ms", "waiting_ms", "loading_ms", "starting_ms", "moving_ms", "generating_ms", "slower_ms", "scoring_ms", "writing_ms", "reading_ms",
 }
 
 const minPart = 0.01
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -61,6 +61,7 @@
 		Service: service, Directory: n.directory, Engines: n.endpoints, Targets: n.targets,
 		Models:     func() []string { return n.modelsOf(service) },
 		MinVersion: owner.MinVersion,
+		Demand:     owner.Demand,
 		Mode:       func(model string) weights.Mode { return modeFor(owner, model) },
 		Confirmed:  n.cluster.Confirmed,
 		Changed:    owner.Wake,
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -140,14 +140,14 @@
 	i.state = waiting
 }
 
-// expected estimates the number of tokens to be generated. Items with the highest
-// estimate are started first.
-func (i *item) expected() int64 {
-	estimate := i.record.GetExpectedTokens()
-	if estimate == 0 {
-		estimate = i.record.GetTokens()
+// expected estimates the number of tokens to be generated.
+func (i *item) expected() int64 { return expectedTokens(i.record) }
+
+func expectedTokens(record *recordpb.Item) int64 {
+	if estimate := record.GetExpectedTokens(); estimate > 0 {
+		return estimate
 	}
-	return estimate
+	return record.GetTokens()
 }
 
 // setResult sets the item's result.
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -54,9 +54,11 @@
 	items       map[string]*item
 	// scoresOpen counts the scoring calls in flight.
 	scoresOpen int
-	// lengths, loadSlope and fastestGap (the lowest usual time per event of an engine) are
-	// learned from the texts and engines of the unit.
+	// lengths, demands (the tokens that a model's submissions ask for), loadSlope and
+	// fastestGap (the lowest usual time per event of an engine) are learned from the texts and
+	// engines of the unit.
 	lengths    lengths
+	demands    map[string]float64
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
 	saved      checkpoints
@@ -75,6 +77,7 @@
 		wake:        make(chan struct{}, 1),
 		submissions: map[string]*ownedSubmission{},
 		items:       map[string]*item{},
+		demands:     map[string]float64{},
 		loadSlope:   fleet.NewLoadSlope(),
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
@@ -140,6 +143,7 @@
 	}
 	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{})}
 	o.submissions[id] = s
+	o.observeDemand(record)
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
@@ -161,13 +165,38 @@
 	o.Wake()
 }
 
+// demandWeight is the weight of the newest submission in the average demand of its model.
+const demandWeight = 0.3
+
+// observeDemand updates the average of what the submissions of a model ask for. The caller
+// holds o.mu.
+func (o *Owner) observeDemand(record *recordpb.Submission) {
+	tokens := 0.0
+	for _, i := range record.GetItems() {
+		tokens += float64(expectedTokens(i))
+	}
+	average, known := o.demands[record.GetModel()]
+	if !known {
+		average = tokens
+	}
+	o.demands[record.GetModel()] = average + demandWeight*(tokens-average)
+}
+
+// Demand returns how many tokens the submissions for a model ask for on average, or zero
+// if there was none.
+func (o *Owner) Demand(model string) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.demands[model]
+}
+
 // attachItem creates an item for a submission, or reuses the text of an item with the
 // same ID whose submission ended before the item was listed. It reports whether an item
 // was reused.
 func (o *Owner) attachItem(s *ownedSubmission, record *recordpb.Item) bool {
 	old := o.items[record.GetId()]
 	if old == nil || old.submission != nil {
-		o.items[record.GetId()] = &item{record: record, submission: s, timing: newTiming(s.head.acceptedAt())}
+		o.items[record.GetId()] = &item{record: record, submission: s, timing: newTiming(s.head.acceptedAt(), time.Now())}
 		return false
 	}
 	sameReward := old.record.GetReward().GetId() == record.GetReward().GetId()
@@ -175,7 +204,7 @@
 		old.text.saved = 0 // its checkpoints may have been deleted
 	}
 	old.submission, old.record, old.carriedOver, old.restored = s, record, true, false
-	old.timing = newTiming(time.Now())
+	old.timing = newTiming(s.head.acceptedAt(), time.Now())
 	if !old.text.fits(s.record.GetMinVersion(), o.requiresSingleVersion(s)) {
 		o.restart(old)
 		return true
--- a/internal/submission/placing_test.go
+++ b/internal/submission/placing_test.go
@@ -73,7 +73,7 @@
 func TestPhasesAddUp(t *testing.T) {
 	began := testNow()
 	at := func(ms int) time.Time { return began.Add(millis(ms)) }
-	tm := newTiming(began)
+	tm := newTiming(began, at(5))
 	tm.wait(false, at(10))
 	tm.wait(true, at(20))
 	tm.start(true, at(50))
@@ -87,7 +87,7 @@
 	tm.enter(phaseReading, at(520))
 	tm.enter(phaseReading, at(600))
 	want := map[phase]int{
-		phaseWaiting: 20, phaseLoading: 30, phaseStarting: 50, phaseGenerating: 100, phaseSlower: 60,
+		phaseOpening: 5, phaseWaiting: 15, phaseLoading: 30, phaseStarting: 50, phaseGenerating: 100, phaseSlower: 60,
 		phaseMoving: 50, phaseScoring: 190, phaseWriting: 20, phaseReading: 80,
 	}
 	sum := time.Duration(0)
--- a/internal/submission/timing.go
+++ b/internal/submission/timing.go
@@ -9,8 +9,10 @@
 type phase int
 
 const (
+	// phaseOpening: the submission is accepted, and this owner has not opened it yet.
+	phaseOpening phase = iota
 	// phaseWaiting: the item waits for a free slot of an engine.
-	phaseWaiting phase = iota
+	phaseWaiting
 	// phaseLoading: it waits, and an engine that it could use loads weights.
 	phaseLoading
 	// phaseStarting: its first run has begun but has produced no event yet.
@@ -30,7 +32,7 @@
 	phaseCount
 )
 
-var phaseNames = [phaseCount]string{"waiting", "loading", "starting", "moving", "generating", "slower", "scoring", "writing", "reading"}
+var phaseNames = [phaseCount]string{"opening", "waiting", "loading", "starting", "moving", "generating", "slower", "scoring", "writing", "reading"}
 
 func (p phase) String() string { return phaseNames[p] }
 
@@ -43,7 +45,12 @@
 	moves int
 }
 
-func newTiming(now time.Time) timing { return timing{current: phaseWaiting, since: now} }
+// newTiming returns the timing of an item that this owner opens now.
+func newTiming(accepted, now time.Time) timing {
+	t := timing{current: phaseOpening, since: accepted}
+	t.enter(phaseWaiting, now)
+	return t
+}
 
 // enter ends the present phase and begins another one.
 func (t *timing) enter(next phase, now time.Time) {
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -23,6 +23,9 @@
 	// MinVersion returns the highest minimum version of the open submissions for a model, and
 	// false if there is none.
 	MinVersion func(model string) (int64, bool)
+	// Demand returns how much the steps of a model ask for, in tokens; zero means that none
+	// was seen.
+	Demand func(model string) float64
 	// Mode returns what happens to a model's runs while an endpoint loads weights.
 	Mode func(model string) Mode
 	// Confirmed reports whether the ownership of the unit is confirmed; orders are sent
@@ -212,14 +215,16 @@
 	defer m.mu.Unlock()
 	names := slices.Sorted(slices.Values(m.options.Models()))
 	named := false
+	demand := make(map[string]float64, len(names))
 	for _, name := range names {
+		demand[name] = m.options.Demand(name)
 		named = m.observeModel(name, now).target > 0 || named
 	}
 	if !named {
 		return nil // endpoints are assigned once their paces are known
 	}
 	var loads []load
-	for name, assigned := range m.assignments.assign(endpoints, names, now) {
+	for name, assigned := range m.assignments.assign(endpoints, names, demand, now) {
 		state := m.models[name]
 		model := Model{Target: state.target, NamedAt: state.namedAt, Lag: state.lag(), Finish: m.options.Mode(name) == Finish}
 		loads = append(loads, dueLoads(name, model, assigned, now)...)
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -29,7 +30,7 @@
 			for _, id := range rapid.SliceOfNDistinct(rapid.IntRange(0, 14), 1, 12, rapid.ID).Draw(t, "ids") {
 				live = append(live, &fleet.Endpoint{ID: fmt.Sprint(id), Live: &fleet.Live{}})
 			}
-			byModel := h.assign(live, models, planTime)
+			byModel := h.assign(live, models, nil, planTime)
 			total, least, most := 0, len(live), 0
 			for _, model := range models {
 				n := len(byModel[model])
@@ -69,7 +70,7 @@
 		endpoints = append(endpoints, e)
 	}
 	var h assignments
-	for model, assigned := range h.assign(endpoints, []string{"a", "b"}, planTime) {
+	for model, assigned := range h.assign(endpoints, []string{"a", "b"}, nil, planTime) {
 		slow := 0
 		for _, e := range assigned {
 			if e.ID >= "6" {
@@ -80,6 +81,33 @@
 	}
 }
 
+// TestEndpointsFollowDemand checks that models get endpoints in proportion to what their
+// steps ask for, but never less than half of an equal share, and that small changes move
+// none.
+func TestEndpointsFollowDemand(t *testing.T) {
+	var endpoints []*fleet.Endpoint
+	for i := range 24 {
+		endpoints = append(endpoints, &fleet.Endpoint{ID: fmt.Sprintf("%02d", i), Live: &fleet.Live{}})
+	}
+	models := []string{"a", "b"}
+	var h assignments
+	counts := func(demand map[string]float64) [2]int {
+		byModel := h.assign(endpoints, models, demand, planTime)
+		return [2]int{len(byModel["a"]), len(byModel["b"])}
+	}
+	require.Equal(t, [2]int{12, 12}, counts(nil))
+	require.Equal(t, [2]int{12, 12}, counts(map[string]float64{"a": 100}), "b is not known")
+	require.Equal(t, [2]int{8, 16}, counts(map[string]float64{"a": 100, "b": 200}))
+	before := maps.Clone(h.model)
+	require.Equal(t, [2]int{8, 16}, counts(map[string]float64{"a": 110, "b": 190}))
+	require.Equal(t, before, h.model)
+	require.Equal(t, [2]int{5, 19}, counts(map[string]float64{"a": 1, "b": 200}), "half of an equal share beside 1.99")
+	var few assignments
+	byModel := few.assign(endpoints[:2], models, map[string]float64{"a": 1, "b": 200}, planTime)
+	require.Len(t, byModel["a"], 1)
+	require.Len(t, byModel["b"], 1)
+}
+
 // TestNewOwnerKeepsAssignments checks that a new owner, which knows no pace, assigns each
 // endpoint to the model that the previous owner loaded on it.
 func TestNewOwnerKeepsAssignments(t *testing.T) {
@@ -93,7 +121,7 @@
 		want[e.ID] = model
 	}
 	var h assignments
-	h.assign(endpoints, []string{"a", "b"}, planTime)
+	h.assign(endpoints, []string{"a", "b"}, nil, planTime)
 	require.Equal(t, want, h.model)
 }
 
@@ -182,7 +210,7 @@
 	targets := &Targets{}
 	m := NewManager(Options{
 		Service: "s", Directory: directory, Engines: s, Targets: targets,
-		Models: func() []string { return []string{"m"} }, MinVersion: func(string) (int64, bool) { return 0, false }, Mode: func(string) Mode { return Continue },
+		Models: func() []string { return []string{"m"} }, MinVersion: func(string) (int64, bool) { return 0, false }, Demand: func(string) float64 { return 0 }, Mode: func(string) Mode { return Continue },
 		Confirmed: func() bool { return true }, Changed: func() {}, Holder: "node", Epoch: epoch, Logger: logger,
 	})
 	return s, m, targets
