--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,10 +126,11 @@
 	}
 	n.metrics = newNodeMetrics(n.registry)
 	n.peers = newPeers(&http.Transport{
-		DialContext:         platform.Dialer().DialContext,
-		MaxIdleConnsPerHost: peerConnsPerHost,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
+		DialContext:            platform.Dialer().DialContext,
+		MaxIdleConnsPerHost:    peerConnsPerHost,
+		IdleConnTimeout:        peerIdleTimeout,
+		MaxResponseHeaderBytes: maxPeerHeadBytes,
+		DisableCompression:     true,
 	})
 	n.direct = platform.NewStoreClient(config.StoreAddress)
 	n.store = relay.New(n.direct, n.relays, n.needsStore)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -37,7 +37,28 @@
 }
 
 func newPeers(transport http.RoundTripper) *peers {
-	return &peers{client: &http.Client{Transport: transport}, clients: map[string]nodepb.Node{}}
+	return &peers{client: &http.Client{Transport: limitedBodies{transport}}, clients: map[string]nodepb.Node{}}
+}
+
+// Limits of the answers of other nodes. The longest are the texts of a unit that is handed
+// over.
+const (
+	maxPeerHeadBytes   = 64 << 10
+	maxPeerAnswerBytes = 64 << 20
+)
+
+// limitedBodies fails the reading of a response that is too long: another process may
+// listen at the address of a node that is gone.
+type limitedBodies struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (l limitedBodies) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := l.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxPeerAnswerBytes)
+	return response, nil
 }
 
 // maxPeerClients bounds the number of cached clients.
--- a/trainer/call.go
+++ b/trainer/call.go
@@ -14,6 +14,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/step/wire"
 )
 
+// maxAnswerBytes bounds an answer; a service in trouble may send bytes without end.
+const maxAnswerBytes = 256 << 20
+
 // call makes one HTTP call and returns the body of a response with status 200.
 func (c *Client) call(ctx context.Context, method, path string, body any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Wait+callMargin)
@@ -27,7 +30,7 @@
 		return nil, errRetry.Wrap(err, "no response")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(resp.Body)
+	answer, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, errRetry.Wrap(err, "the response ended early")
 	}
