--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -13,6 +13,10 @@
 	// are: other load on an engine's machine makes gaps longer for a while.
 	paceRise = 0.15
 	paceFall = 0.6
+	// warmUpGaps is the number of gaps whose mean the estimate starts with, and minGap its
+	// lowest value: events that were delayed arrive together.
+	warmUpGaps = 16
+	minGap     = time.Millisecond
 	// runsMemory is how long a number of runs influences the average.
 	runsMemory = 2 * time.Second
 	// maxGapTime bounds the time that one gap stands for, so that the first gap after a pause
@@ -58,16 +62,27 @@
 	p.observed++
 	p.lastAt = now
 	p.recent += recentWeight * (corrected - p.recent)
-	change := paceRise * elapsed
-	if corrected < p.usual {
-		change = -paceFall * elapsed
-	}
-	p.usual *= 1 + change
-	slope.adjust(change * (n - p.runs))
+	p.updateUsual(corrected, n, elapsed, slope)
 	p.runs += elapsed / runsMemory.Seconds() * (n - p.runs)
 	p.updateDisturbance(now)
 }
 
+// updateUsual updates the usual pace and the influence of the load with one gap that stands
+// for the elapsed time. The caller holds p.mu.
+func (p *Pace) updateUsual(gap, runs, elapsed float64, slope *LoadSlope) {
+	if p.observed <= warmUpGaps {
+		p.usual += (gap - p.usual) / float64(p.observed)
+	} else {
+		change := paceRise * elapsed
+		if gap < p.usual {
+			change = -paceFall * elapsed
+		}
+		p.usual *= 1 + change
+		slope.adjust(change * (runs - p.runs))
+	}
+	p.usual = max(p.usual, minGap.Seconds())
+}
+
 // updateDisturbance notes when a disturbance begins or ends. The caller holds p.mu.
 func (p *Pace) updateDisturbance(now time.Time) {
 	switch ratio := p.recent / p.usual; {
--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -67,3 +67,24 @@
 	var p Pace
 	require.Zero(t, p.Sample(baseTime))
 }
+
+// TestEventsThatArriveTogetherAreNoPace checks that events without a gap between them,
+// because they were delayed, do not make an engine look fast.
+func TestEventsThatArriveTogetherAreNoPace(t *testing.T) {
+	var p Pace
+	slope := NewLoadSlope()
+	now := baseTime
+	for range 4 {
+		for _, gap := range []time.Duration{0, 0, 0, 148} {
+			now = now.Add(gap * time.Millisecond)
+			p.Observe(gap*time.Millisecond, 1, slope, now)
+		}
+	}
+	require.InEpsilon(t, 0.037, p.Sample(now).Gap.Seconds(), 0.05)
+	var still Pace
+	for range 40 {
+		still.Observe(0, 1, slope, now)
+	}
+	require.Equal(t, minGap, still.Sample(now).Gap)
+	require.Equal(t, 1.0, still.Sample(now).Slowdown)
+}
