A carried-over item does not change the calls that are in flight

The goroutine of a scoring call read the item's scoring call, and that of a write the items' results, without the owner's lock; an item that is carried over in between changes both. The call of the new submission could be made for the old one, and a result without content be listed in a submission that had ended.

Ruled out: the new timing, whose fields are only used under the lock.

Both are passed to the goroutine. A write that ends marks only items that still belong to its submission.

TestCarriedItemsDoNotChangeCallsInFlight (one processor, so that goroutines start late) fails before, with and without the race detector; 10 runs after with it pass.

--- a/internal/submission/list.go
+++ b/internal/submission/list.go
@@ -35,15 +35,15 @@
 			continue
 		}
 		s.writing = true
-		go o.write(s, due, s.batch)
+		go o.write(s, due, resultsOf(due), s.batch)
 	}
 }
 
 // write lists results: readers see them only after the store has confirmed the write.
 // The write is retried unchanged until it is confirmed or the unit is lost, so that a
-// delayed earlier attempt changes nothing.
-func (o *Owner) write(s *ownedSubmission, items []*item, number int) {
-	results := resultsOf(items)
+// delayed earlier attempt changes nothing. Meanwhile the submission may end and its items
+// may be carried over to another one.
+func (o *Owner) write(s *ownedSubmission, items []*item, results []*recordpb.Result, number int) {
 	value, err := proto.Marshal(&recordpb.Batch{Results: results})
 	if err != nil {
 		event.ResultsDelayed.Log(o.ctx, o.options.Logger, slog.String("submission", s.id), slog.String("cause", err.Error()))
@@ -59,8 +59,10 @@
 	s.appendListed(results)
 	now := time.Now()
 	for _, i := range items {
-		i.listed = true
-		s.times.list(i, now)
+		if i.submission == s {
+			i.listed = true
+			s.times.list(i, now)
+		}
 	}
 	s.ready = slices.DeleteFunc(s.ready, func(i *item) bool { return slices.Contains(items, i) })
 	o.dropListed(s, items)
--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
 func TestEachItemIsListedOnceWithItsFullText(t *testing.T) {
@@ -258,6 +261,49 @@
 	}
 }
 
+// TestCarriedItemsDoNotChangeCallsInFlight checks that a scoring call and a write of results
+// that have begun for a submission keep what they began with, although their item is
+// carried over to a submission with another scoring call before they run.
+func TestCarriedItemsDoNotChangeCallsInFlight(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // goroutines start only when this one waits
+	f := newFixture(1)
+	o := f.owner(t, "n")
+	called := make(chan string, 1)
+	o.options.Scorer = func(_ context.Context, reward *recordpb.Reward) (*call.Answer, int, error) {
+		called <- reward.GetId()
+		return &call.Answer{Status: http.StatusOK, Stamp: "s"}, 3, nil
+	}
+	first := submissionOf("a", 1, 2, 1)
+	o.Open(first, head{Unit: testUnit, Total: 2}, nil, 0)
+	second := submissionOf("b", 1, 2, 1)
+	for _, record := range second.GetItems() {
+		record.Reward = &recordpb.Reward{Id: "other", Host: "h", Path: "/score"}
+	}
+	o.mu.Lock()
+	scored, finished := o.items["i0-0"], o.items["i0-1"]
+	scored.text.complete, scored.state = true, scoring
+	finished.text.complete = true
+	o.complete(finished, "stamp")
+	o.startScores(testNow())
+	s := o.submissions["a"]
+	s.writing = true
+	due := slices.Clone(s.ready)
+	go o.write(s, due, resultsOf(due), 0)
+	for _, i := range []*item{scored, finished} {
+		i.submission = nil
+		o.attachItem(&ownedSubmission{id: "b", record: second, unfinished: map[string]int{}}, second.GetItems()[0])
+		i.record, i.result = second.GetItems()[0], nil
+	}
+	o.mu.Unlock()
+	require.Equal(t, "score-i0-0", <-called)
+	_, listed, _ := o.Read(context.Background(), "a", 0)
+	require.Len(t, listed, 1)
+	require.Equal(t, "i0-1", listed[0].GetId())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	require.False(t, finished.listed, "the item is not listed in the submission that it now belongs to")
+}
+
 // TestEnginesBelowMinVersionAreNotUsed checks that no run is placed on an engine with
 // older weights than the submission's minimum version.
 func TestEnginesBelowMinVersionAreNotUsed(t *testing.T) {
--- a/internal/submission/scoring.go
+++ b/internal/submission/scoring.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
 // scorePause is the pause before a scoring call is retried.
@@ -49,13 +50,14 @@
 		}
 		o.scoresOpen++
 		i.scoreOpen = true
-		go o.callScorer(i, i.submission)
+		go o.callScorer(i, i.submission, i.record.GetReward())
 	}
 }
 
-// callScorer makes one scoring call.
-func (o *Owner) callScorer(i *item, s *ownedSubmission) {
-	answer, attempts, err := o.options.Scorer(o.ctx, i.record.GetReward())
+// callScorer makes one scoring call for an item of a submission. Meanwhile the item may be
+// carried over to another submission, with another scoring call.
+func (o *Owner) callScorer(i *item, s *ownedSubmission, reward *recordpb.Reward) {
+	answer, attempts, err := o.options.Scorer(o.ctx, reward)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.scoresOpen--
