--- a/review/3/main.go
+++ b/review/3/main.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/review/rig"
+	rig "github.com/comfreyfront/comfreyfront/review/platform"
 )
 
 // The disruption: answer_lost, how reset, with the share, count and length that the site
@@ -30,11 +30,6 @@
 	deadline = 1500 * time.Millisecond
 )
 
-const configuration = `{"version":7,"routes":[
-{"name":"r-1","host":"ficu95.example","prefix":"/lohu930/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":200,"priority":2,"service":"xano55b","max_attempts":2}],
-"services":[{"name":"xano55b","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -42,7 +37,7 @@
 	defer record.Close()
 	d := rig.NewDeployment(6)
 	defer d.Close()
-	d.Store.Write("op/config", []byte(configuration))
+	d.Configure()
 	var losing atomic.Bool
 	var all []*rig.Replica
 	for i := range replicas {
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/review/rig"
+	rig "github.com/comfreyfront/comfreyfront/review/platform"
 )
 
 const (
@@ -32,12 +32,6 @@
 
 const perSend = 4
 
-const configuration = `{"version":7,"routes":[
-{"name":"r-1","host":"ficu95.example","prefix":"/lohu930/","kind":"idempotent","timeout_ms":10000,"target_latency_ms":8000,"priority":2,"service":"xano55b","max_attempts":2},
-{"name":"r-2","host":"ficu95.example","prefix":"/pufi791/","kind":"non_idempotent","timeout_ms":10000,"target_latency_ms":8000,"priority":2,"service":"xano55b","max_attempts":2}],
-"services":[{"name":"xano55b","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 var prefixes = []string{"/lohu930/", "/pufi791/"}
 
 func main() { os.Exit(run()) }
@@ -47,7 +41,7 @@
 	defer record.Close()
 	d := rig.NewDeployment(6)
 	defer d.Close()
-	d.Store.Write("op/config", []byte(configuration))
+	d.Configure()
 	var stoppedAt atomic.Int64 // Unix nanoseconds
 	var all []*rig.Replica
 	for i := range replicas {
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"github.com/comfreyfront/comfreyfront/review/rig"
+	rig "github.com/comfreyfront/comfreyfront/review/platform"
 )
 
 const (
@@ -30,12 +30,6 @@
 	round   = 12 * time.Second
 )
 
-const configuration = `{"version":7,"routes":[
-{"name":"r-1","host":"ficu95.example","prefix":"/pule252/","kind":"rollout","target_latency_ms":400,"run_deadline_ms":12000,"max_queue_s":60,"priority":1,"service":"dele69a","max_attempts":3,"single_version":true},
-{"name":"r-2","host":"ficu95.example","prefix":"/pufi791/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":400,"priority":2,"service":"xano55b","max_attempts":4}],
-"services":[{"name":"xano55b","health_path":"/health","max_conns":96,"protocol":"h1","tls":false},{"name":"dele69a","health_path":"/health","max_conns":130,"protocol":"h1","tls":false,"engine":{"slots":8,"kv_capacity":47695,"token_bytes":35136,"link_mbps":1400000.0,"moves":true,"backups":true,"stride":42,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"daka510000"}]}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -43,7 +37,7 @@
 	defer record.Close()
 	d := rig.NewDeployment(6)
 	defer d.Close()
-	d.Store.Write("op/config", []byte(configuration))
+	d.Configure()
 	for i := range engines {
 		e := &rig.Engine{
 			ID: fmt.Sprintf("i-%d", i), Service: "dele69a", Zone: rig.Zones[i%len(rig.Zones)], Model: model, Slots: 8,
@@ -71,7 +65,7 @@
 		reading.Go(func() { c.read(d, s, began.Add(round-500*time.Millisecond)) })
 		time.Sleep(time.Until(began.Add(named)))
 		version++
-		d.Store.Write("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
+		d.NameVersion(model, version)
 		record.Line("version %d is named", version)
 		if rig.Trouble() {
 			time.Sleep(stopped)
--- a/review/rig/rig.go
+++ b/review/platform/deployment.go
@@ -1,7 +1,7 @@
-// Package rig holds what the scripts of the review share: a small deployment of the
+// Package platform holds what the scripts of the review share: a small deployment of the
 // project's own programs as separate processes, and stand-ins for the platform's store,
 // for replicas and for clients. It only follows the published pages.
-package rig
+package platform
 
 import (
 	"fmt"
@@ -30,6 +30,8 @@
 const (
 	binary   = "target/comfreyfront"
 	template = "deploy/node.settings"
+	// metricsPort is the port for metrics in the template.
+	metricsPort = ":9464"
 )
 
 // Trouble reports whether the disruption is to be played.
@@ -83,21 +85,32 @@
 type Node struct {
 	Name    string
 	Host    string
+	ports   ports
 	deploy  *Deployment
 	file    string
 	process *proctest.Process
 }
 
-// Ports of a node. Each node has a loopback address of its own.
-const (
-	portFront    = 8161
-	portReady    = 8167
-	portInternal = 7720
-	portMetrics  = 9464
-)
+// ports are the ports of a node. Each node has a loopback address of its own, so that its
+// ports stay free while it has no process.
+type ports struct{ front, ready, internal, metrics int }
+
+// freePorts returns ports that are free on a host.
+func freePorts(host string) ports {
+	var p ports
+	for _, port := range []*int{&p.front, &p.ready, &p.internal, &p.metrics} {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			Abort("no free port: %v", err)
+		}
+		defer func() { _ = listener.Close() }()
+		*port = listener.Addr().(*net.TCPAddr).Port
+	}
+	return p
+}
 
 // Front returns the address at which clients reach the node.
-func (n *Node) Front() string { return fmt.Sprintf("%s:%d", n.Host, portFront) }
+func (n *Node) Front() string { return fmt.Sprintf("%s:%d", n.Host, n.ports.front) }
 
 // Process returns the node's present process.
 func (n *Node) Process() *proctest.Process { return n.process }
@@ -105,7 +118,7 @@
 // Ready makes one readiness check, as the platform does once a second.
 func (n *Node) Ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/ready", n.Host, portReady))
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/ready", n.Host, n.ports.ready))
 	if err != nil {
 		return false
 	}
@@ -146,7 +159,7 @@
 }
 
 // NewDeployment starts the store and writes the settings of the nodes, which are not
-// started yet. bounds overrides values of the settings' template.
+// started yet.
 func NewDeployment(nodes int) *Deployment {
 	if _, err := os.Stat(binary); err != nil {
 		Abort("%s is missing: run the build line of deploy/system.toml", binary)
@@ -167,11 +180,11 @@
 }
 
 // values are the fields of a small deployment, as the page on settings shows them.
-func (d *Deployment) values(name, zone, host string) map[string]string {
+func (d *Deployment) values(n *Node, zone string) map[string]string {
 	return map[string]string{
-		"node": name, "zone": zone, "ip": host,
-		"listen.front": fmt.Sprintf("%s:%d", host, portFront), "listen.ready": fmt.Sprintf("%s:%d", host, portReady),
-		"internal_ports.0": fmt.Sprint(portInternal), "provider.address": d.Store.Address(),
+		"node": n.Name, "zone": zone, "ip": n.Host,
+		"listen.front": n.Front(), "listen.ready": fmt.Sprintf("%s:%d", n.Host, n.ports.ready),
+		"internal_ports.0": fmt.Sprint(n.ports.internal), "provider.address": d.Store.Address(),
 		"bounds.grace_s": "8", "bounds.status_s": "120", "limits.memory_mb": "284", "limits.cpu_share": "0.4",
 	}
 }
@@ -189,7 +202,8 @@
 	if err != nil {
 		Abort("%v", err)
 	}
-	values := d.values(n.Name, zone, n.Host)
+	n.ports = freePorts(n.Host)
+	values := d.values(n, zone)
 	rendered := placeholder.ReplaceAllStringFunc(string(text), func(match string) string {
 		value, known := values[strings.Trim(match, "{}")]
 		if !known {
@@ -197,6 +211,8 @@
 		}
 		return value
 	})
+	// The template names a fixed port for metrics.
+	rendered = strings.Replace(rendered, metricsPort, fmt.Sprintf(":%d", n.ports.metrics), 1)
 	n.file = filepath.Join(d.folder, n.Name+".conf")
 	if err := os.WriteFile(n.file, []byte(rendered), 0o600); err != nil {
 		Abort("settings: %v", err)
@@ -204,6 +220,20 @@
 	return n
 }
 
+// Configure writes the operator's configuration from the case's folder.
+func (d *Deployment) Configure() {
+	content, err := os.ReadFile(filepath.Join(os.Args[1], "configuration.json"))
+	if err != nil {
+		Abort("configuration: %v", err)
+	}
+	d.Store.Write("op/config", content)
+}
+
+// NameVersion names a version of a model, as a trainer does.
+func (d *Deployment) NameVersion(model string, version int64) {
+	d.Store.Write("op/version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
+}
+
 // Start starts all processes and waits until the nodes are ready.
 func (d *Deployment) Start() {
 	storage, err := proctest.Start(proctest.Spec{Name: "storage", Path: binary, Args: []string{"storage"}, Log: d.log, NoReadyLine: true})
--- a/review/rig/engine.go
+++ b/review/platform/engine.go
@@ -1,4 +1,4 @@
-package rig
+package platform
 
 import (
 	"encoding/json"
