A refused connection no longer proves for good that a node has ended

Cause: a refused ping marked a node as dead for the rest of its process's life, whatever its key and its later answers said. Ruled out: leases that lapse (no "lease lost" after the second cut's end), lost answers of the store.

Change: refusals count for two TTLs, within which the key of an ended process is removed; an answered ping takes them back; a unit that has just changed hands is not taken over by refusals alone. Another process at the address is a proof.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -53,6 +53,8 @@
 	// From is the leaving node that hands the unit over; nil if the previous owner died
 	// or there was none.
 	From *Node `json:"-"`
+	// observedAt is when this node first observed the epoch.
+	observedAt time.Time
 }
 
 // missingOwner records since when a unit's owner has had no node record.
@@ -73,9 +75,12 @@
 	node Node
 	// keyRemovedAt is when the node's key disappeared; zero while the key exists.
 	keyRemovedAt time.Time
-	// refused means that the node's process has ended: its address refused a connection,
-	// or another incarnation responded.
-	refused bool
+	// replaced means that the node's process has ended: another process responded at its
+	// address.
+	replaced bool
+	// refusedAt is when the node's address refused the first of the connections that were
+	// refused since its last answered ping; zero if none was.
+	refusedAt time.Time
 	// missed counts consecutive unanswered pings.
 	missed int
 	// answeredAt is the time of the last answered ping.
@@ -84,8 +89,9 @@
 
 // Pinger determines which process responds at a node's address.
 type Pinger interface {
-	// Ping returns the incarnation of the process that responds. refused is true if it
-	// is certain that nothing listens at the node's address.
+	// Ping returns the incarnation of the process that responds, and 0 if that process
+	// belongs to another node. refused is true if the connection was refused: the process
+	// has ended, or a network fault between the two nodes refuses connections.
 	Ping(ctx context.Context, node Node) (incarnation int64, refused bool, err error)
 }
 
@@ -266,6 +272,7 @@
 		return
 	}
 	if old, ok := c.units[name]; !ok || old.Epoch < unit.Epoch {
+		unit.observedAt = c.now()
 		c.units[name] = unit
 	}
 	c.wanted[name] = struct{}{}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -27,6 +27,10 @@
 	mu    sync.Mutex
 	live  map[string]int64 // incarnation by name
 	nodes map[string]*fakeNode
+	// refusing contains the nodes whose addresses refuse connections although they live, and
+	// pings counts the answered pings by node.
+	refusing map[string]bool
+	pings    map[string]int
 }
 
 type fakeNode struct {
@@ -47,9 +51,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	incarnation, alive := f.live[node.Name]
-	if !alive {
+	if !alive || f.refusing[node.Name] {
 		return 0, true, errors.New("connection refused")
 	}
+	f.pings[node.Name]++
 	return incarnation, false, nil
 }
 
@@ -90,7 +95,10 @@
 }
 
 func newFakeNodes() *fakeNodes {
-	return &fakeNodes{store: memory.New(nil), live: map[string]int64{}, nodes: map[string]*fakeNode{}}
+	return &fakeNodes{
+		store: memory.New(nil), live: map[string]int64{}, nodes: map[string]*fakeNode{},
+		refusing: map[string]bool{}, pings: map[string]int{},
+	}
 }
 
 func (f *fakeNodes) owners(unit string) []string {
--- a/internal/cluster/ownership.go
+++ b/internal/cluster/ownership.go
@@ -29,6 +29,20 @@
 	acquireTimeout = time.Second
 )
 
+// Limits of what a refused connection proves, relative to the time to live of an owner's
+// lease.
+const (
+	// refusalTTLs is for how long refused connections count as a sign that a node's process
+	// has ended. The key of a process that has ended is removed within one TTL, so a node
+	// whose key outlasts this time is alive behind a network fault.
+	refusalTTLs = 2
+	// tenureTTLs is how long a unit must have had its owner before another node takes it
+	// over because of refused connections alone. It is longer than refusalTTLs: two nodes
+	// that refuse each other's connections would otherwise take the unit from each other in
+	// turn.
+	tenureTTLs = 4
+)
+
 // Run maintains the node's key and acquires the units assigned to this node until ctx
 // ends.
 func (c *Cluster) Run(ctx context.Context) error {
@@ -105,7 +119,7 @@
 		if hasOwner && m == nil && !c.ownerMissing(unit) {
 			continue
 		}
-		if !hasOwner || m == nil || m.node.Incarnation != unit.Incarnation || c.dead(m) || m.node.Leaving {
+		if !hasOwner || m == nil || m.node.Incarnation != unit.Incarnation || c.replaceable(unit, m) || m.node.Leaving {
 			names = append(names, name)
 			continue
 		}
@@ -132,9 +146,25 @@
 	return c.now().Sub(missing.since) > missingKeyGrace
 }
 
+// replaceable reports whether another node may take over a unit from its owner. The caller
+// holds c.mu.
+func (c *Cluster) replaceable(unit Unit, owner *member) bool {
+	return c.ended(owner) || c.refuses(owner) && c.now().Sub(unit.observedAt) > tenureTTLs*c.options.TTL
+}
+
 // dead reports whether a member is considered dead. The caller holds c.mu.
-func (c *Cluster) dead(m *member) bool {
-	if m.refused {
+func (c *Cluster) dead(m *member) bool { return c.ended(m) || c.refuses(m) }
+
+// refuses reports whether a member's process seems to have ended because its address
+// refuses connections. The caller holds c.mu.
+func (c *Cluster) refuses(m *member) bool {
+	return !m.refusedAt.IsZero() && c.now().Sub(m.refusedAt) < refusalTTLs*c.options.TTL
+}
+
+// ended reports whether a member's process has ended or lost its lease. The caller holds
+// c.mu.
+func (c *Cluster) ended(m *member) bool {
+	if m.replaced {
 		return true
 	}
 	if m.keyRemovedAt.IsZero() {
@@ -194,15 +224,20 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if err == nil && incarnation == node.Incarnation {
-			m.answeredAt, m.missed = c.now(), 0
+			m.answeredAt, m.missed, m.refusedAt = c.now(), 0, time.Time{}
 			return
 		}
 		m.missed++
-		if (refused || err == nil) && !m.refused {
-			m.refused = true
-			event.PeerDead.Log(ctx, c.options.Logger, slog.String("node", node.Name), slog.Int64("incarnation", node.Incarnation))
-			c.triggerCheck()
+		switch {
+		case err == nil && !m.replaced:
+			m.replaced = true
+		case refused && m.refusedAt.IsZero():
+			m.refusedAt = c.now()
+		default:
+			return
 		}
+		event.PeerDead.Log(ctx, c.options.Logger, slog.String("node", node.Name), slog.Int64("incarnation", node.Incarnation), slog.Bool("replaced", m.replaced))
+		c.triggerCheck()
 	}()
 }
 
@@ -228,6 +263,7 @@
 		c.mu.Unlock()
 		return
 	}
+	unit.observedAt = c.now()
 	c.units[name] = unit
 	c.owned[name] = unit
 	c.mu.Unlock()
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -20,7 +20,7 @@
 	UnitTaken             = define(8020, "unit taken", slog.LevelInfo, "This node owns the unit from now on; the epoch fences its writes.")
 	UnitLost              = define(8021, "unit lost", slog.LevelWarn, "Another node owns the unit; this one stopped its work on it.")
 	UnitNotAcquired       = define(8022, "unit not acquired", slog.LevelWarn, "The store did not confirm the ownership; the acquisition is retried.")
-	PeerDead              = define(8023, "peer dead", slog.LevelWarn, "A node that owned units is dead; its successors take the units over.")
+	PeerDead              = define(8023, "peer dead", slog.LevelWarn, "The address of a node that owns units refuses connections, or another process responds there; its successors take the units over.")
 	LeaseLost             = define(8024, "lease lost", slog.LevelWarn, "The node's lease ended in the store; a new one is acquired.")
 	RequestEnded          = define(8030, "request ended", slog.LevelDebug, "A caller's request was answered.")
 	RequestFailed         = define(8031, "request failed", slog.LevelWarn, "A caller's request was answered with an error of this node, or not at all.")
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -85,7 +85,7 @@
 		return 0, errors.Is(err, syscall.ECONNREFUSED), ErrPeer.Wrap(err, "ping of %s", node.Name)
 	}
 	if reply.GetNode() != node.Name {
-		return 0, true, ErrPeer.New("%s answers at the address of %s", reply.GetNode(), node.Name)
+		return 0, false, nil
 	}
 	return reply.GetIncarnation(), false, nil
 }
