A new lease is confirmed only while the node still owns its units

Callers would see: a machine that returns from a cut gives orders although another one owns the engines (rule ONE where engines don't check fences).

Change: the write of the node's key has the epochs of its units as conditions; on a conflict the records are read and the unit is dropped.

--- a/internal/cluster/lease.go
+++ b/internal/cluster/lease.go
@@ -141,7 +141,9 @@
 	return c.writeSelf(callCtx, state, sent)
 }
 
-// writeSelf writes the node's key, granting a lease first if there is none.
+// writeSelf writes the node's key, granting a lease first if there is none. The write has
+// the condition that this node still owns its units: a node that was cut off may not have
+// learned yet that another one has acquired them, and a confirmed lease permits orders.
 func (c *Cluster) writeSelf(ctx context.Context, state leaseState, sent time.Time) error {
 	if state.id == 0 {
 		ttl := c.ttl()
@@ -156,9 +158,14 @@
 	if err != nil {
 		return ErrNotConfirmed.Wrap(err, "node record")
 	}
-	_, err = c.options.Store.Commit(ctx, metastore.Txn{Puts: []metastore.Put{{
-		Key: nodePrefix + c.options.Self.Name, Value: value, Lease: state.id,
-	}}})
+	_, err = c.options.Store.Commit(ctx, metastore.Txn{
+		Conditions: c.ownedConditions(),
+		Puts:       []metastore.Put{{Key: nodePrefix + c.options.Self.Name, Value: value, Lease: state.id}},
+	})
+	if errorx.IsOfType(err, metastore.ErrConflict) {
+		c.rereadOwned(ctx)
+		return err
+	}
 	if errorx.IsOfType(err, metastore.ErrLeaseEnded) {
 		c.setLease(leaseState{})
 		return err
@@ -171,6 +178,30 @@
 	return nil
 }
 
+// ownedConditions returns the conditions that are met while this node owns its units.
+func (c *Cluster) ownedConditions() []metastore.Condition {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conditions := make([]metastore.Condition, 0, len(c.owned))
+	for _, unit := range c.owned {
+		conditions = append(conditions, unit.Condition())
+	}
+	return conditions
+}
+
+// rereadOwned reads the records of the units that this node believes it owns.
+func (c *Cluster) rereadOwned(ctx context.Context) {
+	for _, condition := range c.ownedConditions() {
+		item, err := c.options.Store.Get(ctx, condition.Key)
+		if err != nil {
+			event.UnitNotAcquired.Log(ctx, c.options.Logger, slog.String("unit", condition.Key), slog.String("cause", err.Error()))
+			continue
+		}
+		c.Changed(metastore.Event{Item: item})
+	}
+	c.triggerCheck()
+}
+
 // observesSelf reports whether the observed keys include this node's own. The caller
 // holds c.mu.
 func (c *Cluster) observesSelf() bool {
