A leaving node announces it again if the store did not confirm it

Callers would see: a planned stop of the owner of the engines keeps the unit to the end of the grace time, and steps wait for it.

When that write was lost, the record stayed as it was, since the lease still counted as written.

Change: after a failed write the key counts as not written, and keepLease writes it again.

TestLeavingIsAnnouncedAfterALostWrite fails before (30 s without a handover) and passes.

--- a/internal/cluster/lease.go
+++ b/internal/cluster/lease.go
@@ -230,6 +230,9 @@
 	state := c.lease
 	c.mu.Unlock()
 	if err := c.writeSelf(ctx, state, c.now()); err != nil {
+		c.mu.Lock()
+		c.lease.written = false // keepLease writes the key again
+		c.mu.Unlock()
 		event.UnitNotAcquired.Log(ctx, c.options.Logger, slog.String("unit", "leaving"), slog.String("cause", err.Error()))
 	}
 }
--- a/internal/cluster/lease_test.go
+++ b/internal/cluster/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
+	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
 )
 
 // TestNewLeaseDoesNotConfirmAUnitThatAnotherNodeOwns guards against orders of a node that
@@ -40,3 +41,25 @@
 	require.NoError(t, c.refreshLease(ctx))
 	require.True(t, c.Confirmed())
 }
+
+// TestLeavingIsAnnouncedAfterALostWrite guards against a leaving node that keeps its units
+// to the end of its grace period, because the store did not answer when it began to leave.
+func TestLeavingIsAnnouncedAfterALostWrite(t *testing.T) {
+	f := newFakeNodes()
+	f.start(t, "n0", 1).cluster.Want("u")
+	f.start(t, "n1", 1).cluster.Want("u")
+	first := f.waitOwner(t, "u")
+	c := f.nodes[first].cluster
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.lease.written && c.lease.ttl == testTTL
+	}, testTimeout, pause, "an owner's key is written once more, under its short lease")
+	f.store.SetFaults(memory.Faults{DelayCommits: true})
+	c.Leave(context.Background())
+	f.store.SetFaults(memory.Faults{})
+	require.Eventually(t, func() bool {
+		owners := f.owners("u")
+		return len(owners) == 1 && owners[0] != first
+	}, testTimeout, pause)
+}
