A read from a far position no longer stops the owner of the engines

Cause: the position was cut to 32 bits on its way to the owner, became negative there, and slicing with it panicked while the owner's mutex was held. net/http recovered the panic, the mutex stayed locked. Ruled out: the owner's own reads (the position is not cut there; they are served).

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -100,7 +100,7 @@
 
 // Read implements submission.Peers.
 func (p *peers) Read(ctx context.Context, node cluster.Node, id string, after int, wait time.Duration) (int, []*recordpb.Result, bool, error) {
-	reply, err := p.clientFor(node.Address).Read(ctx, &nodepb.ReadRequest{Id: id, After: int32(after), WaitMs: wait.Milliseconds()})
+	reply, err := p.clientFor(node.Address).Read(ctx, &nodepb.ReadRequest{Id: id, After: int64(after), WaitMs: wait.Milliseconds()})
 	if err != nil {
 		return 0, nil, false, ErrPeer.Wrap(err, "read from %s", node.Name)
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -35,6 +35,9 @@
 
 // Read implements nodepb.Node.
 func (s *peerServer) Read(ctx context.Context, request *nodepb.ReadRequest) (*nodepb.ReadReply, error) {
+	if request.GetAfter() < 0 {
+		return nil, ErrPeer.New("negative position %d", request.GetAfter())
+	}
 	total, results, owned := s.node.submissions.ReadLocal(ctx, request.GetId(), int(request.GetAfter()), time.Duration(request.GetWaitMs())*time.Millisecond)
 	encoded, err := proto.Marshal(&recordpb.Batch{Results: results})
 	if err != nil {
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -353,37 +353,56 @@
 	}
 }
 
-// Read returns the results from position after on. It waits for at least one until ctx
-// ends. The result known is false if this owner does not run the submission.
+// Read returns the results from position after on, which must not be negative. It waits
+// for at least one until ctx ends. The result known is false if this owner does not run the
+// submission.
 func (o *Owner) Read(ctx context.Context, id string, after int) (total int, results []*recordpb.Result, known bool) {
 	for {
-		o.mu.Lock()
-		s := o.submissions[id]
-		if s == nil || o.ctx.Err() != nil {
-			o.mu.Unlock()
+		present, known := o.listedFrom(id, after)
+		if !known {
 			return 0, nil, false
 		}
-		total, changed, ended := s.head.Total, s.changed, s.ended
-		if after < len(s.listed) {
-			results = s.listed[after:len(s.listed):len(s.listed)]
-			if s.readAt.IsZero() {
-				s.readAt = time.Now()
-			}
-		}
-		o.mu.Unlock()
-		if len(results) > 0 || ended || after >= total {
-			return total, results, true
+		if len(present.results) > 0 || present.ended || after >= present.total {
+			return present.total, present.results, true
 		}
 		select {
-		case <-changed:
+		case <-present.changed:
 		case <-ctx.Done():
-			return total, nil, true
+			return present.total, nil, true
 		case <-o.ctx.Done():
 			return 0, nil, false
 		}
 	}
 }
 
+// listing is what a reader sees of a submission.
+type listing struct {
+	total   int
+	results []*recordpb.Result
+	ended   bool
+	// changed is closed when further results are listed.
+	changed <-chan struct{}
+}
+
+// listedFrom returns the results that are listed from position after on. The result known
+// is false if this owner does not run the submission.
+func (o *Owner) listedFrom(id string, after int) (present listing, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.submissions[id]
+	if s == nil || o.ctx.Err() != nil {
+		return listing{}, false
+	}
+	present = listing{total: s.head.Total, ended: s.ended, changed: s.changed}
+	if after < len(s.listed) {
+		present.results = s.listed[after:len(s.listed):len(s.listed)]
+		if s.readAt.IsZero() {
+			s.readAt = time.Now()
+		}
+	}
+	return present, true
+}
+
 // Body returns the body of an item if this owner runs its submission.
 func (o *Owner) Body(id, itemID string) ([]byte, bool) {
 	o.mu.Lock()
