A planned stop answers each request that it has read

Cause: one bound, 0.75 of the grace time, for the whole stop; when it ended the process exited with requests open. Ruled out: the balancer (all requests were read by the node), the endpoints (they were still at work).

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -34,6 +34,9 @@
 // force when it is accepted.
 type front struct {
 	node *Node
+	// requests is the context of all requests; endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelFunc
 
 	mu      sync.Mutex
 	servers []*frontServer
@@ -51,6 +54,7 @@
 
 func newFront(n *Node) *front {
 	f := &front{node: n, done: make(chan struct{})}
+	f.requests, f.endRequests = context.WithCancel(context.Background())
 	f.apply(route.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
 	n.routes.OnChange(func(c *route.Configuration) { f.apply(c.Limits) })
 	return f
@@ -71,6 +75,7 @@
 		MaxHeaderBytes:    max(limits.HeaderBytes, 4<<10),
 		ErrorLog:          discardLogger(),
 		ConnState:         trackConnState,
+		BaseContext:       func(net.Listener) context.Context { return f.requests },
 	}
 	s := &frontServer{server: server, conns: &connListener{conns: make(chan net.Conn), done: f.done}}
 	f.servers = append(f.servers, s)
@@ -115,8 +120,9 @@
 
 // Shutdown stops accepting connections once the load balancer has noticed the
 // failing readiness check, and closes open connections after their current
-// response.
-func (f *front) Shutdown(ctx context.Context) error {
+// response. Requests that are still open when finish ends are answered with an error, for
+// which there is time until answer ends.
+func (f *front) Shutdown(finish, answer context.Context) error {
 	f.mu.Lock()
 	f.closing = true
 	servers := f.servers
@@ -124,10 +130,12 @@
 	for _, s := range servers {
 		s.server.SetKeepAlivesEnabled(false)
 	}
-	wait.For(ctx, drainDelay)
+	wait.For(finish, drainDelay)
 	close(f.done)
+	stop := context.AfterFunc(finish, f.endRequests)
+	defer stop()
 	for _, s := range servers {
-		if err := s.server.Shutdown(ctx); err != nil {
+		if err := s.server.Shutdown(answer); err != nil {
 			return err
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,10 +44,7 @@
 	memoryFraction = 0.6
 	// gcPercent keeps the heap small, since memory costs more than the CPU time to
 	// collect it.
-	gcPercent = 60
-	// shutdownFraction is the fraction of the grace period within which calls in
-	// flight may finish.
-	shutdownFraction = 0.75
+	gcPercent        = 60
 	peerIdleTimeout  = 30 * time.Second
 	peerConnsPerHost = 4
 	// relayPeers is the largest number of peers that one store call is relayed
@@ -267,25 +264,45 @@
 	}
 }
 
+// Phases of a planned stop, as the fractions of the grace period at which they end. The
+// process must have exited by the end of the grace period.
+const (
+	// finishFraction ends the phase in which requests may finish and units are handed over.
+	// The platform expects each request that an endpoint has answered in the first five
+	// sixths of the grace period to be answered.
+	finishFraction = 0.86
+	// answerFraction ends the phase in which the requests that did not finish are answered
+	// with an error.
+	answerFraction = 0.92
+	// leaseFraction ends the phase in which the lease is ended.
+	leaseFraction = 0.96
+)
+
 // leave finishes what is in flight: the readiness check starts to fail, units are
 // handed over to other nodes, and open requests run to completion.
 func (n *Node) leave(front *front) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(shutdownFraction*float64(n.config.Grace)))
-	defer cancel()
-	event.NodeDraining.Log(ctx, n.logger)
+	began := time.Now()
+	phase := func(fraction float64) (context.Context, context.CancelFunc) {
+		return context.WithDeadline(context.Background(), began.Add(time.Duration(fraction*float64(n.config.Grace))))
+	}
+	finish, cancelFinish := phase(finishFraction)
+	defer cancelFinish()
+	answer, cancelAnswer := phase(answerFraction)
+	defer cancelAnswer()
+	lease, cancelLease := phase(leaseFraction)
+	defer cancelLease()
+	event.NodeDraining.Log(finish, n.logger)
 	n.draining.Store(true)
 	var group errgroup.Group
 	group.Go(func() error {
-		n.cluster.Leave(ctx)
-		return n.handOver(ctx)
+		n.cluster.Leave(finish)
+		return n.handOver(finish)
 	})
-	group.Go(func() error { return front.Shutdown(ctx) })
+	group.Go(func() error { return front.Shutdown(finish, answer) })
 	if err := group.Wait(); err != nil {
-		event.NodeWorkAborted.Log(ctx, n.logger, slog.String("cause", err.Error()))
+		event.NodeWorkAborted.Log(finish, n.logger, slog.String("cause", err.Error()))
 	}
-	endCtx, cancelEnd := context.WithTimeout(context.Background(), time.Second)
-	defer cancelEnd()
-	n.cluster.EndLease(endCtx)
+	n.cluster.EndLease(lease)
 }
 
 // handOver waits until other nodes have taken over the units of this node.
