A text of a single-version route is never continued under another version

Cause: the owner decided by its own belief of an engine's version; a new owner doesn't know of loads in progress, and the refusal of a busy engine ended the mark that it loads. The version that the engine says was compared with the minimum only. Ruled out: the handover of texts (their versions travel with them).

Change: the version is checked against the text at the head and each event, and stated in the request; a text whose version no engine serves any more is generated again; the versions of a complete text are checked before it is scored; a busy engine counts as loading until its report says otherwise. An error of a stream's receiver is no longer taken for a broken connection.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,6 +24,8 @@
 	// Deadline is sent to the endpoint as the remaining time; zero means no
 	// deadline.
 	Deadline time.Time
+	// Version is the only weight version under which the request may run; zero allows any.
+	Version int64
 	// ReturnFailures makes an endpoint's own failure the answer instead of a reason
 	// to retry, so that the caller can count failures.
 	ReturnFailures bool
--- a/internal/submission/fixture_test.go
+++ b/internal/submission/fixture_test.go
@@ -58,6 +58,31 @@
 	unconfirmed bool
 }
 
+// singleVersion makes the route require texts of one version.
+func (f *fixture) singleVersion() {
+	r := &route.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: route.Batch, SingleVersion: true, MaxAttempts: 3, Services: []route.Target{{Service: "s", Weight: 1}}}
+	f.routes.Offer(route.New(2, []*route.Route{r}, nil, route.Limits{}))
+}
+
+// load lets all endpoints generate under a version, without the owner's knowledge.
+func (f *fixture) load(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range f.version {
+		f.version[id] = version
+	}
+}
+
+// report makes the directory show the version that each endpoint serves.
+func (f *fixture) report() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, version := range f.version {
+		f.directory.Set(&fleet.Endpoint{ID: id, Service: "s", Slots: 4, Versions: map[string]int64{"m": version}})
+	}
+	f.directory.Publish()
+}
+
 func newFixture(endpoints int) *fixture {
 	logger := slog.New(slog.DiscardHandler)
 	f := &fixture{
@@ -86,6 +111,9 @@
 	if failure != nil {
 		return failure
 	}
+	if request.Version > 0 && request.Version != version {
+		return call.ErrMisdirected.New("version %d", version)
+	}
 	if err := receiver.Start(call.Start{Header: http.Header{}, Version: version}); err != nil {
 		return err
 	}
@@ -100,7 +128,10 @@
 		if breakAfter > 0 && n > after+breakAfter {
 			return call.ErrBroken.New("reset")
 		}
-		if err := receiver.Event(call.Event{ID: n, Data: fmt.Sprintf("%s-%d", request.ID, n)}); err != nil {
+		f.mu.Lock()
+		changed := f.version[e.ID]
+		f.mu.Unlock()
+		if err := receiver.Event(call.Event{ID: n, Data: fmt.Sprintf("%s-%d", request.ID, n), Version: changed}); err != nil {
 			return err
 		}
 	}
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -44,6 +44,18 @@
 	return !single || len(t.versions) <= 1
 }
 
+// checkVersion returns ErrVersion if an event of the given version must not be added to the
+// text of a submission with the given minimum version and single-version requirement.
+func (t *text) checkVersion(version, minVersion int64, single bool) error {
+	if version < minVersion {
+		return ErrVersion.New("version %d instead of %d or newer", version, minVersion)
+	}
+	if single && len(t.versions) > 0 && version != t.versions[0] {
+		return ErrVersion.New("version %d instead of %d, under which the text began", version, t.versions[0])
+	}
+	return nil
+}
+
 func (t *text) add(data string, version int64) {
 	t.events = append(t.events, data)
 	if !slices.Contains(t.versions, version) {
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -110,6 +110,11 @@
 	return !e.Draining && !e.Live.Avoided(p.now) && !e.Live.IsFull(p.now) && !e.Live.IsLoading(n.model, p.now) && n.satisfiedBy(e)
 }
 
+// anyServes reports whether an engine serves the only version that may continue a text.
+func (p *engines) anyServes(n need) bool {
+	return slices.ContainsFunc(p.endpoints, func(e *fleet.Endpoint) bool { return !e.Draining && n.satisfiedBy(e) })
+}
+
 func slotsOf(e *fleet.Endpoint) int {
 	if e.Slots <= 0 {
 		return defaultSlots
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -23,6 +23,9 @@
 	minStall          = 350 * time.Millisecond
 	stallPaces        = 8
 	firstEventTimeout = 800 * time.Millisecond
+	// versionPause is the pause of an item whose text may contain only one version, after an
+	// engine turned out to serve another one; the directory shows it within seconds.
+	versionPause = 100 * time.Millisecond
 	// minRunTime is how long a run stays on its engine before it may be moved to a faster
 	// one.
 	minRunTime = 300 * time.Millisecond
@@ -48,6 +51,7 @@
 			o.abandon(i, "not completed within the route's limit")
 			continue
 		}
+		o.restartUnlessServed(i, engines)
 		items = append(items, o.candidateOf(i))
 	}
 	sortByPriority(items)
@@ -63,6 +67,23 @@
 	}
 }
 
+// restartUnlessServed discards the text of an item that no engine can continue any more,
+// because it must not contain a second version.
+func (o *Owner) restartUnlessServed(i *item, engines *engines) {
+	n := o.needOf(i)
+	if n.version == 0 || len(engines.endpoints) == 0 || engines.anyServes(n) {
+		return
+	}
+	o.discard(i, "no engine serves the text's version any more")
+}
+
+// discard restarts an item of a submission whose text cannot be used.
+func (o *Owner) discard(i *item, cause string) {
+	event.ItemRestarted.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("submission", i.submission.id),
+		slog.Int("events", len(i.text.events)), slog.Any("versions", i.text.versions), slog.String("cause", cause))
+	o.restart(i)
+}
+
 func (o *Owner) candidateOf(i *item) candidate {
 	return candidate{item: i, remaining: o.lengths.remaining(i.expected(), len(i.text.events))}
 }
@@ -94,12 +115,11 @@
 	}
 	request := o.request(i)
 	after := len(i.text.events)
-	minVersion := i.submission.record.GetMinVersion()
 	model := i.submission.record.GetModel()
 	done := e.Live.Begin()
 	go func() {
 		defer cancel()
-		err := o.stream(ctx, i, r, request, after, model, minVersion)
+		err := o.stream(ctx, i, r, request, after, model)
 		done()
 		o.runEnded(i, r, err)
 	}()
@@ -111,26 +131,24 @@
 		header.Set(h.GetName(), h.GetValue())
 	}
 	return &call.Request{
-		ID:     i.record.GetId(),
-		Method: http.MethodPost,
-		URI:    i.record.GetPath(),
-		Host:   i.submission.record.GetHost(),
-		Header: header,
-		Body:   i.record.GetBody(),
+		ID:      i.record.GetId(),
+		Method:  http.MethodPost,
+		URI:     i.record.GetPath(),
+		Host:    i.submission.record.GetHost(),
+		Header:  header,
+		Body:    i.record.GetBody(),
+		Version: o.needOf(i).version,
 	}
 }
 
 // stream executes one run and adds its events to the item's text.
-func (o *Owner) stream(ctx context.Context, i *item, r *run, request *call.Request, after int, model string, minVersion int64) error {
+func (o *Owner) stream(ctx context.Context, i *item, r *run, request *call.Request, after int, model string) error {
 	var version int64
 	return o.options.Streamer.Stream(ctx, r.endpoint, request, after, call.Receiver{
 		Start: func(start call.Start) error {
 			version = start.Version
 			r.endpoint.Live.ObserveVersion(model, version)
-			if version < minVersion {
-				return call.ErrMisdirected.New("the endpoint serves version %d, but version %d is required", version, minVersion)
-			}
-			return nil
+			return o.checkVersion(i, version)
 		},
 		Event: func(e call.Event) error {
 			if e.Version > 0 {
@@ -142,6 +160,23 @@
 	})
 }
 
+// checkVersion returns ErrVersion if the item's text must not go on under the given
+// version.
+func (o *Owner) checkVersion(i *item, version int64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versionError(i, version)
+}
+
+// versionError is checkVersion for callers that hold o.mu. A text without a submission may
+// go on under any version: what it must fit is known when a submission contains it again.
+func (o *Owner) versionError(i *item, version int64) error {
+	if i.submission == nil {
+		return nil
+	}
+	return i.text.checkVersion(version, i.submission.record.GetMinVersion(), o.requiresSingleVersion(i.submission))
+}
+
 // maxPaceGap is the longest gap between events that counts towards an engine's pace;
 // longer gaps are interruptions.
 const maxPaceGap = 400 * time.Millisecond
@@ -154,6 +189,9 @@
 	if i.run != r || r.moved {
 		return call.ErrEnded.New("the run was ended")
 	}
+	if err := o.versionError(i, version); err != nil {
+		return err
+	}
 	if gap := now.Sub(r.lastEvent); r.events > 0 && gap < maxPaceGap {
 		r.endpoint.Live.Pace.Observe(gap, int(r.endpoint.Live.InFlight()), o.loadSlope, now)
 	}
@@ -208,8 +246,11 @@
 		if i.submission != nil {
 			o.abandon(i, "permanently rejected")
 		}
-	case call.Is(err, call.ErrMisdirected):
+	case call.Is(err, ErrVersion, call.ErrMisdirected):
 		live.MarkFull(now.Add(fullPause))
+		if i.submission != nil && o.needOf(i).version > 0 {
+			i.notBefore = now.Add(versionPause)
+		}
 	default:
 		live.Fail(now)
 		i.delayAfterBreak(r, now)
--- a/internal/submission/scoring.go
+++ b/internal/submission/scoring.go
@@ -17,8 +17,12 @@
 const minScoringCalls = 2
 
 // startScoring marks a complete text for scoring, or completes the item if it needs no
-// score. The caller holds o.mu.
+// score. A text whose versions do not fit its submission is discarded. The caller holds o.mu.
 func (o *Owner) startScoring(i *item) {
+	if !i.text.fits(i.submission.record.GetMinVersion(), o.requiresSingleVersion(i.submission)) {
+		o.discard(i, "the versions of the complete text do not fit its submission")
+		return
+	}
 	i.timing.enter(phaseScoring, time.Now())
 	if i.record.GetReward() == nil {
 		o.complete(i, "")
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -48,6 +48,8 @@
 	ErrNotFound = Errors.NewType("not_found", errorx.NotFound())
 	// ErrUnavailable reports that the store was unreachable; nothing was done.
 	ErrUnavailable = Errors.NewType("unavailable", errorx.Temporary())
+	// ErrVersion reports that an engine serves a weight version that a text must not contain.
+	ErrVersion = Errors.NewType("version", errorx.Temporary())
 	// ErrUnknown reports that the outcome is unknown: the operation may have taken
 	// effect.
 	ErrUnknown = Errors.NewType("unknown", errorx.Temporary())
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -269,7 +269,7 @@
 	accepted := t.accepted
 	m.mu.Unlock()
 	go func() {
-		if accepted < 0 && !m.readAcceptedCount(ctx, l.endpoint, t) {
+		if accepted < 0 && !m.readAcceptedCount(ctx, l, t) {
 			return
 		}
 		m.mu.Lock()
@@ -287,17 +287,29 @@
 }
 
 // readAcceptedCount requests the endpoint's count of accepted orders, which an order
-// must state.
-func (m *Manager) readAcceptedCount(ctx context.Context, e *fleet.Endpoint, t *orderState) bool {
+// must state. It returns false if no order can be sent now: the report failed, or the
+// endpoint carries out an order, of a previous owner or one whose answer was lost.
+func (m *Manager) readAcceptedCount(ctx context.Context, l load, t *orderState) bool {
+	e := l.endpoint
 	report, err := m.options.Engines.Report(ctx, e)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := time.Now()
 	if err != nil {
 		t.callInFlight = false
-		t.nextCall = time.Now().Add(refusedPause)
+		t.nextCall = now.Add(refusedPause)
 		event.OrderFailed.Log(ctx, m.options.Logger, slog.String("endpoint", e.ID), slog.String("cause", err.Error()))
 		return false
 	}
+	for model, version := range report.Versions {
+		e.Live.ObserveVersion(model, version)
+	}
+	if report.Busy {
+		t.callInFlight = false
+		t.nextCall = now.Add(reportInterval)
+		e.Live.MarkLoading(l.model, now.Add(busyLoadTime))
+		return false
+	}
 	t.accepted = report.Accepted
 	return true
 }
@@ -320,13 +332,17 @@
 		return
 	case Fenced:
 		t.fenced = true
+		e.Live.LoadingEnded()
 	case Busy:
+		// Another order may be in progress, so the endpoint may be loading: the next report
+		// shows it.
 		t.accepted = -1
+		e.Live.MarkLoading(order.Model, now.Add(busyLoadTime))
 	case Unknown:
 		// The order may have been accepted, or may still be: the count in the next report shows it.
 		t.accepted = -1
+		e.Live.LoadingEnded()
 	}
-	e.Live.LoadingEnded()
 	t.nextCall = now.Add(refusedPause)
 	cause := "refused"
 	if err != nil {
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -76,6 +76,9 @@
 	// assumedLoadTime is how long an endpoint is assumed to load a version unless it
 	// reports otherwise.
 	assumedLoadTime = 900 * time.Millisecond
+	// busyLoadTime is how long an endpoint that carries out an order of another owner is
+	// assumed to load; its reports, which are read more often, tell when it has ended.
+	busyLoadTime = 600 * time.Millisecond
 	// reportInterval is the time between report requests to an endpoint that loads.
 	reportInterval = 250 * time.Millisecond
 	// refusedPause is the pause before the next call to an endpoint that did not accept an
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -298,6 +298,33 @@
 	require.Equal(t, 1, s.fencedOrders)
 }
 
+// TestEndpointThatIsBusyCountsAsLoading guards against texts that a new owner places on an
+// endpoint which still carries out the previous owner's order: they go on under the version
+// that it loads.
+func TestEndpointThatIsBusyCountsAsLoading(t *testing.T) {
+	s, m, targets := newFixture(t, 1, 5)
+	s.state["e0"].busy = true
+	targets.Raise("m", 2)
+	now := time.Now()
+	m.reconcile(context.Background(), now)
+	idle := func() bool { m.mu.Lock(); defer m.mu.Unlock(); return !m.states["e0"].callInFlight }
+	require.Eventually(t, idle, testTimeout, time.Millisecond)
+	e, known := m.options.Directory.Find("e0")
+	require.True(t, known)
+	require.True(t, e.Live.IsLoading("m", now.Add(reportInterval)), "until the next report")
+
+	order := Order{Model: "m", Version: 2}
+	e.Live.LoadingEnded()
+	m.handleVerdict(context.Background(), e, m.states["e0"], order, Busy, nil)
+	require.True(t, e.Live.IsLoading("m", time.Now()), "another order may be in progress")
+
+	s.mu.Lock()
+	s.state["e0"].busy = false
+	s.mu.Unlock()
+	run(t, m)
+	require.Eventually(t, func() bool { return s.versions()[0] == 2 }, testTimeout, time.Millisecond)
+}
+
 func TestTargetsOnlyIncrease(t *testing.T) {
 	var targets Targets
 	require.True(t, targets.Raise("m", 3))
