An item under which engines crashed is placed again at once

Cause: runs that broke before their first event made the item wait 4 s from the third one on, doubling to 64 s, in case the item itself crashed the engines. Items are never such requests.

Change: the pause grows to 400 ms and no further.

--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -30,11 +30,10 @@
 	// one.
 	minRunTime = 300 * time.Millisecond
 	// breakPause is the pause after a run that broke before its first event; it doubles
-	// with each such run in a row. From run number breaksBeforeLongPause on, the pause
-	// starts at longBreakPause and doubles again.
-	breakPause            = 50 * time.Millisecond
-	breaksBeforeLongPause = 3
-	longBreakPause        = 4 * time.Second
+	// with each such run in a row, up to maxBreakPause. An item is not suspected of crashing
+	// engines: while engines are up, it must not be without one for seconds.
+	breakPause    = 50 * time.Millisecond
+	maxBreakPause = 400 * time.Millisecond
 	// defaultMaxQueue is how long an item may wait if its route sets no limit.
 	defaultMaxQueue = 60 * time.Second
 )
@@ -261,20 +260,23 @@
 	}
 }
 
-// delayAfterBreak delays an item whose runs break before their first event, because the
-// item itself may be the cause.
+// delayAfterBreak delays an item whose run broke before its first event: the engines may
+// be restarting.
 func (i *item) delayAfterBreak(r *run, now time.Time) {
 	if r.events > 0 {
 		return
 	}
-	i.breaks++
-	pause := breakPause << min(i.breaks-1, 6)
-	if i.breaks >= breaksBeforeLongPause {
-		pause = longBreakPause << min(i.breaks-breaksBeforeLongPause, 4)
+	pause := maxBreakPause
+	if i.breaks < maxBreakDoublings {
+		pause = min(breakPause<<i.breaks, maxBreakPause)
 	}
+	i.breaks++
 	i.notBefore = now.Add(pause)
 }
 
+// maxBreakDoublings is the number of breaks after which the pause is not doubled any more.
+const maxBreakDoublings = 8
+
 func (o *Owner) attempts(i *item) int {
 	if r, ok := o.routeOf(i.submission); ok {
 		return r.MaxAttempts
