Scoring calls are never withheld, and a run to the end clears a request

Callers would see: an item waits 30 s for its score although all endpoints are sound; a lookup that many callers repeat is refused for 30 s after two unrelated resets.

Cause: two broken runs of one fingerprint blocked it on all nodes. Scoring calls went the same way, though they are owed; and a run that ended well between two breaks was not taken as a proof of innocence.

Change: scoring calls are marked as owed and are neither counted nor blocked. An answer clears what was counted.

TestOwedRequestIsNeverBlocked and TestRequestThatSucceedsIsNotSuspect fail before and pass; TestCrashingRequestIsBlocked holds as it was.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -26,6 +26,9 @@
 	Deadline time.Time
 	// Version is the only weight version under which the request may run; zero allows any.
 	Version int64
+	// Owed means that the request is sent again however often endpoints crashed while they
+	// ran it.
+	Owed bool
 	// ReturnFailures makes an endpoint's own failure the answer instead of a reason
 	// to retry, so that the caller can count failures.
 	ReturnFailures bool
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -49,6 +49,38 @@
 	return digest.Sum64()
 }
 
+// suspect is the record of the crashes during one request; the zero value belongs to a
+// request that is never blocked.
+type suspect struct {
+	crashes     *Crashes
+	fingerprint uint64
+}
+
+// suspect returns the record of a request.
+func (c *Crashes) suspect(request *call.Request) suspect {
+	if request.Owed {
+		return suspect{}
+	}
+	return suspect{crashes: c, fingerprint: Fingerprint(request)}
+}
+
+// blocked reports whether the request must not be sent.
+func (s suspect) blocked() bool { return s.crashes != nil && s.crashes.Blocked(s.fingerprint) }
+
+// countBroken counts a run during which the connection broke.
+func (s suspect) countBroken() {
+	if s.crashes != nil {
+		s.crashes.CountBroken(s.fingerprint)
+	}
+}
+
+// clear forgets earlier crashes: an endpoint has run the request to its end.
+func (s suspect) clear() {
+	if s.crashes != nil {
+		s.crashes.forget(s.fingerprint)
+	}
+}
+
 // CountBroken counts a run during which the connection broke.
 func (c *Crashes) CountBroken(fingerprint uint64) {
 	c.mu.Lock()
@@ -79,6 +111,13 @@
 	return ok && entry.count >= crashesToBlock && time.Now().Before(entry.expires)
 }
 
+// forget drops what is known of a request.
+func (c *Crashes) forget(fingerprint uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byFingerprint, fingerprint)
+}
+
 // entry returns the entry of a request. The caller must lock c.mu.
 func (c *Crashes) entry(fingerprint uint64) *crash {
 	if c.byFingerprint == nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -71,34 +71,34 @@
 // request may have run. The caller cancels ctx when it stops waiting or when the
 // request's deadline passes.
 func (s *Service) Do(ctx context.Context, r *route.Route, request *call.Request) (*call.Answer, error) {
-	fingerprint, err := s.admit(ctx, request)
+	suspect, err := s.admit(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := &requestRun{service: s, route: r, request: request, results: make(chan attemptResult, r.MaxAttempts+maxRefusedSends+1)}
-	return x.loop(ctx, fingerprint)
+	return x.loop(ctx, suspect)
 }
 
-// admit returns the request's fingerprint, or ErrRejected if the request is blocked
-// because endpoints crashed while running it.
-func (s *Service) admit(ctx context.Context, request *call.Request) (uint64, error) {
-	fingerprint := Fingerprint(request)
-	if s.Crashes.Blocked(fingerprint) {
+// admit returns the record of the crashes during the request, or ErrRejected if the request
+// is blocked because endpoints crashed while running it.
+func (s *Service) admit(ctx context.Context, request *call.Request) (suspect, error) {
+	suspect := s.Crashes.suspect(request)
+	if suspect.blocked() {
 		event.RequestWithheld.Log(ctx, s.Logger, slog.String("request", request.ID))
-		return 0, call.ErrRejected.New("the request is blocked because endpoints crashed while running it")
+		return suspect, call.ErrRejected.New("the request is blocked because endpoints crashed while running it")
 	}
-	return fingerprint, nil
+	return suspect, nil
 }
 
-func (x *requestRun) loop(ctx context.Context, fingerprint uint64) (*call.Answer, error) {
+func (x *requestRun) loop(ctx context.Context, suspect suspect) (*call.Answer, error) {
 	hedge := time.NewTimer(x.hedgeAfter())
 	defer hedge.Stop()
 	x.launch(ctx)
 	for {
 		if x.open == 0 {
-			done, err := x.retry(ctx, fingerprint)
+			done, err := x.retry(ctx, suspect)
 			if done {
 				return x.failure, err
 			}
@@ -116,7 +116,7 @@
 		case result := <-x.results:
 			x.open--
 			x.waitingFor = slices.DeleteFunc(x.waitingFor, func(id string) bool { return id == result.endpoint.ID })
-			if x.handleResult(ctx, result, fingerprint) {
+			if x.handleResult(ctx, result, suspect) {
 				return result.answer, nil
 			}
 		}
@@ -132,11 +132,11 @@
 
 // retry starts the next attempt when none is in flight, or reports that the request
 // is finished.
-func (x *requestRun) retry(ctx context.Context, fingerprint uint64) (bool, error) {
+func (x *requestRun) retry(ctx context.Context, suspect suspect) (bool, error) {
 	if x.sent > 0 && !x.route.Repeatable() || x.sent >= x.route.MaxAttempts || x.refused > maxRefusedSends {
 		return true, x.finalError()
 	}
-	if x.service.Crashes.Blocked(fingerprint) {
+	if suspect.blocked() {
 		return true, x.finalError()
 	}
 	if x.launch(ctx) {
@@ -185,7 +185,7 @@
 
 // handleResult evaluates the result of an attempt and reports whether it is the
 // answer to the request.
-func (x *requestRun) handleResult(ctx context.Context, result attemptResult, fingerprint uint64) bool {
+func (x *requestRun) handleResult(ctx context.Context, result attemptResult, suspect suspect) bool {
 	now := time.Now()
 	if result.err == nil && result.answer.Stamp == "" {
 		result.err = call.ErrForeign.New("answer without a signature, status %d", result.answer.Status)
@@ -193,6 +193,7 @@
 	if result.err == nil {
 		x.sent++
 		result.endpoint.Live.Succeed()
+		suspect.clear()
 		if result.answer.Status < 500 || x.request.ReturnFailures || !x.route.Repeatable() || x.sent >= x.route.MaxAttempts && x.open == 0 {
 			return true
 		}
@@ -203,7 +204,7 @@
 		return false
 	}
 	x.lastErr = result.err
-	x.countFailure(result, fingerprint, now)
+	x.countFailure(result, suspect, now)
 	event.AttemptFailed.Log(ctx, x.service.Logger, slog.String("request", x.request.ID), slog.String("endpoint", result.endpoint.ID),
 		slog.Int("sent", x.sent), slog.String("cause", result.err.Error()))
 	return false
@@ -211,7 +212,7 @@
 
 // countFailure counts a failed attempt as refused or sent and records the failure
 // of its endpoint.
-func (x *requestRun) countFailure(result attemptResult, fingerprint uint64, now time.Time) {
+func (x *requestRun) countFailure(result attemptResult, suspect suspect, now time.Time) {
 	switch {
 	case call.Is(result.err, call.ErrFull):
 		x.refused++
@@ -222,7 +223,7 @@
 	case call.Is(result.err, call.ErrBroken):
 		x.sent++
 		result.endpoint.Live.Fail(now)
-		x.service.Crashes.CountBroken(fingerprint)
+		suspect.countBroken()
 	default:
 		x.sent++
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -179,6 +179,38 @@
 	require.True(t, call.Is(err, call.ErrRejected))
 }
 
+// TestOwedRequestIsNeverBlocked guards against scoring calls that are withheld because
+// endpoints crashed while they ran them: the text's item waits for the score.
+func TestOwedRequestIsNeverBlocked(t *testing.T) {
+	broken := response{err: call.ErrBroken.New("reset")}
+	f := &fakeCaller{script: []response{broken, broken, broken, broken}}
+	s := serviceOf(f, 8)
+	request := &call.Request{ID: "x", URI: "/score", Body: []byte("text"), Owed: true}
+	for range 4 {
+		_, err := s.Do(context.Background(), routeOf(route.Idempotent, 1), request)
+		require.True(t, call.Is(err, call.ErrBroken))
+	}
+	s.Crashes.Block(Fingerprint(request), time.Minute)
+	answer, err := s.Do(context.Background(), routeOf(route.Idempotent, 1), request)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.Status)
+	require.Equal(t, 5, f.ran)
+}
+
+// TestRequestThatSucceedsIsNotSuspect checks that a request which an endpoint ran to its end
+// is not blocked because of unrelated breaks before and after.
+func TestRequestThatSucceedsIsNotSuspect(t *testing.T) {
+	broken := response{err: call.ErrBroken.New("reset")}
+	fine := response{status: http.StatusOK}
+	f := &fakeCaller{script: []response{broken, fine, broken, fine, broken, fine}}
+	s := serviceOf(f, 8)
+	for i := range 3 {
+		_, err := s.Do(context.Background(), routeOf(route.Idempotent, 4), &call.Request{ID: fmt.Sprint(i), URI: "/same"})
+		require.NoError(t, err)
+	}
+	require.Equal(t, 6, f.ran)
+}
+
 func TestErrorWithoutEndpointMeansNotRun(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,7 @@
 // the caller sees one answer, with the head from the first endpoint. The result
 // started reports whether anything was passed to receiver.
 func (s *Service) Stream(ctx context.Context, r *route.Route, request *call.Request, after int, receiver call.Receiver) (started bool, err error) {
-	fingerprint, err := s.admit(ctx, request)
+	suspect, err := s.admit(ctx, request)
 	if err != nil {
 		return false, err
 	}
@@ -43,6 +43,7 @@
 		err = s.streamOnce(ctx, r, e, request, &after, &started, receiver)
 		if err == nil {
 			e.Live.Succeed()
+			suspect.clear()
 			return started, nil
 		}
 		event.AttemptFailed.Log(ctx, s.Logger, slog.String("request", request.ID), slog.String("endpoint", e.ID), slog.String("cause", err.Error()))
@@ -51,7 +52,7 @@
 		} else {
 			sent++
 		}
-		s.recordFailure(e, err, fingerprint, started)
+		s.recordFailure(e, err, suspect, started)
 		if ctx.Err() != nil || sent > 0 && !r.Resumable || sent >= r.MaxAttempts || refused > maxRefusedSends {
 			return started, err
 		}
@@ -68,7 +69,7 @@
 
 // recordFailure records a failed attempt for its endpoint. If the connection broke
 // before the stream started, it also counts the attempt against the request.
-func (s *Service) recordFailure(e *fleet.Endpoint, err error, fingerprint uint64, started bool) {
+func (s *Service) recordFailure(e *fleet.Endpoint, err error, suspect suspect, started bool) {
 	now := time.Now()
 	switch {
 	case call.Is(err, call.ErrFull):
@@ -76,7 +77,7 @@
 	case call.Is(err, call.ErrBroken, call.ErrNotSent, call.ErrMisdirected):
 		e.Live.Fail(now)
 		if call.Is(err, call.ErrBroken) && !started {
-			s.Crashes.CountBroken(fingerprint)
+			suspect.countBroken()
 		}
 	}
 }
