The test of odd entries names no key of the platform

TestWireNamesAppearOnlyInPlatform failed since the test of odd entries was added outside platform/: the test used a key as it is on the wire. It takes the nested value from platformtest now. Measured: platform and the test of odd entries pass.

--- a/internal/node/oddentry_test.go
+++ b/internal/node/oddentry_test.go
@@ -25,7 +25,7 @@
 		s.store.Remove(key)
 		s.store.Write(key, value)
 	}
-	s.store.Write(s.engines[0].Key(), odd["servers/odd-deep"])
+	s.store.Write(s.engines[0].Key(), platformtest.NestedRecord())
 	second := platformtest.NewEndpoint(&platformtest.Endpoint{ID: "app-1", Service: "app", Zone: "z"})
 	t.Cleanup(second.Close)
 	s.store.Write(second.Key(), second.Record("ready"))
