An endpoint's answer that says it is leaving takes it out of choice

Cause: only the endpoint's record in the store counted; the header of answers was not known.

The endpoint then gets no requests, scoring calls, items, hedges, moves or loads, for as long as its process lives: also while its record shows it as ready, while the store is down, and when its record is gone and comes back. A new process under the same ID, told by its start or, without one, by its count of changes, starts clean.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -21,7 +21,7 @@
 // defaultSlots is used for an endpoint that does not report its number of slots.
 const defaultSlots = 4
 
-// Choose returns the endpoint with the lowest estimated waiting time. Draining and
+// Choose returns the endpoint with the lowest estimated waiting time. Leaving and
 // tried endpoints are skipped. Endpoints that recently refused work are used only if
 // there are no others, and endpoints that recently failed only after those. The
 // estimate is based on the number of requests per slot and on the endpoint's current
@@ -36,7 +36,7 @@
 	}
 	for i := range endpoints {
 		e := endpoints[(i+offset)%len(endpoints)]
-		if e.Draining || slices.Contains(work.Tried, e.ID) {
+		if e.Leaving() || slices.Contains(work.Tried, e.ID) {
 			continue
 		}
 		rank, cost := failureRank(e, now), waitCost(e, work, now)
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -24,7 +24,10 @@
 	endpoints map[string]*Endpoint
 	// missing are the IDs of endpoints whose records were deleted during or shortly
 	// after a store outage.
-	missing   map[string]struct{}
+	missing map[string]struct{}
+	// departed are the endpoints that said they are leaving and were dropped, by ID. A record
+	// of the same process may return after a store outage.
+	departed  map[string]*Endpoint
 	storeLost bool
 	// graceUntil is when the time for missing endpoints to return ends.
 	graceUntil time.Time
@@ -42,7 +45,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(logger *slog.Logger) *Directory {
-	d := &Directory{logger: logger, now: time.Now, endpoints: map[string]*Endpoint{}, missing: map[string]struct{}{}}
+	d := &Directory{logger: logger, now: time.Now, endpoints: map[string]*Endpoint{}, missing: map[string]struct{}{}, departed: map[string]*Endpoint{}}
 	d.view.Store(&view{})
 	return d
 }
@@ -52,13 +55,21 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.endpoints[e.ID]
-	if old != nil && old.Born == e.Born {
-		e.Live = old.Live
+	previous := old
+	if previous == nil {
+		previous = d.departed[e.ID]
+	}
+	if previous != nil && previous.sameProcess(e) {
+		e.Live = previous.Live
 	}
 	if e.Live == nil {
 		e.Live = &Live{}
 	}
+	if e.Live.left == nil {
+		e.Live.left = func() { d.saidLeaving(e.ID) }
+	}
 	delete(d.missing, e.ID)
+	delete(d.departed, e.ID)
 	d.endpoints[e.ID] = e
 	d.logChange(old, e)
 }
@@ -68,11 +79,20 @@
 	switch {
 	case e.Draining && (old == nil || !old.Draining):
 		event.EndpointNotSelectable.Log(context.Background(), d.logger, append(attrs, slog.String("cause", "draining"))...)
-	case !e.Draining && (old == nil || old.Draining || old.Born != e.Born):
+	case !e.Leaving() && (old == nil || old.Draining || !old.sameProcess(e)):
 		event.EndpointSelectable.Log(context.Background(), d.logger, attrs...)
 	}
 }
 
+// saidLeaving handles an answer in which an endpoint says for the first time that it is
+// leaving.
+func (d *Directory) saidLeaving(id string) {
+	event.EndpointNotSelectable.Log(context.Background(), d.logger, slog.String("endpoint", id), slog.String("cause", "its answer says that it is leaving"))
+	if d.Changed != nil {
+		d.Changed()
+	}
+}
+
 // Remove removes one endpoint. During and shortly after a store outage the endpoint
 // is kept until it has had time to register again.
 func (d *Directory) Remove(id string) {
@@ -90,11 +110,29 @@
 
 // drop removes an endpoint. The caller must lock d.mu.
 func (d *Directory) drop(id, cause string) {
+	if e := d.endpoints[id]; e.Live.leaving.Load() {
+		d.remember(e)
+	}
 	delete(d.endpoints, id)
 	delete(d.missing, id)
 	event.EndpointNotSelectable.Log(context.Background(), d.logger, slog.String("endpoint", id), slog.String("cause", cause))
 }
 
+// maxDeparted bounds the number of remembered endpoints that left.
+const maxDeparted = 4096
+
+// remember keeps an endpoint that said it is leaving. A full memory loses an arbitrary
+// entry. The caller must lock d.mu.
+func (d *Directory) remember(e *Endpoint) {
+	for other := range d.departed {
+		if len(d.departed) < maxDeparted {
+			break
+		}
+		delete(d.departed, other)
+	}
+	d.departed[e.ID] = e
+}
+
 // StoreLost records that the store does not respond.
 func (d *Directory) StoreLost() {
 	d.mu.Lock()
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -16,15 +16,30 @@
 	Address string // host:port
 	Zone    string
 	Slots   int
-	// Draining is true if the endpoint must not receive new work.
+	// Draining is true if the directory shows that the endpoint must not receive new work.
 	Draining bool
 	// Versions are the weight versions that the endpoint reported in the directory,
 	// by model.
 	Versions map[string]int64
-	// Born is when the endpoint started. An endpoint that restarts keeps no state
-	// from before.
+	// Born is when the endpoint started; zero if its record does not say. An endpoint that
+	// restarts keeps no state from before.
 	Born int64
-	Live *Live
+	// Changes is the number of changes that the endpoint has reported. It starts anew when
+	// the endpoint restarts.
+	Changes int64
+	Live    *Live
+}
+
+// Leaving reports whether the endpoint must not receive new work, according to the
+// directory or its own answers.
+func (e *Endpoint) Leaving() bool { return e.Draining || e.Live.leaving.Load() }
+
+// sameProcess reports whether a later record is from the process that wrote this one.
+func (e *Endpoint) sameProcess(later *Endpoint) bool {
+	if e.Born != 0 || later.Born != 0 {
+		return e.Born == later.Born
+	}
+	return later.Changes >= e.Changes
 }
 
 // Version returns the newest weight version of a model that the endpoint is known
@@ -52,6 +67,12 @@
 	failures   atomic.Int64
 	avoidUntil atomic.Int64 // Unix nanoseconds
 	fullUntil  atomic.Int64 // Unix nanoseconds
+	// leaving means that the endpoint said in an answer that it is leaving, which holds as
+	// long as its process lives.
+	leaving atomic.Bool
+	// left is called when leaving becomes true; nil calls nothing. It is set before the
+	// endpoint is published.
+	left func()
 	// loading is the load of weights that is assumed to be running; nil if there is none.
 	loading atomic.Pointer[modelLoad]
 	// Pace is how fast the endpoint generates, if it is a model engine.
@@ -107,6 +128,13 @@
 // Avoided reports whether the endpoint is avoided because it failed recently.
 func (l *Live) Avoided(now time.Time) bool { return l.avoidUntil.Load() > now.UnixNano() }
 
+// MarkLeaving records that the endpoint said in an answer that it is leaving.
+func (l *Live) MarkLeaving() {
+	if l.leaving.CompareAndSwap(false, true) && l.left != nil {
+		l.left()
+	}
+}
+
 // MarkFull records that the endpoint refused work and is treated as full until the
 // given time.
 func (l *Live) MarkFull(until time.Time) { l.fullUntil.Store(until.UnixNano()) }
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -142,7 +142,9 @@
 			continue
 		}
 		for _, e := range n.directory.Of(name) {
-			slots += e.Slots
+			if !e.Leaving() {
+				slots += e.Slots
+			}
 		}
 	}
 	return int(scoreSlotFraction * float64(slots))
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -107,12 +107,12 @@
 
 // usable reports whether the engine can run an item if it has a free slot.
 func (p *engines) usable(e *fleet.Endpoint, n need) bool {
-	return !e.Draining && !e.Live.Avoided(p.now) && !e.Live.IsFull(p.now) && !e.Live.IsLoading(n.model, p.now) && n.satisfiedBy(e)
+	return !e.Leaving() && !e.Live.Avoided(p.now) && !e.Live.IsFull(p.now) && !e.Live.IsLoading(n.model, p.now) && n.satisfiedBy(e)
 }
 
 // anyServes reports whether an engine serves the only version that may continue a text.
 func (p *engines) anyServes(n need) bool {
-	return slices.ContainsFunc(p.endpoints, func(e *fleet.Endpoint) bool { return !e.Draining && n.satisfiedBy(e) })
+	return slices.ContainsFunc(p.endpoints, func(e *fleet.Endpoint) bool { return !e.Leaving() && n.satisfiedBy(e) })
 }
 
 func slotsOf(e *fleet.Endpoint) int {
@@ -125,7 +125,7 @@
 // anyLoading reports whether an engine is loading weights of the model.
 func (p *engines) anyLoading(model string) bool {
 	return slices.ContainsFunc(p.endpoints, func(e *fleet.Endpoint) bool {
-		return !e.Draining && e.Live.IsLoading(model, p.now)
+		return !e.Leaving() && e.Live.IsLoading(model, p.now)
 	})
 }
 
--- a/internal/weights/assignments.go
+++ b/internal/weights/assignments.go
@@ -33,7 +33,7 @@
 	}
 	active := make([]serving, 0, len(endpoints))
 	for _, e := range endpoints {
-		if !e.Draining {
+		if !e.Leaving() {
 			active = append(active, serving{Endpoint: e, gap: e.Live.Pace.Sample(now).Gap})
 		}
 	}
