A new owner never gives up opening an accepted submission

Cause: applyHead gave up after 40 attempts. Ruled out: the watch of the heads (they were known; nothing asked for them again).

Change: it goes on while the unit is owned and the submission is open.

TestNewOwnerOpensSubmissionsHoweverLongTheStoreIsDown fails before (30 s without a result after 50 failed reads) and passes.

--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -377,6 +377,23 @@
 	require.Greater(t, previous, breakPause, "engines that restart are not pressed")
 }
 
+// TestNewOwnerOpensSubmissionsHoweverLongTheStoreIsDown guards against accepted submissions
+// that are never run, because the store went down right after their owner had changed.
+func TestNewOwnerOpensSubmissionsHoweverLongTheStoreIsDown(t *testing.T) {
+	const failedReads = 50
+	f := newFixture(3)
+	s := f.service()
+	submission := submissionOf("a", 1, 2, 1)
+	require.NoError(t, s.Accept(context.Background(), testUnit, submission))
+	owner := f.owner(t, "n")
+	f.store.SetFaults(memory.Faults{Down: true})
+	calls := f.store.Calls()
+	s.StartOwner(owner)
+	require.Eventually(t, func() bool { return f.store.Calls() >= calls+failedReads }, testTimeout, pause)
+	f.store.SetFaults(memory.Faults{})
+	requireComplete(t, f, submission, allResults(t, s, "a", 2))
+}
+
 func TestNotFoundRequiresConfirmationByTheStore(t *testing.T) {
 	f := newFixture(1)
 	s := f.service()
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -14,7 +14,6 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
-	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
 // Peers sends calls to the owners of units on other nodes.
@@ -68,9 +67,9 @@
 	announceTimeout = 500 * time.Millisecond
 	// readSlack is added to a reader's wait limit to get the timeout of the call to the
 	// owner.
-	readSlack       = 400 * time.Millisecond
-	maxOpenAttempts = 40
-	openPause       = 100 * time.Millisecond
+	readSlack = 400 * time.Millisecond
+	// openPause is the longest pause between two attempts to read an accepted submission.
+	openPause = 100 * time.Millisecond
 )
 
 // NewService returns a service that owns no units.
@@ -125,16 +124,23 @@
 		owner.End(id)
 		return
 	}
-	for attempt := 0; attempt < maxOpenAttempts && owner.ctx.Err() == nil && !owner.HasSubmission(id); attempt++ {
+	// What was accepted is owed: the owner tries as long as the submission is open.
+	for owner.ctx.Err() == nil && !owner.HasSubmission(id) && s.isOpen(id) {
 		err := s.open(owner, id, h)
 		if err == nil {
 			return
 		}
 		event.ReadFailed.Log(owner.ctx, s.options.Logger, slog.String("submission", id), slog.String("cause", err.Error()))
-		wait.For(owner.ctx, openPause)
+		metastore.Pause(owner.ctx, s.options.Store, openPause)
 	}
 }
 
+// isOpen reports whether a submission is known and has not ended.
+func (s *Service) isOpen(id string) bool {
+	h, known := s.knownHead(id)
+	return known && !h.Ended
+}
+
 // open reads a submission and its results from the store and passes them to its owner.
 func (s *Service) open(owner *Owner, id string, h head) error {
 	record, err := s.readRecord(owner.ctx, id)
@@ -145,10 +151,7 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	ended := s.heads[id].Ended
-	s.mu.Unlock()
-	if !ended {
+	if s.isOpen(id) {
 		owner.Open(record, h, results, batches)
 	}
 	return nil
