Scoring before the first configuration is an error and no panic

Cause: Node.score used the configuration without a look whether there is one.

Change: the call fails as not run and is made again.

--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -153,6 +153,9 @@
 // score makes the call that scores a text, through the route that matches the call.
 func (n *Node) score(ctx context.Context, reward *recordpb.Reward) (*call.Answer, int, error) {
 	configuration := n.routes.Load()
+	if configuration == nil {
+		return nil, 1, call.ErrNoEndpoint.New("no configuration is known yet")
+	}
 	matched, ok := configuration.Match(reward.GetHost(), reward.GetPath())
 	if !ok {
 		return nil, 1, call.ErrNoEndpoint.New("no route for the scoring call")
