A request that may have run is not reported as not run

Callers would see: 503 with a time to come back for an idempotent request or a resumable stream, though an endpoint may have run it: one attempt broke off, and the endpoints after it refused.

Cause: the error of the last attempt decided the status.

Change: once an attempt may have run, later refusals don't replace its error.

TestRequestThatMayHaveRunIsNotReportedAsNotRun fails before and passes.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -61,7 +61,9 @@
 	// sent counts attempts that may have run, refused those that did not, and open
 	// those in flight.
 	sent, refused, open int
-	lastErr             error
+	// lastErr is the error of the last attempt that may have run, or else that of the last
+	// one.
+	lastErr error
 	// failure is an answer in which an endpoint reported a failure. It is returned
 	// if no other attempt succeeds.
 	failure *call.Answer
@@ -203,13 +205,22 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	x.lastErr = result.err
+	x.lastErr = moreCertain(x.lastErr, result.err)
 	x.countFailure(result, suspect, now)
 	event.AttemptFailed.Log(ctx, x.service.Logger, slog.String("request", x.request.ID), slog.String("endpoint", result.endpoint.ID),
 		slog.Int("sent", x.sent), slog.String("cause", result.err.Error()))
 	return false
 }
 
+// moreCertain returns which of the errors of two attempts describes both: a request that may
+// have run in one of them must not be reported as not run. previous may be nil.
+func moreCertain(previous, last error) error {
+	if previous != nil && !call.NotRun(previous) && call.NotRun(last) {
+		return previous
+	}
+	return last
+}
+
 // countFailure counts a failed attempt as refused or sent and records the failure
 // of its endpoint.
 func (x *requestRun) countFailure(result attemptResult, suspect suspect, now time.Time) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -179,6 +179,26 @@
 	require.True(t, call.Is(err, call.ErrRejected))
 }
 
+// TestRequestThatMayHaveRunIsNotReportedAsNotRun guards against a false "not run" when one
+// attempt broke off and the endpoints after it refused the request.
+func TestRequestThatMayHaveRunIsNotReportedAsNotRun(t *testing.T) {
+	full := response{err: call.ErrFull.New("full")}
+	for name, first := range map[string]error{"broken": call.ErrBroken.New("reset"), "foreign": call.ErrForeign.New("foreign")} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeCaller{script: []response{{err: first}, full, full, full, full, full, full, full, full, full, full}}
+			_, err := serviceOf(f, 3).Do(context.Background(), routeOf(route.Idempotent, 4), &call.Request{ID: "x", URI: "/"})
+			require.False(t, call.NotRun(err), "%v", err)
+			f = &fakeCaller{script: f.script}
+			r := routeOf(route.Stream, 4)
+			r.Resumable = true
+			_, err = serviceOf(f, 3).Stream(context.Background(), r, &call.Request{ID: "x", URI: "/"}, 0, call.Receiver{
+				Start: func(call.Start) error { return nil }, Event: func(call.Event) error { return nil },
+			})
+			require.False(t, call.NotRun(err), "%v", err)
+		})
+	}
+}
+
 // TestOwedRequestIsNeverBlocked guards against scoring calls that are withheld because
 // endpoints crashed while they ran them: the text's item waits for the score.
 func TestOwedRequestIsNeverBlocked(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -40,19 +40,20 @@
 			return started, errorOr(err, call.ErrNoEndpoint.New("no endpoint of the route accepts work"))
 		}
 		tried = append(tried, e.ID)
-		err = s.streamOnce(ctx, r, e, request, &after, &started, receiver)
-		if err == nil {
+		failure := s.streamOnce(ctx, r, e, request, &after, &started, receiver)
+		if failure == nil {
 			e.Live.Succeed()
 			suspect.clear()
 			return started, nil
 		}
-		event.AttemptFailed.Log(ctx, s.Logger, slog.String("request", request.ID), slog.String("endpoint", e.ID), slog.String("cause", err.Error()))
-		if call.NotRun(err) {
+		event.AttemptFailed.Log(ctx, s.Logger, slog.String("request", request.ID), slog.String("endpoint", e.ID), slog.String("cause", failure.Error()))
+		if call.NotRun(failure) {
 			refused++
 		} else {
 			sent++
 		}
-		s.recordFailure(e, err, suspect, started)
+		s.recordFailure(e, failure, suspect, started)
+		err = moreCertain(err, failure)
 		if ctx.Err() != nil || sent > 0 && !r.Resumable || sent >= r.MaxAttempts || refused > maxRefusedSends {
 			return started, err
 		}
