The soak keeps connections, repeats signals and checks planned stops

Ours opened a connection for each call and terminated one node at a time.

Change: half of the lookups and updates use kept connections; SIGTERM is sent twice; half of the nodes are terminated in turn, 0.3 s apart; all nodes get SIGHUP; endpoints leave by the word of their answers alone. A request that ran and got no response while there was planned work at most is a violation.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -17,6 +17,8 @@
 	lookupPause    = 20 * time.Millisecond
 	updatePause    = 20 * time.Millisecond
 	configurePause = 700 * time.Millisecond
+	// settleTime is how long after a fault requests may still be affected by it.
+	settleTime = 2 * time.Second
 )
 
 // updateRoute is a non-idempotent route: each of its requests may run at most once. versionRoute is
@@ -27,14 +29,21 @@
 	versionRoute = `,{"name":"only","host":"h","prefix":"/only-%d/","kind":"idempotent","timeout_ms":2000,"service":"app","max_attempts":2}`
 )
 
-// send sends a request to a node. The status is zero if no complete response arrived.
+// send sends a request to a node on a connection of its own. The status is zero if no
+// complete response arrived.
 func (env *environment) send(n *node, method, path, id string, body []byte) (int, []byte) {
+	return env.sendBy(env.client, n, method, path, id, body)
+}
+
+// sendBy sends a request to a node by a client. The status is zero if no complete response
+// arrived.
+func (env *environment) sendBy(client *http.Client, n *node, method, path, id string, body []byte) (int, []byte) {
 	request, err := platformtest.Request(method, n.callerAddress(), path, id, body)
 	if err != nil {
 		env.report.recordViolation("creating a request failed: %v", err)
 		return 0, nil
 	}
-	response, err := env.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil
 	}
@@ -79,9 +88,18 @@
 }
 
 // sendAndCheck sends a request to a random node and returns the status. A response with status 200
-// must belong to this request and not to another one.
+// must belong to this request and not to another one. A request that an endpoint runs while there
+// is planned work at most must get a response.
 func (env *environment) sendAndCheck(random *rand.Rand, kind, id string) (status int) {
-	status, body := env.send(env.randomNode(random), http.MethodPost, "/"+kind+"/x", id, []byte("body"))
+	client := env.kept
+	if random.IntN(2) == 0 {
+		client = env.client
+	}
+	began := time.Now()
+	status, body := env.sendBy(client, env.randomNode(random), http.MethodPost, "/"+kind+"/x", id, []byte("body"))
+	if status == 0 && env.calmBefore(began) && env.runs(id) > 0 {
+		env.report.recordViolation("%s ran and got no response, with no fault but planned work", id)
+	}
 	env.report.count(kind + "s " + outcome(status))
 	if status == http.StatusOK && string(body) != platformtest.Answer(id) {
 		env.report.recordViolation("%s got the response %q", id, body)
@@ -89,6 +107,27 @@
 	return status
 }
 
+// disturb records the begin of a fault that is not planned work, and calm its end.
+func (env *environment) disturb() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.disturbances++
+}
+
+func (env *environment) calm() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.disturbances--
+	env.calmSince = time.Now()
+}
+
+// calmBefore reports whether all faults that are not planned work ended well before a time.
+func (env *environment) calmBefore(t time.Time) bool {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return env.disturbances == 0 && t.Sub(env.calmSince) > settleTime
+}
+
 // sendUpdates sends requests that may run at most once and stores their statuses, until ctx is
 // done.
 func (env *environment) sendUpdates(ctx context.Context, random *rand.Rand) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
+	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
 // Bounds on the duration of a fault and on the pause after it, and details of some faults.
@@ -30,6 +33,8 @@
 type fault struct {
 	name   string
 	inject func(env *environment, random *rand.Rand) (undo func() error)
+	// planned means that the fault is planned work, which breaks off no request.
+	planned bool
 }
 
 // noop is the undo function of a fault that has nothing to undo.
@@ -39,19 +44,25 @@
 var faults = []fault{
 	{"node killed", func(env *environment, random *rand.Rand) func() error {
 		return env.killNodes(env.randomRunning(random, 1))
-	}},
+	}, false},
 	{"half of the nodes killed", func(env *environment, random *rand.Rand) func() error {
 		return env.killNodes(env.randomRunning(random, len(env.nodes)/2))
-	}},
-	{"all nodes killed", func(env *environment, random *rand.Rand) func() error { return env.killNodes(env.nodes) }},
+	}, false},
+	{"all nodes killed", func(env *environment, random *rand.Rand) func() error { return env.killNodes(env.nodes) }, false},
 	{"node terminated and restarted", func(env *environment, random *rand.Rand) func() error {
-		nodes := env.randomRunning(random, 1)
-		if len(nodes) == 0 {
-			return noop
+		return env.terminateNodes(env.randomRunning(random, 1))
+	}, true},
+	{"half of the nodes terminated in turn", func(env *environment, random *rand.Rand) func() error {
+		return env.terminateNodes(env.randomRunning(random, len(env.nodes)/2))
+	}, true},
+	{"all nodes told to read their settings", func(env *environment, random *rand.Rand) func() error {
+		for _, n := range env.randomRunning(random, len(env.nodes)) {
+			if process := n.running(); process != nil {
+				process.Signal(syscall.SIGHUP)
+			}
 		}
-		nodes[0].leave()
-		return nodes[0].start
-	}},
+		return noop
+	}, true},
 	{"node paused", func(env *environment, random *rand.Rand) func() error {
 		nodes := env.randomRunning(random, 1)
 		if len(nodes) == 0 {
@@ -60,43 +71,50 @@
 		process := nodes[0].running()
 		process.Pause()
 		return func() error { process.Resume(); return nil }
-	}},
+	}, false},
 	{"node cut off from the store", func(env *environment, random *rand.Rand) func() error {
 		link := env.randomNode(random).link
 		link.Cut()
 		return func() error { link.Restore(); return nil }
-	}},
+	}, false},
 	{"connection to the store stalled", func(env *environment, random *rand.Rand) func() error {
 		link := env.randomNode(random).link
 		link.Stall()
 		return func() error { link.Restore(); return nil }
-	}},
+	}, false},
 	{"connection to the store slow", func(env *environment, random *rand.Rand) func() error {
 		link := env.randomNode(random).link
 		link.SetDelay(linkDelay)
 		return func() error { link.SetDelay(0); return nil }
-	}},
+	}, false},
 	{"store down", func(env *environment, _ *rand.Rand) func() error {
 		return env.setStoreFaults(memory.Faults{Down: true})
-	}},
+	}, false},
 	{"store loses responses", func(env *environment, _ *rand.Rand) func() error {
 		return env.setStoreFaults(memory.Faults{LoseResponses: true})
-	}},
+	}, false},
 	{"store applies writes late", func(env *environment, _ *rand.Rand) func() error {
 		return env.setStoreFaults(memory.Faults{DelayCommits: true})
-	}},
+	}, false},
 	{"store refuses requests over its rate", func(env *environment, _ *rand.Rand) func() error {
 		return env.setStoreFaults(memory.Faults{OverRate: true})
-	}},
-	{"store drops its history", func(env *environment, _ *rand.Rand) func() error { env.store.DropHistory(); return noop }},
+	}, false},
+	{"store drops its history", func(env *environment, _ *rand.Rand) func() error { env.store.DropHistory(); return noop }, false},
 	{"engine breaks streams", func(env *environment, random *rand.Rand) func() error {
 		env.mu.Lock()
 		defer env.mu.Unlock()
 		env.endpoints[random.IntN(len(env.endpoints))].BreakStreams(brokenStreams)
 		return noop
-	}},
-	{"endpoint crashes and is replaced", func(env *environment, random *rand.Rand) func() error { return env.replaceEndpoint(random, false) }},
-	{"endpoint drains and is replaced", func(env *environment, random *rand.Rand) func() error { return env.replaceEndpoint(random, true) }},
+	}, false},
+	{"endpoint crashes and is replaced", func(env *environment, random *rand.Rand) func() error {
+		return env.replaceEndpoint(random, (*environment).crashEndpoint)
+	}, false},
+	{"endpoint drains and is replaced", func(env *environment, random *rand.Rand) func() error {
+		return env.replaceEndpoint(random, (*environment).drainEndpoint)
+	}, false},
+	{"endpoint says in its answers that it leaves and is replaced", func(env *environment, random *rand.Rand) func() error {
+		return env.replaceEndpoint(random, (*environment).leaveEndpoint)
+	}, false},
 }
 
 // injectFaults injects random faults, one or two at a time with a pause after each round, until the
@@ -113,7 +131,7 @@
 			f := faults[kind]
 			fmt.Fprintf(env.options.Progress, "%6.1f s  %s\n", time.Since(began).Seconds(), f.name)
 			env.report.count("fault: " + f.name)
-			undos = append(undos, f.inject(env, env.random))
+			undos = append(undos, env.inject(f))
 		}
 		wait.For(ctx, randomDuration(env.random, minFaultTime, maxFaultTime))
 		for _, undo := range slices.Backward(undos) {
@@ -125,6 +143,19 @@
 	}
 }
 
+// inject starts a fault and returns the function that undoes it.
+func (env *environment) inject(f fault) func() error {
+	if f.planned {
+		return f.inject(env, env.random)
+	}
+	env.disturb()
+	undo := f.inject(env, env.random)
+	return func() error {
+		defer env.calm()
+		return undo()
+	}
+}
+
 // randomDuration returns a random duration in [shortest, longest).
 func randomDuration(random *rand.Rand, shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(random.Int64N(int64(longest-shortest)))
@@ -157,6 +188,30 @@
 	}
 }
 
+// terminationGap is the time between the first signals to two nodes that are terminated.
+const terminationGap = 300 * time.Millisecond
+
+// terminateNodes terminates nodes in turn, without waiting for the exit of one before the
+// next, and returns a function that restarts them.
+func (env *environment) terminateNodes(nodes []*node) func() error {
+	var exits sync.WaitGroup
+	for i, n := range nodes {
+		exits.Go(func() {
+			time.Sleep(time.Duration(i) * terminationGap)
+			n.leave()
+		})
+	}
+	exits.Wait()
+	return func() error {
+		for _, n := range nodes {
+			if err := n.start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // setStoreFaults sets the faults of the store and returns a function that clears them.
 func (env *environment) setStoreFaults(faults memory.Faults) func() error {
 	env.store.SetFaults(faults)
@@ -167,24 +222,41 @@
 	}
 }
 
-// drainTime is how long an endpoint keeps serving after the store lists it as draining.
+// drainTime is how long an endpoint keeps serving after the store lists it as draining, or
+// after its answers began to say that it leaves.
 const drainTime = 2 * time.Second
 
-// replaceEndpoint stops a random endpoint, either immediately or drainTime after listing it as
-// draining. It returns a function that starts another endpoint of the same service. The last
-// endpoint of a service is not stopped.
-func (env *environment) replaceEndpoint(random *rand.Rand, drain bool) func() error {
+// replaceEndpoint ends a random endpoint and returns a function that starts another one of the
+// same service. The last endpoint of a service is not ended.
+func (env *environment) replaceEndpoint(random *rand.Rand, end func(*environment, *platformtest.Endpoint)) func() error {
 	e := env.removeEndpoint(random)
 	if e == nil {
 		return noop
 	}
-	if drain {
-		env.store.Write(e.Key(), e.Record("draining"))
-		time.AfterFunc(drainTime, func() { env.store.Remove(e.Key()); e.Close() })
-	} else {
-		e.Close()
-		env.store.Remove(e.Key())
-	}
+	end(env, e)
 	id := fmt.Sprintf("%s-%d", e.Service, random.Uint32())
 	return func() error { env.addEndpoint(id, e.Service); return nil }
 }
+
+// crashEndpoint stops an endpoint at once.
+func (env *environment) crashEndpoint(e *platformtest.Endpoint) {
+	e.Close()
+	env.store.Remove(e.Key())
+}
+
+// drainEndpoint stops an endpoint drainTime after the store lists it as draining.
+func (env *environment) drainEndpoint(e *platformtest.Endpoint) {
+	env.store.Write(e.Key(), e.Record("draining"))
+	env.stopAfterDrain(e)
+}
+
+// leaveEndpoint stops an endpoint drainTime after its answers began to say that it leaves. The
+// store lists it as ready meanwhile.
+func (env *environment) leaveEndpoint(e *platformtest.Endpoint) {
+	e.Leave()
+	env.stopAfterDrain(e)
+}
+
+func (env *environment) stopAfterDrain(e *platformtest.Endpoint) {
+	time.AfterFunc(drainTime, func() { env.store.Remove(e.Key()); e.Close() })
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -23,6 +23,8 @@
 	eventGap   = 50 * time.Millisecond
 	// callTimeout bounds one call, including the read of the response.
 	callTimeout = 4 * time.Second
+	// keptConnections is how many idle connections to a node are kept.
+	keptConnections = 4
 	// exitWaitLimit bounds the wait for a node process to exit after SIGTERM.
 	exitWaitLimit = 20 * time.Second
 )
@@ -39,9 +41,11 @@
 	options Options
 	report  *Report
 	store   *platformtest.Store
-	client  *http.Client
-	random  *rand.Rand
-	nodes   []*node
+	// client opens a connection for each call, and kept uses its connections again until
+	// their node closes them.
+	client, kept *http.Client
+	random       *rand.Rand
+	nodes        []*node
 
 	mu sync.Mutex
 	// endpoints lists the running endpoints. started also lists those that were stopped, whose run
@@ -54,6 +58,10 @@
 	// updates holds the status that each update got, by request identifier; zero means that no
 	// complete response arrived.
 	updates map[string]int
+	// disturbances counts the faults in progress that are not planned work, and calmSince is
+	// when the last one ended.
+	disturbances int
+	calmSince    time.Time
 }
 
 // node is a node process and its link to the store.
@@ -85,6 +93,7 @@
 	env := &environment{
 		options: options, report: &Report{}, store: platformtest.NewStore(), updates: map[string]int{}, configVersion: 0, weightVersion: 1,
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		kept:   &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: keptConnections}},
 		random: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 	for i := range engineCount {
@@ -221,6 +230,9 @@
 	}
 }
 
+// terminations is how often a process that is to exit gets SIGTERM.
+const terminations = 2
+
 // leave sends SIGTERM to the process, if there is one, and waits for it to exit. It records a
 // violation if the process does not exit with code 0 within exitWaitLimit, and kills it.
 func (n *node) leave() {
@@ -228,7 +240,9 @@
 	if process == nil {
 		return
 	}
-	process.Terminate()
+	for range terminations {
+		process.Terminate() // a signal that is repeated changes nothing
+	}
 	if code, err := process.Wait(exitWaitLimit); err != nil || code != 0 {
 		n.env.report.recordViolation("%s did not exit cleanly after SIGTERM: code %d, %v", n.name, code, err)
 	}
