Panics of a node's handlers are logged

The entry's server logged panics itself.

Change: one piece, internal/panics, serves both ways in; calls of other nodes and the metrics' server have it too.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
 	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/panics"
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
@@ -69,7 +70,7 @@
 	}
 	f.limits = limits
 	server := &http.Server{
-		Handler:           &platform.Ingress{Front: f.node},
+		Handler:           panics.Logged(&platform.Ingress{Front: f.node}, f.node.logger),
 		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    max(limits.HeaderBytes, 4<<10),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/operator"
+	"github.com/comfreyfront/comfreyfront/internal/panics"
 	"github.com/comfreyfront/comfreyfront/internal/relay"
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/routereport"
@@ -215,8 +216,8 @@
 	defer stop()
 	front := newFront(n)
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ErrorLog: discardLogger()}
-	peer := &http.Server{Handler: n.peerHandler(), IdleTimeout: peerIdleTimeout, ErrorLog: discardLogger()}
-	metrics := &http.Server{Handler: n.metricsHandler(), ErrorLog: discardLogger()}
+	peer := &http.Server{Handler: panics.Logged(n.peerHandler(), n.logger), IdleTimeout: peerIdleTimeout, ErrorLog: discardLogger()}
+	metrics := &http.Server{Handler: panics.Logged(n.metricsHandler(), n.logger), ErrorLog: discardLogger()}
 	group, groupCtx := errgroup.WithContext(serveCtx)
 	if open.metrics != nil {
 		group.Go(func() error { return ignoreClosed(metrics.Serve(open.metrics)) })
--- a/internal/traffic/problem.go
+++ b/internal/traffic/problem.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -55,17 +53,3 @@
 		slog.String("tenant", c.tenant),
 		slog.String("cause", err.Error()))
 }
-
-// recoverPanic logs a panic of a handler and aborts the response, so that a partial answer
-// cannot be mistaken for a complete one.
-func (s *Server) recoverPanic(r *http.Request) {
-	recovered := recover()
-	if recovered == nil {
-		return
-	}
-	if err, ok := recovered.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		event.HandlerPanicked.Log(r.Context(), s.logger,
-			slog.String("path", r.URL.Path), slog.Any("fault", recovered), slog.String("stack", string(debug.Stack())))
-	}
-	panic(http.ErrAbortHandler)
-}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/metrics"
+	"github.com/comfreyfront/comfreyfront/internal/panics"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
@@ -97,7 +98,7 @@
 
 // ServeHTTP serves one request. It logs a panic of the handler and aborts the response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer s.recoverPanic(r)
+	defer panics.Recover(r, s.logger)
 	size := bufferedSize(r)
 	if !s.bodies.TryAcquire(size) {
 		err := request.ErrRefused.New("this entry has reached its limit on the total size of request bodies")
