--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -178,14 +178,17 @@
 	for _, n := range nodes {
 		n.kill()
 	}
-	return func() error {
-		for _, n := range nodes {
-			if err := n.start(); err != nil {
-				return err
-			}
+	return func() error { return startAll(nodes) }
+}
+
+// startAll starts the nodes that have no process.
+func startAll(nodes []*node) error {
+	for _, n := range nodes {
+		if err := n.start(); err != nil {
+			return err
 		}
-		return nil
 	}
+	return nil
 }
 
 // terminationGap is the time between the first signals to two nodes that are terminated.
@@ -202,14 +205,7 @@
 		})
 	}
 	exits.Wait()
-	return func() error {
-		for _, n := range nodes {
-			if err := n.start(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
+	return func() error { return startAll(nodes) }
 }
 
 // setStoreFaults sets the faults of the store and returns a function that clears them.
--- a/internal/submission/versions_test.go
+++ b/internal/submission/versions_test.go
@@ -32,18 +32,26 @@
 	}, testTimeout, pause)
 }
 
-// TestTextOfOneVersionDoesNotChangeItDuringARun guards against texts of a single-version
-// route that go on under the weights which an engine has just loaded.
-func TestTextOfOneVersionDoesNotChangeItDuringARun(t *testing.T) {
-	f := newFixture(2)
+// beginText runs an item of a single-version submission until its text has one event. Further
+// events wait for f.gate.
+func beginText(t *testing.T, f *fixture, s *Service, o *Owner) *recordpb.Submission {
+	t.Helper()
 	f.singleVersion()
 	f.gate = make(chan struct{})
-	s, o := f.service(), f.owner(t, "n")
 	s.StartOwner(o)
 	submission := submissionOf("a", 1, 1, 1)
 	require.NoError(t, s.Accept(context.Background(), testUnit, submission))
 	f.gate <- struct{}{}
 	waitForEvents(t, o, submission)
+	return submission
+}
+
+// TestTextOfOneVersionDoesNotChangeItDuringARun guards against texts of a single-version
+// route that go on under the weights which an engine has just loaded.
+func TestTextOfOneVersionDoesNotChangeItDuringARun(t *testing.T) {
+	f := newFixture(2)
+	s, o := f.service(), f.owner(t, "n")
+	submission := beginText(t, f, s, o)
 	f.load(2)
 	close(f.gate)
 	f.report()
@@ -57,14 +65,8 @@
 // texts' version any more, so they are generated again.
 func TestTextOfOneVersionIsNotResumedUnderAnother(t *testing.T) {
 	f := newFixture(2)
-	f.singleVersion()
-	f.gate = make(chan struct{})
 	s, first := f.service(), f.owner(t, "n1")
-	s.StartOwner(first)
-	submission := submissionOf("a", 1, 1, 1)
-	require.NoError(t, s.Accept(context.Background(), testUnit, submission))
-	f.gate <- struct{}{}
-	waitForEvents(t, first, submission)
+	submission := beginText(t, f, s, first)
 	texts := s.TextsOf(testUnit)
 	s.StopOwner(testUnit)
 	f.load(2)
@@ -82,14 +84,8 @@
 // again while an engine serves its version.
 func TestTextOfOneVersionIsContinuedWhereItsVersionIsServed(t *testing.T) {
 	f := newFixture(2)
-	f.singleVersion()
-	f.gate = make(chan struct{})
 	s, o := f.service(), f.owner(t, "n")
-	s.StartOwner(o)
-	submission := submissionOf("a", 1, 1, 1)
-	require.NoError(t, s.Accept(context.Background(), testUnit, submission))
-	f.gate <- struct{}{}
-	waitForEvents(t, o, submission)
+	submission := beginText(t, f, s, o)
 	o.mu.Lock()
 	present := o.items["i0-0"].run.endpoint.ID
 	o.mu.Unlock()
