The test of refusals waits for the right ownership

Cause, shown by the log that the test has now: TestNodesRefusedInTurnDoNotSwapAUnit failed because it took the first owner's old record for its new one, when that node had not heard yet that it lost the unit (one takeover in the log, 1.26 s in all).

Change: the test looks at the owner that the node knows, and waits for a higher epoch. The checks are the same.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"sync"
 	"testing"
@@ -58,10 +59,30 @@
 	return incarnation, false, nil
 }
 
+// testLog writes to the output of a test until the test ends. Pings may end later.
+type testLog struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+func newTestLog(t *testing.T) *testLog {
+	t.Helper()
+	l := &testLog{out: t.Output()}
+	t.Cleanup(func() { l.mu.Lock(); defer l.mu.Unlock(); l.out = io.Discard })
+	return l
+}
+
+// Write implements io.Writer.
+func (l *testLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out.Write(line)
+}
+
 func (f *fakeNodes) start(t *testing.T, name string, incarnation int64) *fakeNode {
 	t.Helper()
 	n := &fakeNode{epochs: map[string]int64{}}
-	logger := slog.New(slog.NewTextHandler(t.Output(), nil)).With(slog.String("node", name))
+	logger := slog.New(slog.NewTextHandler(newTestLog(t), nil)).With(slog.String("node", name))
 	n.cluster = New(Options{
 		Self: Node{Name: name, Address: name + ":1", Incarnation: incarnation}, Store: f.store, Pinger: f, TTL: testTTL, Logger: logger,
 		Open:     func(metastore.Event) {},
--- a/internal/cluster/refusal_test.go
+++ b/internal/cluster/refusal_test.go
@@ -35,10 +35,11 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			unit, known := c.units["u"]
-			return known && c.now().Sub(unit.observedAt) > tenureTTLs*testTTL
+			return known && unit.Owner == from && c.now().Sub(unit.observedAt) > tenureTTLs*testTTL
 		}, testTimeout, pause, "refusals count only for an owner of some time")
+		epoch := f.nodes[from].epoch("u")
 		f.setRefusing(from, true)
-		require.Eventually(t, func() bool { return f.nodes[to].epoch("u") > 0 }, testTimeout, pause)
+		require.Eventually(t, func() bool { return f.nodes[to].epoch("u") > epoch }, testTimeout, pause)
 		f.setRefusing(from, false)
 	}
 	takeover(first, second)
