An earlier state of a node never replaces its announcement that it leaves

Callers would see: a planned stop of the owner of the engines keeps its unit to the end of the grace time.

Cause: two goroutines write the node's key. A write begun before the announcement could take effect after it, also late in the store, and the record said again that the node stays. Seen as TestLeavingOwnerHandsOver, which failed in 1 of 64 runs, 8 at a time with the race detector: its log has no line between the units' takeover and the end of the wait. That this order caused that run is by reading.

Change: one write of the key at a time; a node that observes its key without the announcement writes it again.

TestLateWriteDoesNotUndoLeaving fails without the change in nodeChanged and passes; 48 runs of all tests of the package, 8 at a time with the race detector: no failure.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -129,7 +129,10 @@
 	missingOwners map[string]missingOwner
 	listed        bool
 	lease         leaseState
-	wake          chan struct{}
+	// writing is held while the node's key is written, so that an earlier state of the node
+	// never replaces a later one.
+	writing sync.Mutex
+	wake    chan struct{}
 }
 
 // New returns a cluster without members; they are added as their keys are seen.
@@ -258,6 +261,9 @@
 		c.members[name] = m
 	}
 	m.node, m.keyRemovedAt = node, time.Time{}
+	if name == c.options.Self.Name && node.Incarnation == c.options.Self.Incarnation && node.Leaving != c.options.Self.Leaving {
+		c.lease.written = false // an earlier write took effect late
+	}
 }
 
 func (c *Cluster) unitChanged(name string, e metastore.Event) {
--- a/internal/cluster/lease.go
+++ b/internal/cluster/lease.go
@@ -145,6 +145,8 @@
 // the condition that this node still owns its units: a node that was cut off may not have
 // learned yet that another one has acquired them, and a confirmed lease permits orders.
 func (c *Cluster) writeSelf(ctx context.Context, state leaseState, sent time.Time) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	if state.id == 0 {
 		ttl := c.ttl()
 		id, err := c.options.Store.Grant(ctx, ttl)
--- a/internal/cluster/lease_test.go
+++ b/internal/cluster/lease_test.go
@@ -63,3 +63,16 @@
 		return len(owners) == 1 && owners[0] != first
 	}, testTimeout, pause)
 }
+
+// TestLateWriteDoesNotUndoLeaving guards against a leaving node that keeps its units, because a
+// write of its key from before took effect after the announcement.
+func TestLateWriteDoesNotUndoLeaving(t *testing.T) {
+	c := New(Options{Self: Node{Name: "n0", Incarnation: 1, Leaving: true}, Logger: slog.New(slog.DiscardHandler)})
+	for _, leaving := range []bool{true, false} {
+		c.lease = leaseState{id: 1, written: true}
+		record, err := json.Marshal(Node{Name: "n0", Incarnation: 1, Leaving: leaving})
+		require.NoError(t, err)
+		c.Changed(metastore.Event{Item: metastore.Item{Key: nodePrefix + "n0", Value: record, Revision: 5}})
+		require.Equal(t, leaving, c.lease.written, "the key is written again unless it says that the node is leaving")
+	}
+}
