--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -49,35 +49,35 @@
 	return digest.Sum64()
 }
 
-// suspect is the record of the crashes during one request; the zero value belongs to a
-// request that is never blocked.
-type suspect struct {
+// crashRecord is what is known of the crashes during one request; the zero value belongs to
+// a request that is never blocked.
+type crashRecord struct {
 	crashes     *Crashes
 	fingerprint uint64
 }
 
-// suspect returns the record of a request.
-func (c *Crashes) suspect(request *call.Request) suspect {
+// recordOf returns the record of a request.
+func (c *Crashes) recordOf(request *call.Request) crashRecord {
 	if request.Owed {
-		return suspect{}
+		return crashRecord{}
 	}
-	return suspect{crashes: c, fingerprint: Fingerprint(request)}
+	return crashRecord{crashes: c, fingerprint: Fingerprint(request)}
 }
 
 // blocked reports whether the request must not be sent.
-func (s suspect) blocked() bool { return s.crashes != nil && s.crashes.Blocked(s.fingerprint) }
+func (r crashRecord) blocked() bool { return r.crashes != nil && r.crashes.Blocked(r.fingerprint) }
 
 // countBroken counts a run during which the connection broke.
-func (s suspect) countBroken() {
-	if s.crashes != nil {
-		s.crashes.CountBroken(s.fingerprint)
+func (r crashRecord) countBroken() {
+	if r.crashes != nil {
+		r.crashes.CountBroken(r.fingerprint)
 	}
 }
 
 // clear forgets earlier crashes: an endpoint has run the request to its end.
-func (s suspect) clear() {
-	if s.crashes != nil {
-		s.crashes.forget(s.fingerprint)
+func (r crashRecord) clear() {
+	if r.crashes != nil {
+		r.crashes.forget(r.fingerprint)
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -73,34 +73,34 @@
 // request may have run. The caller cancels ctx when it stops waiting or when the
 // request's deadline passes.
 func (s *Service) Do(ctx context.Context, r *route.Route, request *call.Request) (*call.Answer, error) {
-	suspect, err := s.admit(ctx, request)
+	record, err := s.admit(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x := &requestRun{service: s, route: r, request: request, results: make(chan attemptResult, r.MaxAttempts+maxRefusedSends+1)}
-	return x.loop(ctx, suspect)
+	return x.loop(ctx, record)
 }
 
 // admit returns the record of the crashes during the request, or ErrRejected if the request
 // is blocked because endpoints crashed while running it.
-func (s *Service) admit(ctx context.Context, request *call.Request) (suspect, error) {
-	suspect := s.Crashes.suspect(request)
-	if suspect.blocked() {
+func (s *Service) admit(ctx context.Context, request *call.Request) (crashRecord, error) {
+	record := s.Crashes.recordOf(request)
+	if record.blocked() {
 		event.RequestWithheld.Log(ctx, s.Logger, slog.String("request", request.ID))
-		return suspect, call.ErrRejected.New("the request is blocked because endpoints crashed while running it")
+		return record, call.ErrRejected.New("the request is blocked because endpoints crashed while running it")
 	}
-	return suspect, nil
+	return record, nil
 }
 
-func (x *requestRun) loop(ctx context.Context, suspect suspect) (*call.Answer, error) {
+func (x *requestRun) loop(ctx context.Context, record crashRecord) (*call.Answer, error) {
 	hedge := time.NewTimer(x.hedgeAfter())
 	defer hedge.Stop()
 	x.launch(ctx)
 	for {
 		if x.open == 0 {
-			done, err := x.retry(ctx, suspect)
+			done, err := x.retry(ctx, record)
 			if done {
 				return x.failure, err
 			}
@@ -118,7 +118,7 @@
 		case result := <-x.results:
 			x.open--
 			x.waitingFor = slices.DeleteFunc(x.waitingFor, func(id string) bool { return id == result.endpoint.ID })
-			if x.handleResult(ctx, result, suspect) {
+			if x.handleResult(ctx, result, record) {
 				return result.answer, nil
 			}
 		}
@@ -134,11 +134,11 @@
 
 // retry starts the next attempt when none is in flight, or reports that the request
 // is finished.
-func (x *requestRun) retry(ctx context.Context, suspect suspect) (bool, error) {
+func (x *requestRun) retry(ctx context.Context, record crashRecord) (bool, error) {
 	if x.sent > 0 && !x.route.Repeatable() || x.sent >= x.route.MaxAttempts || x.refused > maxRefusedSends {
 		return true, x.finalError()
 	}
-	if suspect.blocked() {
+	if record.blocked() {
 		return true, x.finalError()
 	}
 	if x.launch(ctx) {
@@ -187,7 +187,7 @@
 
 // handleResult evaluates the result of an attempt and reports whether it is the
 // answer to the request.
-func (x *requestRun) handleResult(ctx context.Context, result attemptResult, suspect suspect) bool {
+func (x *requestRun) handleResult(ctx context.Context, result attemptResult, record crashRecord) bool {
 	now := time.Now()
 	if result.err == nil && result.answer.Stamp == "" {
 		result.err = call.ErrForeign.New("answer without a signature, status %d", result.answer.Status)
@@ -195,7 +195,7 @@
 	if result.err == nil {
 		x.sent++
 		result.endpoint.Live.Succeed()
-		suspect.clear()
+		record.clear()
 		if result.answer.Status < 500 || x.request.ReturnFailures || !x.route.Repeatable() || x.sent >= x.route.MaxAttempts && x.open == 0 {
 			return true
 		}
@@ -206,7 +206,7 @@
 		return false
 	}
 	x.lastErr = moreCertain(x.lastErr, result.err)
-	x.countFailure(result, suspect, now)
+	x.countFailure(result, record, now)
 	event.AttemptFailed.Log(ctx, x.service.Logger, slog.String("request", x.request.ID), slog.String("endpoint", result.endpoint.ID),
 		slog.Int("sent", x.sent), slog.String("cause", result.err.Error()))
 	return false
@@ -223,7 +223,7 @@
 
 // countFailure counts a failed attempt as refused or sent and records the failure
 // of its endpoint.
-func (x *requestRun) countFailure(result attemptResult, suspect suspect, now time.Time) {
+func (x *requestRun) countFailure(result attemptResult, record crashRecord, now time.Time) {
 	switch {
 	case call.Is(result.err, call.ErrFull):
 		x.refused++
@@ -234,7 +234,7 @@
 	case call.Is(result.err, call.ErrBroken):
 		x.sent++
 		result.endpoint.Live.Fail(now)
-		suspect.countBroken()
+		record.countBroken()
 	default:
 		x.sent++
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,7 @@
 // the caller sees one answer, with the head from the first endpoint. The result
 // started reports whether anything was passed to receiver.
 func (s *Service) Stream(ctx context.Context, r *route.Route, request *call.Request, after int, receiver call.Receiver) (started bool, err error) {
-	suspect, err := s.admit(ctx, request)
+	record, err := s.admit(ctx, request)
 	if err != nil {
 		return false, err
 	}
@@ -43,7 +43,7 @@
 		failure := s.streamOnce(ctx, r, e, request, &after, &started, receiver)
 		if failure == nil {
 			e.Live.Succeed()
-			suspect.clear()
+			record.clear()
 			return started, nil
 		}
 		event.AttemptFailed.Log(ctx, s.Logger, slog.String("request", request.ID), slog.String("endpoint", e.ID), slog.String("cause", failure.Error()))
@@ -52,7 +52,7 @@
 		} else {
 			sent++
 		}
-		s.recordFailure(e, failure, suspect, started)
+		s.recordFailure(e, failure, record, started)
 		err = moreCertain(err, failure)
 		if ctx.Err() != nil || sent > 0 && !r.Resumable || sent >= r.MaxAttempts || refused > maxRefusedSends {
 			return started, err
@@ -70,7 +70,7 @@
 
 // recordFailure records a failed attempt for its endpoint. If the connection broke
 // before the stream started, it also counts the attempt against the request.
-func (s *Service) recordFailure(e *fleet.Endpoint, err error, suspect suspect, started bool) {
+func (s *Service) recordFailure(e *fleet.Endpoint, err error, record crashRecord, started bool) {
 	now := time.Now()
 	switch {
 	case call.Is(err, call.ErrFull):
@@ -78,7 +78,7 @@
 	case call.Is(err, call.ErrBroken, call.ErrNotSent, call.ErrMisdirected):
 		e.Live.Fail(now)
 		if call.Is(err, call.ErrBroken) && !started {
-			suspect.countBroken()
+			record.countBroken()
 		}
 	}
 }
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -28,10 +28,10 @@
 	// one.
 	minRunTime = 300 * time.Millisecond
 	// breakPause is the pause after a run that broke before its first event; it doubles
-	// with each such run in a row, up to maxBreakPause. An item is not suspected of crashing
-	// engines: while engines are up, it must not be without one for seconds.
-	breakPause    = 50 * time.Millisecond
-	maxBreakPause = 400 * time.Millisecond
+	// with each such run in a row, at most maxBreakDoublings times. An item is not suspected
+	// of crashing engines: while engines are up, it must not be without one for seconds.
+	breakPause        = 50 * time.Millisecond
+	maxBreakDoublings = 3
 	// defaultMaxQueue is how long an item may wait if its route sets no limit.
 	defaultMaxQueue = 60 * time.Second
 )
@@ -264,17 +264,10 @@
 	if r.events > 0 {
 		return
 	}
-	pause := maxBreakPause
-	if i.breaks < maxBreakDoublings {
-		pause = min(breakPause<<i.breaks, maxBreakPause)
-	}
+	i.notBefore = now.Add(breakPause << min(i.breaks, maxBreakDoublings))
 	i.breaks++
-	i.notBefore = now.Add(pause)
 }
 
-// maxBreakDoublings is the number of breaks after which the pause is not doubled any more.
-const maxBreakDoublings = 8
-
 func (o *Owner) attempts(i *item) int {
 	if r, ok := o.routeOf(i.submission); ok {
 		return r.MaxAttempts
