Foundation of the new parts: accounts, bounds of scaling, settings, credentials of duties

Cause: the parts for client accounts, duties, usage and orders for endpoints are built side by side; they share the account directory, the settings, a message between nodes and the credentials of calls. Nothing uses them yet; deployments are served as before.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -21,6 +21,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Account is the name of the client account that sent the request; empty means none.
+	Account string
 	// Deadline is sent to the endpoint as the remaining time; zero means no
 	// deadline.
 	Deadline time.Time
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/account"
 )
 
 // Kind determines whether and how a request may be repeated.
@@ -62,6 +64,8 @@
 	// SingleVersion requires that a text is generated with a single version of the
 	// weights.
 	SingleVersion bool
+	// Public routes serve requests without an account's key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -101,6 +105,26 @@
 	// weights change.
 	Engine bool
 	Models []string
+	// MemoryTokens is the number of tokens that an engine's memory holds; zero means unknown.
+	MemoryTokens int64
+	// Scaling is nil if the number of the service's endpoints is fixed.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of endpoints of a service that the system may order in each
+// failure domain, and gives their prices.
+type Scaling struct {
+	// Min and Max bound the number in one failure domain, ordinary and reclaimable
+	// endpoints together.
+	Min, Max int
+	// StartTime is how long an ordered endpoint takes until it serves.
+	StartTime time.Duration
+	// ReclaimablePrice is the price of an endpoint that may be reclaimed at short notice, as
+	// a fraction of an ordinary one; zero means that there are none.
+	ReclaimablePrice float64
+	// DomainPrices is the price of an endpoint in each failure domain, relative to the
+	// others.
+	DomainPrices map[string]float64
 }
 
 // Limits bound the size of callers' requests and how long they may take to arrive.
@@ -118,6 +142,9 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts. It is nil if the configuration has none: then no
+	// request needs a key.
+	Accounts *account.Directory
 	byHost   map[string][]*Route
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -26,6 +26,25 @@
 	MemoryMB      int
 	// Capacity is the fraction of a CPU core that this instance has.
 	Capacity float64
+	// KeyRevocation is how long after a configuration has withdrawn an account's key a
+	// request with that key may still be accepted, whether or not this node has learned of
+	// it. Zero sets no limit.
+	KeyRevocation time.Duration
+	// ManagementAddress is the host:port of the platform's management interface, which takes
+	// usage reports and orders for endpoints; empty means that there is none.
+	ManagementAddress string
+	// ManagementRate is the number of calls a second that the management interface accepts
+	// from all nodes together.
+	ManagementRate float64
+	// HolderChange is the shortest time between the calls of two holders of one duty.
+	HolderChange time.Duration
+	// UsageWindow is the length of the windows for which usage is reported, and UsageDue how
+	// long after its end the report of a window is due. A zero UsageWindow disables reports.
+	UsageWindow time.Duration
+	UsageDue    time.Duration
+	// MaxFiles is the number of file descriptors that the process may open; zero means that
+	// the limit of the operating system applies.
+	MaxFiles int
 	LogLevel string
 }
 
@@ -36,15 +55,20 @@
 	defaultStatusLife = 2 * time.Minute
 	defaultMemoryMB   = 256
 	defaultCapacity   = 1.0
-	minMemoryMB       = 32
-	minLeaseTTL       = time.Second
+	// defaultHolderChange outlasts the lease of the previous holder of a duty.
+	defaultHolderChange   = 3 * time.Second
+	defaultManagementRate = 10.0
+	defaultUsageDue       = 10 * time.Second
+	minMemoryMB           = 32
+	minLeaseTTL           = time.Second
 )
 
 // DefaultNode returns the default settings of a node.
 func DefaultNode() *Node {
 	return &Node{
 		Grace: defaultGrace, LeaseTTL: defaultLeaseTTL, StatusLife: defaultStatusLife,
-		MemoryMB: defaultMemoryMB, Capacity: defaultCapacity, LogLevel: slog.LevelInfo.String(),
+		MemoryMB: defaultMemoryMB, Capacity: defaultCapacity,
+		HolderChange: defaultHolderChange, ManagementRate: defaultManagementRate, UsageDue: defaultUsageDue, LogLevel: slog.LevelInfo.String(),
 	}
 }
 
@@ -77,6 +101,13 @@
 		durationSetting("status-life", "how long results can be read after a submission arrives, such as 2m, or in seconds", &n.StatusLife, time.Second),
 		integerSetting("memory", "memory of this instance, in MB; the process stays well below it", &n.MemoryMB),
 		floatSetting("capacity", "fraction of a CPU core that this instance has; units are assigned to the nodes with the most capacity", &n.Capacity),
+		durationSetting("key-revocation", "time after which no request is accepted any more with a key that a configuration withdrew, such as 5s, or in seconds; 0 sets no limit", &n.KeyRevocation, time.Second),
+		textSetting("management-address", "host:port of the platform's management interface for usage reports and orders for endpoints; empty: none", &n.ManagementAddress),
+		floatSetting("management-rate", "calls a second that the management interface accepts from all nodes together", &n.ManagementRate),
+		durationSetting("holder-change", "shortest time between the calls of two holders of one duty, such as 3s, or in seconds", &n.HolderChange, time.Second),
+		durationSetting("usage-window", "length of the windows for which the usage of accounts is reported, such as 5s, or in seconds; 0 disables the reports", &n.UsageWindow, time.Second),
+		durationSetting("usage-due", "time after the end of a window in which its usage report is due, such as 10s, or in seconds", &n.UsageDue, time.Second),
+		integerSetting("max-files", "file descriptors that this process may open; 0: the limit of the operating system", &n.MaxFiles),
 		textSetting("log-level", "DEBUG, INFO, WARN or ERROR", &n.LogLevel),
 	}
 }
@@ -218,6 +249,7 @@
 	if n.Capacity <= 0 {
 		add("capacity: %g must be above zero", n.Capacity)
 	}
+	mistakes = append(mistakes, n.managementMistakes()...)
 	if n.MemoryMB < minMemoryMB {
 		add("memory: %d must be at least %d", n.MemoryMB, minMemoryMB)
 	}
@@ -227,6 +259,31 @@
 	return invalid(mistakes)
 }
 
+// managementMistakes validates the settings of the platform's management interface and of
+// what is enforced for client accounts.
+func (n *Node) managementMistakes() []string {
+	var mistakes []string
+	add := func(format string, args ...any) { mistakes = append(mistakes, fmt.Sprintf(format, args...)) }
+	if _, _, err := net.SplitHostPort(n.ManagementAddress); n.ManagementAddress != "" && err != nil {
+		add("management-address: %q must be host:port", n.ManagementAddress)
+	}
+	if n.ManagementRate <= 0 {
+		add("management-rate: %g must be above zero", n.ManagementRate)
+	}
+	for _, duration := range []struct {
+		setting string
+		value   time.Duration
+	}{{"key-revocation", n.KeyRevocation}, {"holder-change", n.HolderChange}, {"usage-window", n.UsageWindow}, {"usage-due", n.UsageDue}} {
+		if duration.value < 0 {
+			add("%s: %s must not be negative", duration.setting, duration.value)
+		}
+	}
+	if n.MaxFiles < 0 {
+		add("max-files: %d must not be negative", n.MaxFiles)
+	}
+	return mistakes
+}
+
 // Level returns the lowest log level that is written.
 func (n *Node) Level() (slog.Level, error) {
 	var level slog.Level
