Requests of client accounts need a key; submissions belong to the account that sent them

Cause: the key went on to the endpoint, no account was named to it, and an unknown key was served. Change: ingress identifies the caller (account.Identify) before it reads the body; the key is dropped and the account's name set by the adapter; records and heads of submissions name the account, whose calls alone find them; items are kept apart by account; engines get the account's or route's priority. KeysCertain is the hook for the check of withdrawn keys and returns true until that is built. Without accounts in the configuration requests are served as before; the account's header that a client sends is dropped.

--- /dev/null
+++ b/internal/account/admission.go
@@ -0,0 +1,102 @@
+package account
+
+import "github.com/joomcode/errorx"
+
+// Errors of requests that are refused for their key. Their texts contain no key.
+var (
+	// ErrNoKey means that the request has no key and its route requires one.
+	ErrNoKey = Errors.NewType("no_key")
+	// ErrMalformedKey means that the request does not contain exactly one key in the required
+	// form.
+	ErrMalformedKey = Errors.NewType("malformed_key")
+	// ErrUnknownKey means that the key belongs to no account of the configuration in force.
+	ErrUnknownKey = Errors.NewType("unknown_key")
+	// ErrUncertain means that this node cannot be sure which keys are valid; nothing ran.
+	ErrUncertain = Errors.NewType("uncertain", errorx.Temporary())
+)
+
+// Caller is who sent a request. The zero value is the caller of a deployment without
+// accounts.
+type Caller struct {
+	// Checked is true if the configuration has accounts.
+	Checked bool
+	// Account is the caller's account, or nil if the request needed no key and had none.
+	Account *Account
+}
+
+// Name returns the name of the caller's account, or an empty string if it has none.
+func (c Caller) Name() string {
+	if c.Account == nil {
+		return ""
+	}
+	return c.Account.Name
+}
+
+// MayUse reports whether the caller may use what an account submitted. An empty owner means
+// that it was submitted without an account.
+func (c Caller) MayUse(owner string) bool {
+	return !c.Checked || owner == "" || owner == c.Name()
+}
+
+// Credential is the key of a request, or the reason why it has none.
+type Credential struct {
+	Key string
+	// Err is nil if there is a key, else ErrNoKey or ErrMalformedKey.
+	Err error
+}
+
+// Identify returns the caller that presents the credential, or the error for which the
+// request is refused. A public request is never refused. certain reports whether this node
+// can be sure that no newer configuration has withdrawn keys; an unsure node does not know
+// either that a key is unknown. A nil directory means that there are no accounts.
+func (d *Directory) Identify(credential Credential, public bool, certain func() bool) (Caller, error) {
+	if d == nil {
+		return Caller{}, nil
+	}
+	caller := Caller{Checked: true}
+	if public {
+		caller.Account = d.byKey[credential.Key] // an empty key belongs to no account
+		return caller, nil
+	}
+	if credential.Err != nil {
+		return caller, credential.Err
+	}
+	if !certain() {
+		return caller, ErrUncertain.New("this node cannot be sure which keys are valid")
+	}
+	known := false
+	if caller.Account, known = d.byKey[credential.Key]; !known {
+		return caller, ErrUnknownKey.New("the key belongs to no account")
+	}
+	return caller, nil
+}
+
+// Refusal is the reason for which a request was refused, as a label of metrics and reports.
+type Refusal string
+
+// Reasons of refusals.
+const (
+	RefusedNoKey     Refusal = "no_key"
+	RefusedMalformed Refusal = "malformed_key"
+	RefusedUnknown   Refusal = "unknown_key"
+	RefusedUncertain Refusal = "uncertain"
+)
+
+// Refusals lists all reasons.
+var Refusals = []Refusal{RefusedNoKey, RefusedMalformed, RefusedUnknown, RefusedUncertain}
+
+// RefusalOf returns the reason of an error of Identify, and false for any other error.
+func RefusalOf(err error) (Refusal, bool) {
+	for _, refusal := range []struct {
+		of     *errorx.Type
+		reason Refusal
+	}{
+		{ErrNoKey, RefusedNoKey}, {ErrMalformedKey, RefusedMalformed},
+		{ErrUnknownKey, RefusedUnknown}, {ErrUncertain, RefusedUncertain},
+	} {
+		if err != nil && errorx.IsOfType(err, refusal.of) {
+			return refusal.reason, true
+		}
+	}
+	return "", false
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -23,6 +23,10 @@
 	Body   []byte
 	// Account is the name of the client account that sent the request; empty means none.
 	Account string
+	// Priority, if HasPriority is set, is the urgency of the request at an engine; zero is the
+	// most urgent.
+	Priority    int
+	HasPriority bool
 	// Deadline is sent to the endpoint as the remaining time; zero means no
 	// deadline.
 	Deadline time.Time
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/account"
 	"github.com/comfreyfront/comfreyfront/internal/call"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/panics"
@@ -210,21 +211,35 @@
 }
 
 // Read implements platform.Front.
-func (n *Node) Read(ctx context.Context, id string, after int, waitLimit time.Duration) (int, []*recordpb.Result, error) {
+func (n *Node) Read(ctx context.Context, caller account.Caller, id string, after int, waitLimit time.Duration) (int, []*recordpb.Result, error) {
+	if err := n.submissions.Authorize(ctx, caller, id); err != nil {
+		return 0, nil, err
+	}
 	return n.submissions.Read(ctx, id, after, waitLimit)
 }
 
 // Body implements platform.Front.
-func (n *Node) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+func (n *Node) Body(ctx context.Context, caller account.Caller, id, itemID string) ([]byte, error) {
+	if err := n.submissions.Authorize(ctx, caller, id); err != nil {
+		return nil, err
+	}
 	return n.submissions.Body(ctx, id, itemID)
 }
 
 // End implements platform.Front.
-func (n *Node) End(ctx context.Context, id string) error { return n.submissions.End(ctx, id) }
+func (n *Node) End(ctx context.Context, caller account.Caller, id string) error {
+	if err := n.submissions.Authorize(ctx, caller, id); err != nil {
+		return err
+	}
+	return n.submissions.End(ctx, id)
+}
 
 // Refusal implements platform.Front. Status 503 guarantees that the request did not
 // run; 502 and 504 guarantee nothing.
 func (n *Node) Refusal(err error) (int, time.Duration) {
+	if status, after, ok := refusalOfKey(err); ok {
+		return status, after
+	}
 	switch {
 	case call.NotRun(err):
 		return http.StatusServiceUnavailable, retryAfterNotRun
@@ -236,6 +251,8 @@
 		return http.StatusRequestEntityTooLarge, 0
 	case call.Is(err, submission.ErrNotFound):
 		return http.StatusNotFound, 0
+	case call.Is(err, submission.ErrTaken):
+		return http.StatusConflict, 0
 	case call.Is(err, submission.ErrUnavailable):
 		return http.StatusServiceUnavailable, retryAfterStoreOutage
 	}
@@ -252,6 +269,13 @@
 	if end.Submission != "" {
 		attrs = append(attrs, slog.String("submission", end.Submission))
 	}
+	if name := end.Caller.Name(); name != "" {
+		attrs = append(attrs, slog.String("account", name))
+	}
+	if _, refused := account.RefusalOf(end.Err); refused {
+		event.KeyRefused.Log(context.Background(), n.logger, append(attrs, slog.String("cause", end.Err.Error()))...)
+		return
+	}
 	if end.Err != nil {
 		event.RequestFailed.Log(context.Background(), n.logger, append(attrs, slog.String("cause", end.Err.Error()))...)
 		return
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -164,13 +164,24 @@
 	return c
 }
 
-// Match returns the route of the host with the longest prefix that matches the
-// path.
-func (c *Configuration) Match(host, path string) (*Route, bool) {
+// PublicSubmissions reports whether submissions are accepted from callers without a key on a
+// route of the host.
+func (c *Configuration) PublicSubmissions(host string) bool {
+	return slices.ContainsFunc(c.routesOf(host), func(r *Route) bool { return r.Kind == Batch && r.Public })
+}
+
+// routesOf returns the routes of a host, those with the longest prefix first.
+func (c *Configuration) routesOf(host string) []*Route {
 	if name, _, found := strings.Cut(host, ":"); found {
 		host = name
 	}
-	for _, r := range c.byHost[strings.ToLower(host)] {
+	return c.byHost[strings.ToLower(host)]
+}
+
+// Match returns the route of the host with the longest prefix that matches the
+// path.
+func (c *Configuration) Match(host, path string) (*Route, bool) {
+	for _, r := range c.routesOf(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -23,14 +23,14 @@
 	}
 	id := record.GetId()
 	if h, known := s.knownHead(id); known && h.Revision > 0 {
-		return nil
+		return s.checkSubmitter(ctx, record, h)
 	}
 	record.AcceptedUnixMs = time.Now().UnixMilli()
 	puts, err := parts(record)
 	if err != nil {
 		return err
 	}
-	h := head{Unit: unit, Total: len(record.GetItems()), AcceptedMillis: record.GetAcceptedUnixMs()}
+	h := head{Unit: unit, Account: record.GetAccount(), Total: len(record.GetItems()), AcceptedMillis: record.GetAcceptedUnixMs()}
 	value, err := json.Marshal(h)
 	if err != nil {
 		return ErrMalformed.Wrap(err, "head")
@@ -45,6 +45,11 @@
 		event.SubmissionFailed.Log(ctx, s.options.Logger, slog.String("submission", id), slog.String("cause", err.Error()))
 		return err
 	}
+	if h.Revision == 0 {
+		if err := s.checkStoredSubmitter(ctx, record); err != nil {
+			return err
+		}
+	}
 	event.SubmissionAccepted.Log(ctx, s.options.Logger, slog.String("submission", id), slog.String("unit", unit),
 		slog.Int("items", h.Total), slog.Int64("took_ms", time.Now().UnixMilli()-h.AcceptedMillis))
 	if h.Revision > 0 {
--- a/internal/submission/checkpoint.go
+++ b/internal/submission/checkpoint.go
@@ -47,7 +47,7 @@
 	writing     bool
 	lastAttempt time.Time // when the owner last checked for unsaved texts
 	next        int       // number of the next checkpoint
-	// items maps the number of each checkpoint to the IDs of the items whose texts it
+	// items maps the number of each checkpoint to the keys of the items whose texts it
 	// contains.
 	items map[int][]string
 }
@@ -161,7 +161,7 @@
 		firstCheckpoint = number
 	}
 	return part{item: i, restarts: i.restarts, until: len(i.text.events), text: &recordpb.Text{
-		ItemId: i.record.GetId(), Events: fresh, Versions: slices.Clone(i.text.versions),
+		ItemId: i.key(), Events: fresh, Versions: slices.Clone(i.text.versions),
 		Complete: i.text.complete, Skipped: int32(i.text.saved), Base: int32(firstCheckpoint),
 	}}
 }
@@ -175,8 +175,8 @@
 // most maxDeletes of them.
 func (o *Owner) obsolete() []int {
 	var numbers []int
-	for number, ids := range o.saved.items {
-		if !slices.ContainsFunc(ids, func(id string) bool { i := o.items[id]; return i != nil && i.needed() }) {
+	for number, keys := range o.saved.items {
+		if !slices.ContainsFunc(keys, func(key string) bool { i := o.items[key]; return i != nil && i.needed() }) {
 			numbers = append(numbers, number)
 		}
 	}
--- a/internal/submission/handover.go
+++ b/internal/submission/handover.go
@@ -16,12 +16,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	texts := &recordpb.Texts{}
-	for id, i := range o.items {
+	for key, i := range o.items {
 		if len(i.text.events) == 0 {
 			continue
 		}
 		texts.Texts = append(texts.Texts, &recordpb.Text{
-			ItemId: id, Events: slices.Clone(i.text.events), Versions: slices.Clone(i.text.versions), Complete: i.text.complete,
+			ItemId: key, Events: slices.Clone(i.text.events), Versions: slices.Clone(i.text.versions), Complete: i.text.complete,
 		})
 	}
 	return texts
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -66,6 +66,8 @@
 // item is the state of one item at its owner. The owner's mutex guards it.
 type item struct {
 	record *recordpb.Item
+	// account is the account of the item's submission, also after that ended.
+	account string
 	// submission is the submission that the item belongs to; nil after that one ended,
 	// until a later submission contains the item again.
 	submission *ownedSubmission
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -51,7 +51,8 @@
 	mu sync.Mutex
 	// submissions contains the submissions that this owner opened, including ended ones.
 	submissions map[string]*ownedSubmission
-	items       map[string]*item
+	// items contains the items by their keys.
+	items map[string]*item
 	// scoresOpen counts the scoring calls in flight.
 	scoresOpen int
 	// lengths, demands (the tokens that a model's submissions ask for), loadSlope and
@@ -191,19 +192,20 @@
 }
 
 // attachItem creates an item for a submission, or reuses the text of an item with the
-// same ID whose submission ended before the item was listed. It reports whether an item
+// same key whose submission ended before the item was listed. It reports whether an item
 // was reused.
 func (o *Owner) attachItem(s *ownedSubmission, record *recordpb.Item) bool {
-	old := o.items[record.GetId()]
+	key := itemKey(s.head.Account, record.GetId())
+	old := o.items[key]
 	if old == nil || old.submission != nil {
-		o.items[record.GetId()] = &item{record: record, submission: s, timing: newTiming(s.head.acceptedAt(), time.Now())}
+		o.items[key] = &item{record: record, account: s.head.Account, submission: s, timing: newTiming(s.head.acceptedAt(), time.Now())}
 		return false
 	}
 	sameReward := old.record.GetReward().GetId() == record.GetReward().GetId()
 	if !old.restored {
 		old.text.saved = 0 // its checkpoints may have been deleted
 	}
-	old.submission, old.record, old.carriedOver, old.restored = s, record, true, false
+	old.submission, old.record, old.account, old.carriedOver, old.restored = s, record, s.head.Account, true, false
 	old.timing = newTiming(s.head.acceptedAt(), time.Now())
 	if !old.text.fits(s.record.GetMinVersion(), o.requiresSingleVersion(s)) {
 		o.restart(old)
@@ -289,7 +291,7 @@
 	s.ended, s.endedAt = true, now
 	var unlisted []string
 	for _, itemRecord := range s.record.GetItems() {
-		if i := o.items[itemRecord.GetId()]; i != nil && i.submission == s {
+		if i := o.items[itemKey(s.head.Account, itemRecord.GetId())]; i != nil && i.submission == s {
 			unlisted = append(unlisted, i.describe(now))
 			i.submission, i.orphanedAt = nil, now
 		}
--- a/internal/submission/restore.go
+++ b/internal/submission/restore.go
@@ -118,8 +118,8 @@
 	}
 	now := time.Now()
 	resumed := 0
-	for id, t := range texts {
-		if o.resume(id, t, now) {
+	for key, t := range texts {
+		if o.resume(key, t, now) {
 			resumed++
 		}
 	}
@@ -129,7 +129,7 @@
 		slog.Int("bytes", bytes), slog.Int("texts", len(texts)), slog.Int("resumed", resumed), slog.Int64("took_ms", now.Sub(began).Milliseconds()))
 }
 
-// joinedTexts maps item IDs to the texts assembled so far.
+// joinedTexts maps keys of items to the texts assembled so far.
 type joinedTexts map[string]text
 
 // add appends a part to the text that it continues, or starts a new text. A part that
@@ -146,11 +146,11 @@
 
 // resume lets an item resume from a saved text if that is longer than the item's current
 // text, and reports whether it does. The caller holds o.mu.
-func (o *Owner) resume(id string, t text, now time.Time) bool {
-	i := o.items[id]
+func (o *Owner) resume(key string, t text, now time.Time) bool {
+	i := o.items[key]
 	switch {
 	case i == nil:
-		o.items[id] = &item{restored: true, orphanedAt: now, text: t}
+		o.items[key] = &item{restored: true, orphanedAt: now, text: t}
 		return true
 	case i.text.complete || i.state == finished || len(t.events) <= len(i.text.events):
 		return false
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -127,14 +127,18 @@
 	for _, h := range i.record.GetHeaders() {
 		header.Set(h.GetName(), h.GetValue())
 	}
+	record := i.submission.record
 	return &call.Request{
-		ID:      i.record.GetId(),
-		Method:  http.MethodPost,
-		URI:     i.record.GetPath(),
-		Host:    i.submission.record.GetHost(),
-		Header:  header,
-		Body:    i.record.GetBody(),
-		Version: o.needOf(i).version,
+		ID:          i.record.GetId(),
+		Method:      http.MethodPost,
+		URI:         i.record.GetPath(),
+		Host:        record.GetHost(),
+		Header:      header,
+		Body:        i.record.GetBody(),
+		Account:     i.account,
+		Priority:    int(record.GetPriority()),
+		HasPriority: record.Priority != nil,
+		Version:     o.needOf(i).version,
 	}
 }
 
--- a/internal/submission/submission.go
+++ b/internal/submission/submission.go
@@ -46,6 +46,8 @@
 	ErrTooLarge = Errors.NewType("too_large")
 	// ErrNotFound reports that the submission or item does not exist.
 	ErrNotFound = Errors.NewType("not_found", errorx.NotFound())
+	// ErrTaken reports that a submission of another account has the same ID; nothing runs.
+	ErrTaken = Errors.NewType("taken")
 	// ErrUnavailable reports that the store was unreachable; nothing was done.
 	ErrUnavailable = Errors.NewType("unavailable", errorx.Temporary())
 	// ErrVersion reports that an engine serves a weight version that a text must not contain.
@@ -58,9 +60,11 @@
 // head is the summary record of a submission. Every node watches the heads.
 type head struct {
 	// Unit is the unit whose owner runs the submission.
-	Unit  string `json:"unit"`
-	Total int    `json:"total"`
-	Ended bool   `json:"ended,omitempty"`
+	Unit string `json:"unit"`
+	// Account is the name of the account that submitted it; empty means none.
+	Account string `json:"account,omitempty"`
+	Total   int    `json:"total"`
+	Ended   bool   `json:"ended,omitempty"`
 	// AcceptedMillis is the time of acceptance in Unix milliseconds.
 	AcceptedMillis int64 `json:"accepted_ms"`
 	// Revision is the revision of the head's key; it is not part of the stored value.
