--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
+	"unicode"
 
 	"github.com/joomcode/errorx"
 )
@@ -48,7 +50,7 @@
 }
 
 // NewDirectory returns the directory of the given accounts. It returns ErrInvalid if a name
-// or a key is empty or occurs twice.
+// or a key is empty or occurs twice, or a name contains control characters.
 func NewDirectory(definitions []Definition) (*Directory, error) {
 	d := &Directory{byKey: map[string]*Account{}, byName: make(map[string]*Account, len(definitions))}
 	for i := range definitions {
@@ -65,6 +67,9 @@
 	if a.Name == "" {
 		return ErrInvalid.New("account %d has no name", index)
 	}
+	if strings.ContainsFunc(a.Name, unicode.IsControl) {
+		return ErrInvalid.New("account %d: the name %q contains a control character", index, a.Name)
+	}
 	if _, exists := d.byName[a.Name]; exists {
 		return ErrInvalid.New("account %q occurs twice", a.Name)
 	}
@@ -87,8 +92,11 @@
 	return a, ok
 }
 
-// Find returns the account with the given name.
+// Find returns the account with the given name. A nil directory has none.
 func (d *Directory) Find(name string) (*Account, bool) {
+	if d == nil {
+		return nil, false
+	}
 	a, ok := d.byName[name]
 	return a, ok
 }
--- a/internal/account/admission.go
+++ b/internal/account/admission.go
@@ -48,55 +48,57 @@
 // Identify returns the caller that presents the credential, or the error for which the
 // request is refused. A public request is never refused. certain reports whether this node
 // can be sure that no newer configuration has withdrawn keys; an unsure node does not know
-// either that a key is unknown. A nil directory means that there are no accounts.
+// either that a key is unknown. With ErrUncertain the caller's account is set if its key is
+// known here. A nil directory means that there are no accounts.
 func (d *Directory) Identify(credential Credential, public bool, certain func() bool) (Caller, error) {
 	if d == nil {
 		return Caller{}, nil
 	}
-	caller := Caller{Checked: true}
-	if public {
-		caller.Account = d.byKey[credential.Key] // an empty key belongs to no account
+	caller := Caller{Checked: true, Account: d.byKey[credential.Key]} // no account has an empty key
+	switch {
+	case public:
 		return caller, nil
-	}
-	if credential.Err != nil {
+	case credential.Err != nil:
 		return caller, credential.Err
-	}
-	if !certain() {
+	case !certain():
 		return caller, ErrUncertain.New("this node cannot be sure which keys are valid")
-	}
-	known := false
-	if caller.Account, known = d.byKey[credential.Key]; !known {
+	case caller.Account == nil:
 		return caller, ErrUnknownKey.New("the key belongs to no account")
 	}
 	return caller, nil
 }
 
-// Refusal is the reason for which a request was refused, as a label of metrics and reports.
-type Refusal string
+// Refusal is the reason for which a request was refused for its key.
+type Refusal int
 
 // Reasons of refusals.
 const (
-	RefusedNoKey     Refusal = "no_key"
-	RefusedMalformed Refusal = "malformed_key"
-	RefusedUnknown   Refusal = "unknown_key"
-	RefusedUncertain Refusal = "uncertain"
+	RefusedNoKey Refusal = iota
+	RefusedMalformed
+	RefusedUnknown
+	RefusedUncertain
+	RefusalCount // number of reasons
 )
 
-// Refusals lists all reasons.
-var Refusals = []Refusal{RefusedNoKey, RefusedMalformed, RefusedUnknown, RefusedUncertain}
+// refusalErrors holds the error of each reason.
+var refusalErrors = [RefusalCount]*errorx.Type{
+	RefusedNoKey: ErrNoKey, RefusedMalformed: ErrMalformedKey, RefusedUnknown: ErrUnknownKey, RefusedUncertain: ErrUncertain,
+}
+
+// String implements fmt.Stringer. The names are labels of metrics.
+func (r Refusal) String() string {
+	return [...]string{"no_key", "malformed_key", "unknown_key", "uncertain"}[r]
+}
 
 // RefusalOf returns the reason of an error of Identify, and false for any other error.
 func RefusalOf(err error) (Refusal, bool) {
-	for _, refusal := range []struct {
-		of     *errorx.Type
-		reason Refusal
-	}{
-		{ErrNoKey, RefusedNoKey}, {ErrMalformedKey, RefusedMalformed},
-		{ErrUnknownKey, RefusedUnknown}, {ErrUncertain, RefusedUncertain},
-	} {
-		if err != nil && errorx.IsOfType(err, refusal.of) {
-			return refusal.reason, true
+	if err == nil {
+		return 0, false
+	}
+	for reason, of := range refusalErrors {
+		if errorx.IsOfType(err, of) {
+			return Refusal(reason), true
 		}
 	}
-	return "", false
+	return 0, false
 }
--- /dev/null
+++ b/internal/accountreport/collector.go
@@ -0,0 +1,49 @@
+package accountreport
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/comfreyfront/comfreyfront/internal/account"
+	"github.com/comfreyfront/comfreyfront/internal/routereport"
+)
+
+// noAccountLabel is the label of requests without a known account.
+const noAccountLabel = "none"
+
+var (
+	requestsMetric = prometheus.NewDesc("comfreyfront_account_requests_total", "Requests that ended, by client account.", []string{"account", "outcome"}, nil)
+	refusalsMetric = prometheus.NewDesc("comfreyfront_account_refusals_total", "Requests that were refused for their key, by client account and reason.", []string{"account", "reason"}, nil)
+)
+
+var _ prometheus.Collector = (*Recorder)(nil)
+
+// Describe implements prometheus.Collector.
+func (r *Recorder) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- requestsMetric
+	descriptions <- refusalsMetric
+}
+
+// Collect implements prometheus.Collector. The accounts are those of the configuration, and
+// counts of zero are left out.
+func (r *Recorder) Collect(metrics chan<- prometheus.Metric) {
+	names, figures := r.totals()
+	for _, name := range names {
+		f := figures[name]
+		label := name
+		if name == NoAccount {
+			label = noAccountLabel
+		}
+		for outcome, n := range f.Outcomes {
+			send(metrics, requestsMetric, n, label, routereport.Outcome(outcome).String())
+		}
+		for refusal, n := range f.Refusals {
+			send(metrics, refusalsMetric, n, label, account.Refusal(refusal).String())
+		}
+	}
+}
+
+func send(metrics chan<- prometheus.Metric, description *prometheus.Desc, n int64, labels ...string) {
+	if n > 0 {
+		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(n), labels...)
+	}
+}
--- /dev/null
+++ b/internal/accountreport/recorder.go
@@ -0,0 +1,182 @@
+// Package accountreport shows how the requests of one client account ended and for which
+// reasons requests were refused for their key, from the figures of all nodes.
+package accountreport
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/account"
+	"github.com/comfreyfront/comfreyfront/internal/routereport"
+)
+
+// NoAccount is the name under which requests without a known account are counted.
+const NoAccount = ""
+
+const (
+	slots    = 6
+	slotTime = routereport.Window / slots
+	// maxAccounts bounds the accounts that a node counts. Requests of further ones are not
+	// counted.
+	maxAccounts = 16384
+)
+
+// Figure holds the counts of one account.
+type Figure struct {
+	// Outcomes holds the number of requests by outcome.
+	Outcomes [routereport.OutcomeCount]int64
+	// Refusals holds the number of requests that were refused for their key, by reason. They
+	// are also counted in Outcomes.
+	Refusals [account.RefusalCount]int64
+}
+
+// Add adds the counts of another figure.
+func (f *Figure) Add(other Figure) {
+	for i, n := range other.Outcomes {
+		f.Outcomes[i] += n
+	}
+	for i, n := range other.Refusals {
+		f.Refusals[i] += n
+	}
+}
+
+// Requests returns the number of all requests.
+func (f *Figure) Requests() int64 { return sum(f.Outcomes[:]) }
+
+// Refused returns the number of requests that were refused for their key.
+func (f *Figure) Refused() int64 { return sum(f.Refusals[:]) }
+
+func sum(counts []int64) int64 {
+	total := int64(0)
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// Recorder counts how the requests of accounts end on one node. The zero value is ready to
+// use. It is safe for concurrent use.
+type Recorder struct {
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+
+	mu       sync.Mutex
+	accounts map[string]*counts
+}
+
+// counts holds the counts of one account since the start of the process, and those of the
+// latest intervals of slotTime.
+type counts struct {
+	total  Figure
+	recent [slots]slot
+}
+
+type slot struct {
+	number   int64
+	outcomes [routereport.OutcomeCount]uint32
+	refusals [account.RefusalCount]uint32
+}
+
+// Ended counts the end of a request of an account. err is the reason of a refusal, or nil.
+func (r *Recorder) Ended(name string, outcome routereport.Outcome, err error) {
+	refusal, refused := account.RefusalOf(err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.countsOf(name)
+	if c == nil {
+		return
+	}
+	number := r.number()
+	s := &c.recent[number%slots]
+	if s.number != number {
+		*s = slot{number: number}
+	}
+	c.total.Outcomes[outcome]++
+	s.outcomes[outcome]++
+	if refused {
+		c.total.Refusals[refusal]++
+		s.refusals[refusal]++
+	}
+}
+
+// countsOf returns the counts of an account, or nil if there are too many accounts. The
+// caller holds r.mu.
+func (r *Recorder) countsOf(name string) *counts {
+	if c := r.accounts[name]; c != nil {
+		return c
+	}
+	if len(r.accounts) >= maxAccounts {
+		return nil
+	}
+	if r.accounts == nil {
+		r.accounts = map[string]*counts{}
+	}
+	c := &counts{}
+	r.accounts[name] = c
+	return c
+}
+
+func (r *Recorder) number() int64 {
+	now := r.Now
+	if now == nil {
+		now = time.Now
+	}
+	return now().UnixNano() / int64(slotTime)
+}
+
+// Figure returns the counts of an account within the window of the report.
+func (r *Recorder) Figure(name string) Figure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var f Figure
+	if c := r.accounts[name]; c != nil {
+		f = c.window(r.number() - slots)
+	}
+	return f
+}
+
+// Refusals returns how many requests of all accounts were refused for their key within the
+// window of the report, by reason.
+func (r *Recorder) Refusals() [account.RefusalCount]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	oldest := r.number() - slots
+	var all Figure
+	for _, c := range r.accounts {
+		all.Add(c.window(oldest))
+	}
+	return all.Refusals
+}
+
+// window returns the counts of the slots after the given one.
+func (c *counts) window(after int64) Figure {
+	var f Figure
+	for i := range c.recent {
+		s := &c.recent[i]
+		if s.number <= after {
+			continue
+		}
+		for outcome, n := range s.outcomes {
+			f.Outcomes[outcome] += int64(n)
+		}
+		for refusal, n := range s.refusals {
+			f.Refusals[refusal] += int64(n)
+		}
+	}
+	return f
+}
+
+// totals returns the counts since the start of the process, by account.
+func (r *Recorder) totals() ([]string, map[string]Figure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := make([]string, 0, len(r.accounts))
+	figures := make(map[string]Figure, len(r.accounts))
+	for name, c := range r.accounts {
+		names = append(names, name)
+		figures[name] = c.total
+	}
+	slices.Sort(names)
+	return names, figures
+}
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -45,9 +45,15 @@
 	subcommand.Description = "Prints whether each class meets its targets and which actions are advised."
 	entry := &target{}
 	entry.addFlag(subcommand)
+	var account string
+	subcommand.String(&account, "a", "account", "name of a client account to report on; nodes on the platform only")
 	parser.AttachSubcommand(subcommand, 1)
 	return leaf{subcommand: subcommand, run: func(ctx context.Context, streams streams) int {
-		text, err := entry.client().Report(ctx)
+		read := entry.client().Report
+		if account != "" {
+			read = func(ctx context.Context) (string, error) { return entry.client().AccountReport(ctx, account) }
+		}
+		text, err := read(ctx)
 		if err != nil {
 			return fail(streams, exitFailed, "the report is not available: %v", err)
 		}
--- a/internal/explain/render.go
+++ b/internal/explain/render.go
@@ -175,7 +175,7 @@
 
 // detailFields lists the fields that are shown after an event's name, in this order.
 var detailFields = []string{
-	"route", "status", "cause", "endpoint", "owner", "unit", "events", "results", "listed", "unlisted", "missing", "took_ms", "age_ms", "items", "min_version", "lines",
+	"route", "status", "account", "cause", "endpoint", "owner", "unit", "events", "results", "listed", "unlisted", "missing", "took_ms", "age_ms", "items", "min_version", "lines",
 	"slowest", "text_events", "moves", "total_ms", "bound_ms",
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreyfront/comfreyfront/internal/accountreport"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
@@ -75,10 +76,12 @@
 	peers       *peers
 	metrics     *nodeMetrics
 	figures     routereport.Recorder
-	registry    *prometheus.Registry
-	retire      retireResponder
-	hubs        *hubs
-	caches      caches
+	// accountFigures are the figures by client account.
+	accountFigures accountreport.Recorder
+	registry       *prometheus.Registry
+	retire         retireResponder
+	hubs           *hubs
+	caches         caches
 
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
@@ -126,6 +129,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.registry.MustRegister(&n.accountFigures)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,6 +34,9 @@
 	plain   *platformtest.Endpoint
 	nodes   map[string]*testNode
 	client  *http.Client
+	logger  *slog.Logger
+	// prepare, if not nil, is called with each node before it runs.
+	prepare func(*Node)
 }
 
 type testNode struct {
@@ -49,7 +52,7 @@
 
 func newSystem(t testing.TB) *system {
 	t.Helper()
-	s := &system{t: t, store: platformtest.NewStore(), nodes: map[string]*testNode{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &system{t: t, store: platformtest.NewStore(), nodes: map[string]*testNode{}, logger: slog.New(slog.DiscardHandler), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(s.store.Close)
 	for i := range 3 {
 		e := platformtest.NewEndpoint(&platformtest.Endpoint{ID: fmt.Sprintf("lm-%d", i), Service: "lm", Zone: "z", Model: "m", Events: 5, Gap: time.Millisecond})
@@ -96,7 +99,10 @@
 	config.Grace = 5 * time.Second
 	require.NoError(s.t, config.Check())
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &testNode{node: build(config, slog.New(slog.DiscardHandler)), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
+	n := &testNode{node: build(config, s.logger), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
+	if s.prepare != nil {
+		s.prepare(n.node)
+	}
 	go func() { defer close(n.done); n.err = n.node.run(ctx, open) }()
 	s.nodes[name] = n
 	s.t.Cleanup(func() {
@@ -110,9 +116,18 @@
 }
 
 func (s *system) call(n *testNode, method, path, id string, body []byte) (int, []byte) {
+	s.t.Helper()
+	return s.callAs(n, "", method, path, id, body)
+}
+
+// callAs sends a request with the key of an account; an empty key is not sent.
+func (s *system) callAs(n *testNode, key, method, path, id string, body []byte) (int, []byte) {
 	s.t.Helper()
 	request, err := platformtest.Request(method, n.address, path, id, body)
 	require.NoError(s.t, err)
+	if key != "" {
+		platformtest.SetKey(request, key)
+	}
 	response, err := s.client.Do(request)
 	if err != nil {
 		return 0, nil
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,7 +14,6 @@
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
-	"github.com/comfreyfront/comfreyfront/internal/routereport"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
@@ -124,11 +123,11 @@
 	return texts, nil
 }
 
-// figures requests the counts of ended requests from a node.
-func (p *peers) figures(ctx context.Context, node cluster.Node) ([]*routereport.Figure, error) {
-	reply, err := p.clientFor(node.Address).Figures(ctx, &nodepb.FiguresRequest{})
+// figures requests the counts of ended requests from a node, with those of one account.
+func (p *peers) figures(ctx context.Context, node cluster.Node, accountName string) (figures, error) {
+	reply, err := p.clientFor(node.Address).Figures(ctx, &nodepb.FiguresRequest{Account: accountName})
 	if err != nil {
-		return nil, ErrPeer.Wrap(err, "request for figures to %s", node.Name)
+		return figures{}, ErrPeer.Wrap(err, "request for figures to %s", node.Name)
 	}
 	return decodeFigures(reply), nil
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -11,8 +11,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreyfront/comfreyfront/internal/account"
+	"github.com/comfreyfront/comfreyfront/internal/accountreport"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/operator"
+	"github.com/comfreyfront/comfreyfront/internal/phone"
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/routereport"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
@@ -30,6 +34,9 @@
 func (n *Node) countEnd(end platform.End) {
 	outcome := routereport.OutcomeOf(end.Status, end.Err)
 	n.metrics.ended(end.Route(), outcome, end.Status, end.Duration)
+	if end.Caller.Checked {
+		n.accountFigures.Ended(end.Caller.Name(), outcome, end.Err)
+	}
 	r := end.Matched
 	if r == nil || r.Kind == route.Batch && outcome == routereport.Answered {
 		return
@@ -50,12 +57,41 @@
 	}
 }
 
-// serveReport responds with the report over all nodes.
+// figures are the counts of requests that ended within the window of the report: by route,
+// those of one account, and those that were refused for their key.
+type figures struct {
+	routes      []*routereport.Figure
+	account     accountreport.Figure
+	keyRefusals [account.RefusalCount]int64
+}
+
+func (f *figures) add(other figures) {
+	f.routes = append(f.routes, other.routes...)
+	f.account.Add(other.account)
+	for reason, n := range other.keyRefusals {
+		f.keyRefusals[reason] += n
+	}
+}
+
+// localFigures returns the figures of this node, with those of the given account.
+func (n *Node) localFigures(accountName string) figures {
+	return figures{routes: n.figures.Figures(), account: n.accountFigures.Figure(accountName), keyRefusals: n.accountFigures.Refusals()}
+}
+
+// page is a report that can be shown on a phone.
+type page interface{ Text() string }
+
+// serveReport responds with the report over all nodes, or with that on one account.
 func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
-	report := n.report(r.Context())
+	var report page
+	if name := r.URL.Query().Get(operator.QueryAccount); name != "" {
+		report = n.accountReport(r.Context(), name)
+	} else {
+		report = n.report(r.Context())
+	}
 	text, kind := report.Text(), "text/plain; charset=utf-8"
 	if strings.Contains(r.Header.Get("Accept"), "text/html") {
-		text, kind = report.HTML(), "text/html; charset=utf-8"
+		text, kind = phone.Page("comfreyfront report", text), "text/html; charset=utf-8"
 	}
 	w.Header().Set("Content-Type", kind)
 	_, _ = io.WriteString(w, text) // the client may have disconnected
@@ -63,51 +99,79 @@
 
 // report collects the figures of all nodes and builds the report.
 func (n *Node) report(ctx context.Context) routereport.Report {
+	sum, answered, nodes := n.collectFigures(ctx, accountreport.NoAccount)
+	report := routereport.Build(n.routes.Load(), sum.routes)
+	report.At, report.NodesReporting, report.Nodes, report.StoreLost = time.Now(), answered, nodes, !n.store.Connected()
+	for _, refused := range sum.keyRefusals {
+		report.KeyRefusals += refused
+	}
+	return report
+}
+
+// accountReport collects the figures of all nodes and builds the report on an account.
+func (n *Node) accountReport(ctx context.Context, name string) accountreport.Report {
+	sum, answered, nodes := n.collectFigures(ctx, name)
+	report := accountreport.Report{
+		At: time.Now(), NodesReporting: answered, Nodes: nodes, Account: name, Figure: sum.account, KeyRefusals: sum.keyRefusals,
+	}
+	if configuration := n.routes.Load(); configuration != nil {
+		report.Version = configuration.Version
+		_, report.Found = configuration.Accounts.Find(name)
+	}
+	return report
+}
+
+// collectFigures returns the sum of the figures of all nodes, how many nodes returned
+// theirs, and how many nodes there are.
+func (n *Node) collectFigures(ctx context.Context, accountName string) (sum figures, answered, all int) {
 	ctx, cancel := context.WithTimeout(ctx, figuresTimeout)
 	defer cancel()
 	nodes := n.cluster.Nodes()
-	figures := n.figures.Figures()
-	answered := 1
+	sum, answered = n.localFigures(accountName), 1
 	var mu sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(maxParallelFigures)
 	for _, node := range nodes {
 		group.Go(func() error {
-			peerFigures, err := n.peers.figures(ctx, node)
+			peerFigures, err := n.peers.figures(ctx, node, accountName)
 			if err != nil {
 				event.PeerCallFailed.Log(ctx, n.logger, slog.String("peer", node.Name), slog.String("cause", err.Error()))
 				return nil
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			figures = append(figures, peerFigures...)
+			sum.add(peerFigures)
 			answered++
 			return nil
 		})
 	}
 	_ = group.Wait() // the functions return no errors
-	report := routereport.Build(n.routes.Load(), figures)
-	report.At, report.NodesReporting, report.Nodes, report.StoreLost = time.Now(), answered, len(nodes)+1, !n.store.Connected()
-	return report
+	return sum, answered, len(nodes) + 1
 }
 
-func encodeFigures(figures []*routereport.Figure) *nodepb.FiguresReply {
-	reply := &nodepb.FiguresReply{}
-	for _, f := range figures {
-		reply.Routes = append(reply.Routes, &nodepb.RouteFigure{Route: f.Route, Counts: f.Counts[:], InTime: f.InTime, Times: f.Times[:]})
+func encodeFigures(f figures) *nodepb.FiguresReply {
+	reply := &nodepb.FiguresReply{
+		Account:     &nodepb.AccountFigure{Counts: f.account.Outcomes[:], Refusals: f.account.Refusals[:]},
+		KeyRefusals: f.keyRefusals[:],
+	}
+	for _, r := range f.routes {
+		reply.Routes = append(reply.Routes, &nodepb.RouteFigure{Route: r.Route, Counts: r.Counts[:], InTime: r.InTime, Times: r.Times[:]})
 	}
 	return reply
 }
 
 // decodeFigures decodes the counters that this build knows; a node of another build
 // may send more of them.
-func decodeFigures(reply *nodepb.FiguresReply) []*routereport.Figure {
-	var figures []*routereport.Figure
+func decodeFigures(reply *nodepb.FiguresReply) figures {
+	var f figures
 	for _, wire := range reply.GetRoutes() {
-		f := &routereport.Figure{Route: wire.GetRoute(), InTime: wire.GetInTime()}
-		copy(f.Counts[:], wire.GetCounts())
-		copy(f.Times[:], wire.GetTimes())
-		figures = append(figures, f)
+		r := &routereport.Figure{Route: wire.GetRoute(), InTime: wire.GetInTime()}
+		copy(r.Counts[:], wire.GetCounts())
+		copy(r.Times[:], wire.GetTimes())
+		f.routes = append(f.routes, r)
 	}
-	return figures
+	copy(f.account.Outcomes[:], reply.GetAccount().GetCounts())
+	copy(f.account.Refusals[:], reply.GetAccount().GetRefusals())
+	copy(f.keyRefusals[:], reply.GetKeyRefusals())
+	return f
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -69,8 +69,8 @@
 }
 
 // Figures implements nodepb.Node.
-func (s *peerServer) Figures(context.Context, *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
-	return encodeFigures(s.node.figures.Figures()), nil
+func (s *peerServer) Figures(_ context.Context, request *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
+	return encodeFigures(s.node.localFigures(request.GetAccount())), nil
 }
 
 // Usage implements nodepb.Node.
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -17,6 +17,10 @@
 	PathReport  = "/report" // text/plain, or text/html if the Accept header contains it
 )
 
+// QueryAccount is the query parameter of PathReport that requests the report on one client
+// account. Only nodes on the platform have it.
+const QueryAccount = "account"
+
 // State is the class document in force at the entry that answers.
 type State struct {
 	Revision int64 `json:"revision"`
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"syscall"
 
@@ -84,6 +85,13 @@
 	return string(body), err
 }
 
+// AccountReport returns the report on one client account as plain text.
+func (c *Client) AccountReport(ctx context.Context, account string) (string, error) {
+	query := url.Values{QueryAccount: {account}}
+	body, err := c.exchange(ctx, http.MethodGet, PathReport+"?"+query.Encode(), nil)
+	return string(body), err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, send, receive any) error {
 	var body []byte
 	if send != nil {
--- a/internal/routereport/recorder.go
+++ b/internal/routereport/recorder.go
@@ -33,7 +33,7 @@
 	Unknown
 	// Rejected means that the request itself was invalid.
 	Rejected
-	outcomes // number of outcomes
+	OutcomeCount // number of outcomes
 )
 
 // String implements fmt.Stringer.
@@ -66,7 +66,7 @@
 type Figure struct {
 	Route string
 	// Counts holds the number of requests by outcome.
-	Counts [outcomes]int64
+	Counts [OutcomeCount]int64
 	// InTime counts answers within the route's target; for submissions, those that ended
 	// before their deadline.
 	InTime int64
--- a/internal/routereport/report.go
+++ b/internal/routereport/report.go
@@ -42,6 +42,8 @@
 	NodesReporting, Nodes int
 	// StoreLost means that this node cannot reach the metadata store.
 	StoreLost bool
+	// KeyRefusals counts the requests that were refused for their key.
+	KeyRefusals int64
 	// Lines holds the routes, the worst first.
 	Lines []Line
 }
--- a/internal/routereport/report_test.go
+++ b/internal/routereport/report_test.go
@@ -27,7 +27,7 @@
 	r.Ended("b", Answered, time.Hour, 0)
 	figures := r.Figures()
 	require.Len(t, figures, 2)
-	require.Equal(t, [outcomes]int64{Answered: 2, Refused: 1}, figures[0].Counts)
+	require.Equal(t, [OutcomeCount]int64{Answered: 2, Refused: 1}, figures[0].Counts)
 	require.EqualValues(t, 1, figures[0].InTime)
 	require.EqualValues(t, 1, figures[1].InTime, "without a target each answer is in time")
 	*now = now.Add(slotTime)
--- a/internal/routereport/text.go
+++ b/internal/routereport/text.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"html"
 	"strings"
 	"time"
 
@@ -28,11 +27,7 @@
 }
 
 // HTML renders the text as a page that is readable on a phone.
-func (r Report) HTML() string {
-	return `<!doctype html><html lang="en"><head><meta charset="utf-8">` +
-		`<meta name="viewport" content="width=device-width, initial-scale=1"><meta http-equiv="refresh" content="10">` +
-		`<title>comfreyfront report</title></head><body><pre style="font-size:3.4vmin">` + html.EscapeString(r.Text()) + `</pre></body></html>`
-}
+func (r Report) HTML() string { return phone.Page("comfreyfront report", r.Text()) }
 
 func (r Report) head() []string {
 	lines := []string{
@@ -45,6 +40,9 @@
 	if r.StoreLost {
 		lines = append(lines, "! store unreachable: no submissions")
 	}
+	if r.KeyRefusals > 0 {
+		lines = append(lines, fmt.Sprintf("! %d refused for their key (event 8100)", r.KeyRefusals))
+	}
 	if r.Version == 0 {
 		lines = append(lines, "! no configuration yet: requests refused")
 	}
