--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -83,7 +83,7 @@
 	items, _, err := metastore.ListAll(context.Background(), s.store, "")
 	require.NoError(s.t, err)
 	for _, item := range items {
-		if item.Key != "op/config" {
+		if item.Key != platformtest.ConfigurationKey {
 			require.NotContains(s.t, string(item.Value), keyPrefix, item.Key)
 			require.NotContains(s.t, string(item.Value), "inner", item.Key)
 		}
