--- a/internal/submission/fixture_test.go
+++ b/internal/submission/fixture_test.go
@@ -49,6 +49,8 @@
 	// after lists, by item, the number of the event after which each run had to resume.
 	after   map[string][]int
 	started []string
+	// requests are all requests for items that were sent, in order.
+	requests []*call.Request
 	scored  map[string]int
 	// scoredEarly lists the items whose scoring call came before their last event.
 	scoredEarly []string
@@ -106,6 +108,7 @@
 	f.runs[request.ID]++
 	f.after[request.ID] = append(f.after[request.ID], after)
 	f.started = append(f.started, request.ID)
+	f.requests = append(f.requests, request)
 	failure, breakAfter, gate, version, events := f.fails[request.ID], f.breakAfter, f.gate, f.version[e.ID], f.events
 	f.mu.Unlock()
 	if failure != nil {
