--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -99,7 +99,7 @@
 	config.Grace = 5 * time.Second
 	require.NoError(s.t, config.Check())
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &testNode{node: build(config, s.logger), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
+	n := &testNode{node: build(config, s.logger.With(slog.String("node", name))), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
 	if s.prepare != nil {
 		s.prepare(n.node)
 	}
