Certainty of withdrawn keys: the configuration's age by a boot-time clock

Cause: a node out of touch went on accepting a key that a configuration had withdrawn; nothing told how old the knowledge of a node is, and a hub's readers could not know it at all. Change: internal/freshness (tracker, ages in replies, pace); a response of the store confirms the instant at which its call was sent, a hub's reply that instant less the hub's age; hubs answer when confirmed anew and watch the store in 1/7 of the limit. Only with key-revocation set.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -38,15 +38,18 @@
 // stores them in this node's cache of the prefix.
 func (n *Node) follower(prefix string, batchDelay time.Duration, changed func(metastore.Event), settled func()) *metastore.Follower {
 	cache := n.caches[prefix]
-	source := &followedStore{Store: n.store, hubs: n.hubs}
+	source := &followedStore{Store: n.store, hubs: n.hubs, pace: n.paceOf(prefix)}
 	f := &metastore.Follower{
 		Store: source, Prefix: prefix, BatchDelay: batchDelay, Logger: n.logger, Settled: settled,
 		Changed: func(e metastore.Event) {
 			cache.Changed(e)
 			changed(e)
 		},
-		Listed:    cache.Listed,
-		Confirmed: func(position int64) { cache.Confirmed(position, source.confirmed()) },
+		Listed: cache.Listed,
+		Confirmed: func(position int64) {
+			cache.Confirmed(position, source.confirmed(), source.upTo)
+			source.pace.confirmed(source.upTo)
+		},
 	}
 	if prefix == platform.KeyEndpoints {
 		f.Lost = func(error) { n.directory.StoreLost() }
--- a/internal/node/hubs.go
+++ b/internal/node/hubs.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/freshness"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/relay"
@@ -48,6 +49,8 @@
 type hubs struct {
 	cluster *cluster.Cluster
 	peers   *peers
+	// now is the clock of the calls; nil means freshness.Now.
+	now func() freshness.Instant
 
 	mu          sync.Mutex
 	pausedUntil map[string]time.Time // when a hub may be called again, by node name
@@ -61,6 +64,14 @@
 	return hash.Sum32()
 }
 
+// instant returns the current instant.
+func (h *hubs) instant() freshness.Instant {
+	if h.now == nil {
+		return freshness.Now()
+	}
+	return h.now()
+}
+
 // choose returns the hub that this node watches, or false if the node watches the
 // store itself.
 func (h *hubs) choose() (cluster.Node, bool) {
@@ -93,8 +104,8 @@
 }
 
 // markFailed excludes a hub for a while after a failed call that began at start.
-// The pause is longer if the call timed out.
-func (h *hubs) markFailed(node cluster.Node, start time.Time) {
+// The pause is longer if the call timed out or took as long as a call that waits.
+func (h *hubs) markFailed(node cluster.Node, start time.Time, timedOut bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.pausedUntil == nil {
@@ -102,12 +113,29 @@
 	}
 	now := time.Now()
 	pause := hubRefusalPause
-	if now.Sub(start) >= hubCallWait {
+	if timedOut || now.Sub(start) >= hubCallWait {
 		pause = hubTimeoutPause
 	}
 	h.pausedUntil[node.Name] = now.Add(pause)
 }
 
+// responsive returns the nodes without the hubs that are skipped because of a failed call,
+// or all nodes if no other remains.
+func (h *hubs) responsive(nodes []cluster.Node) []cluster.Node {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var usable []cluster.Node
+	for _, node := range nodes {
+		if !time.Now().Before(h.pausedUntil[node.Name]) {
+			usable = append(usable, node)
+		}
+	}
+	if len(usable) == 0 {
+		return nodes
+	}
+	return usable
+}
+
 // followedStore is the store as the follower of one prefix reads it, through a hub
 // or directly. It records whether the last response came directly from the store.
 type followedStore struct {
@@ -119,6 +147,10 @@
 	// stale is true if the range may have been read from outdated data and no watch
 	// of the store has since returned the missing changes.
 	stale bool
+	// upTo is the instant up to which the last response contains all changes.
+	upTo freshness.Instant
+	// pace is how closely the prefix is followed.
+	pace pace
 }
 
 // confirmingWatchWait is how long the watch after a stale read waits. It is short
@@ -132,89 +164,125 @@
 
 // Range implements metastore.Store.
 func (f *followedStore) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
-	return f.read(ctx, prefix, after, f.Store.Range)
+	page, sent, err := f.read(ctx, prefix, after, f.Store.Range)
+	f.pageRead(after, sent)
+	return page, err
 }
 
 // RangeStale implements metastore.StaleReader.
 func (f *followedStore) RangeStale(ctx context.Context, prefix, after string) (metastore.Page, error) {
-	page, err := f.read(ctx, prefix, after, f.Store.RangeStale)
+	page, sent, err := f.read(ctx, prefix, after, f.Store.RangeStale)
 	f.stale = f.direct
+	if f.stale {
+		sent = freshness.None
+	}
+	f.pageRead(after, sent)
 	return page, err
 }
 
+// pageRead records the instant that the page after a key confirms. A range is as old as the
+// oldest of its pages.
+func (f *followedStore) pageRead(after string, upTo freshness.Instant) {
+	if after != "" {
+		upTo = freshness.OfPages(f.upTo, upTo)
+	}
+	f.upTo = upTo
+}
+
 // read reads a page from a hub or, if there is none or it fails, directly with the
-// given function.
-func (f *followedStore) read(ctx context.Context, prefix, after string, direct func(context.Context, string, string) (metastore.Page, error)) (metastore.Page, error) {
+// given function. It returns the instant up to which the page contains all changes if it is
+// not stale.
+func (f *followedStore) read(ctx context.Context, prefix, after string, direct func(context.Context, string, string) (metastore.Page, error)) (metastore.Page, freshness.Instant, error) {
 	if hub, ok := f.hubs.choose(); ok {
-		start := time.Now()
+		start, sent := time.Now(), f.hubs.instant()
+		store := f.hubs.peers.cacheOf(hub)
 		callCtx, cancel := context.WithTimeout(ctx, hubCallWait)
-		page, err := f.hubs.peers.cacheOf(hub).Range(callCtx, prefix, after)
+		page, err := store.Range(callCtx, prefix, after)
+		timedOut := callCtx.Err() != nil && ctx.Err() == nil
 		cancel()
 		if err == nil {
 			f.direct = false
-			return page, nil
+			return page, freshness.OfReply(sent, store.age), nil
 		}
-		f.hubs.markFailed(hub, start)
+		f.hubs.markFailed(hub, start, timedOut)
 	}
 	f.direct = true
-	return direct(ctx, prefix, after)
+	sent := f.hubs.instant()
+	page, err := direct(ctx, prefix, after)
+	return page, sent, err
 }
 
 // Watch implements metastore.Store.
 func (f *followedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
 	if hub, ok := f.hubs.choose(); ok {
-		start := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, hubCallWait+hubCallSlack)
-		events, revision, err := f.hubs.peers.cacheOf(hub).Watch(callCtx, prefix, after, min(wait, hubCallWait))
+		start, sent := time.Now(), f.hubs.instant()
+		store := f.hubs.peers.cacheOf(hub)
+		callCtx, cancel := context.WithTimeout(ctx, f.pace.hubWait(wait)+hubCallSlack)
+		events, revision, err := store.Watch(callCtx, prefix, after, min(wait, hubCallWait))
+		timedOut := callCtx.Err() != nil && ctx.Err() == nil
 		cancel()
 		if err == nil || errorx.IsOfType(err, metastore.ErrCompacted) {
 			f.direct, f.stale = false, false
+			f.upTo = freshness.OfReply(sent, store.age)
 			return events, revision, err
 		}
-		f.hubs.markFailed(hub, start)
+		f.hubs.markFailed(hub, start, timedOut)
 	}
 	f.direct = true
-	if f.stale {
+	sent := f.hubs.instant()
+	if f.stale || f.pace.overdue(sent) {
 		wait = confirmingWatchWait
 	}
-	events, revision, err := f.Store.Watch(ctx, prefix, after, min(wait, hubWatchWait))
+	wait = min(wait, f.pace.wait())
+	ctx, cancel := f.pace.limit(ctx, wait)
+	defer cancel()
+	events, revision, err := f.Store.Watch(ctx, prefix, after, wait)
 	if err == nil {
-		f.stale = false
+		f.stale, f.upTo = false, sent
 	}
 	return events, revision, err
 }
 
-// cacheOf returns a store that reads from the caches of another node.
-func (p *peers) cacheOf(node cluster.Node) metastore.Store {
+// cacheOf returns a store that reads from the caches of another node. It is for one call.
+func (p *peers) cacheOf(node cluster.Node) *peerStore {
 	return &peerStore{client: p.clientFor(node.Address), cached: true}
 }
 
 // caches maps each followed prefix to this node's cache of it.
 type caches map[string]*watchcache.Cache
 
-// serve answers a request of another node from the cache of the key's prefix.
-func (c caches) serve(ctx context.Context, request *nodepb.StoreRequest) *nodepb.StoreReply {
+// serve answers a request of another node that arrived at the given instant from the cache
+// of the key's prefix.
+func (c caches) serve(ctx context.Context, request *nodepb.StoreRequest, arrived freshness.Instant) *nodepb.StoreReply {
 	for prefix, cache := range c {
 		if strings.HasPrefix(request.GetKey(), prefix) {
-			return serveStore(ctx, cachedStore{cache: cache}, request)
+			store := &cachedStore{cache: cache}
+			reply := serveStore(ctx, store, request)
+			reply.AgeUs = freshness.ReplyAge(arrived, store.upTo)
+			return reply
 		}
 	}
 	return &nodepb.StoreReply{Failure: nodepb.StoreReply_UNAVAILABLE, Detail: "the prefix is not followed"}
 }
 
 // cachedStore adapts a cache to metastore.Store. Only Range and Watch may be
-// called.
+// called. It is for one call.
 type cachedStore struct {
 	metastore.Store
 	cache *watchcache.Cache
+	// upTo is the instant up to which the response contains all changes.
+	upTo freshness.Instant
 }
 
 // Range implements metastore.Store.
-func (s cachedStore) Range(_ context.Context, prefix, after string) (metastore.Page, error) {
-	return s.cache.Range(prefix, after)
+func (s *cachedStore) Range(_ context.Context, prefix, after string) (page metastore.Page, err error) {
+	page, s.upTo, err = s.cache.Range(prefix, after)
+	return page, err
 }
 
 // Watch implements metastore.Store.
-func (s cachedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
-	return s.cache.Watch(ctx, prefix, after, wait)
+func (s *cachedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+	changes, err := s.cache.Watch(ctx, prefix, after, wait)
+	s.upTo = changes.UpTo
+	return changes.Events, changes.Position, err
 }
--- a/internal/node/hubs_test.go
+++ b/internal/node/hubs_test.go
@@ -34,7 +34,7 @@
 		Changed: cache.Changed,
 		Settled: func() {},
 		Confirmed: func(position int64) {
-			cache.Confirmed(position, source.confirmed())
+			cache.Confirmed(position, source.confirmed(), source.upTo)
 			select {
 			case readDone <- struct{}{}:
 			default:
@@ -47,12 +47,12 @@
 	defer func() { cancel(); <-done }()
 
 	<-readDone
-	page, err := cache.Range(prefix, "")
+	page, _, err := cache.Range(prefix, "")
 	require.True(t, err != nil || len(page.Items) == 1, "a stale read was served as confirmed")
 
 	store.SetFaults(memory.Faults{})
 	require.Eventually(t, func() bool {
-		page, err := cache.Range(prefix, "")
+		page, _, err := cache.Range(prefix, "")
 		return err == nil && len(page.Items) == 1
 	}, waitLimit, pollInterval, "the watch after a stale read confirms the data at once")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	retire      retireResponder
 	hubs        *hubs
 	caches      caches
+	certainty   *certainty
 
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
@@ -123,6 +124,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.certainty = newCertainty(config.KeyRevocation, logger, n.registry)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
@@ -158,6 +160,9 @@
 		platform.KeyEndpoints: watchcache.New(hubMaxAge),
 		cluster.Prefix:        watchcache.New(hubMaxAge),
 	}
+	if config.KeyRevocation > 0 {
+		n.caches[platform.KeyOperator].Promptly()
+	}
 	n.crashes.OnBlock = n.broadcastCrash
 	n.directory.Changed = n.fleetChanged
 	n.retire = retireResponder{node: n, handled: map[string]struct{}{}}
@@ -175,6 +180,9 @@
 // relayPeers of them and those of this node's failure domain first.
 func (n *Node) relays() []metastore.Store {
 	nodes := n.cluster.Nodes()
+	if n.config.KeyRevocation > 0 {
+		nodes = n.hubs.responsive(nodes)
+	}
 	sortByZone(nodes, n.config.FailureDomain)
 	var stores []metastore.Store
 	for _, node := range nodes[:min(len(nodes), relayPeers)] {
@@ -261,6 +269,7 @@
 			return nil
 		case <-ticker.C:
 			n.directory.Expire()
+			n.certainty.report(ctx)
 		}
 	}
 }
--- a/internal/node/peerstore.go
+++ b/internal/node/peerstore.go
@@ -44,6 +44,8 @@
 	client nodepb.Node
 	// cached requests data from the caches of the other node instead of the store.
 	cached bool
+	// age is the age in the last reply; see freshness.OfReply.
+	age int64
 }
 
 var _ metastore.Store = (*peerStore)(nil)
@@ -51,6 +53,9 @@
 func (s *peerStore) call(ctx context.Context, request *nodepb.StoreRequest) (*nodepb.StoreReply, error) {
 	request.Cached = s.cached
 	reply, err := s.client.Store(ctx, request)
+	if s.cached {
+		s.age = reply.GetAgeUs()
+	}
 	if err != nil {
 		return nil, metastore.ErrUnknown.Wrap(err, "no response from the peer")
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -57,9 +57,9 @@
 
 // Store implements nodepb.Node.
 func (s *peerServer) Store(ctx context.Context, request *nodepb.StoreRequest) (*nodepb.StoreReply, error) {
-	method := request.GetMethod()
+	arrived, method := s.node.hubs.instant(), request.GetMethod()
 	if request.GetCached() && (method == nodepb.StoreRequest_RANGE || method == nodepb.StoreRequest_WATCH) {
-		return s.node.caches.serve(ctx, request), nil
+		return s.node.caches.serve(ctx, request, arrived), nil
 	}
 	if !s.node.store.Connected() {
 		// A relayed call would fail here as well, and each call to the store has a cost.
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/freshness"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 )
 
@@ -29,6 +30,8 @@
 	// maxAge is how long the cache serves requests after the store's last confirmation.
 	maxAge time.Duration
 	now    func() time.Time
+	// promptly makes watches return when the data is confirmed anew, without changes too.
+	promptly bool
 
 	mu      sync.Mutex
 	items   map[string]metastore.Item
@@ -37,7 +40,18 @@
 	oldest      int64
 	position    int64
 	confirmedAt time.Time
-	wake        chan struct{}
+	// upTo is the instant up to which the cache contains all changes.
+	upTo freshness.Instant
+	wake chan struct{}
+}
+
+// Changes are the result of a watch of a cache.
+type Changes struct {
+	Events []metastore.Event
+	// Position is the revision to continue from.
+	Position int64
+	// UpTo is the instant up to which the cache contained all changes when Events were read.
+	UpTo freshness.Instant
 }
 
 // New returns an empty cache that serves requests for up to maxAge after each
@@ -46,6 +60,10 @@
 	return &Cache{maxAge: maxAge, now: time.Now, items: map[string]metastore.Item{}, wake: make(chan struct{})}
 }
 
+// Promptly makes watches return as soon as the store confirms the data anew, so that their
+// callers can be sure of it. It must be called before the cache is used.
+func (c *Cache) Promptly() { c.promptly = true }
+
 // Changed applies a change of a key.
 func (c *Cache) Changed(e metastore.Event) {
 	c.mu.Lock()
@@ -77,8 +95,9 @@
 
 // Confirmed records that all changes up to a revision have been received. direct means
 // that the store itself confirmed it; other confirmations do not extend the time for
-// which the cache serves requests.
-func (c *Cache) Confirmed(position int64, direct bool) {
+// which the cache serves requests. upTo is the instant up to which all changes are contained,
+// or freshness.None if that is not known.
+func (c *Cache) Confirmed(position int64, direct bool, upTo freshness.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	advanced := position > c.position
@@ -86,6 +105,8 @@
 	if direct {
 		c.confirmedAt = c.now()
 	}
+	advanced = advanced || c.promptly && upTo > c.upTo
+	c.upTo = max(c.upTo, upTo)
 	if advanced {
 		close(c.wake)
 		c.wake = make(chan struct{})
@@ -101,12 +122,13 @@
 	return nil
 }
 
-// Range returns a page of the keys with a prefix that sort after the given key.
-func (c *Cache) Range(prefix, after string) (metastore.Page, error) {
+// Range returns a page of the keys with a prefix that sort after the given key, and the
+// instant up to which it contains all changes.
+func (c *Cache) Range(prefix, after string) (metastore.Page, freshness.Instant, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.check(); err != nil {
-		return metastore.Page{}, err
+		return metastore.Page{}, freshness.None, err
 	}
 	page := metastore.Page{Revision: c.position}
 	for key, item := range c.items {
@@ -118,46 +140,51 @@
 	if len(page.Items) > maxPageItems {
 		page.Items, page.More = page.Items[:maxPageItems], true
 	}
-	return page, nil
+	return page, c.upTo, nil
 }
 
 // Watch waits until keys with the prefix change after a revision, or until wait has
 // passed.
-func (c *Cache) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
+func (c *Cache) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		events, position, wake, err := c.since(prefix, after)
-		if err != nil || len(events) > 0 {
-			return events, position, err
+	changes, wake, err := c.since(prefix, after)
+	for began := changes.UpTo; err == nil && len(changes.Events) == 0; {
+		if c.promptly && changes.UpTo > began {
+			return changes, nil
 		}
 		select {
 		case <-wake:
+			changes, wake, err = c.since(prefix, after)
 		case <-timer.C:
-			return nil, max(position, after), nil
+			if latest, _, err := c.since(prefix, after); err == nil {
+				return latest, nil
+			}
+			return changes, nil
 		case <-ctx.Done():
-			return nil, 0, metastore.ErrUnavailable.Wrap(ctx.Err(), "watch")
+			return Changes{}, metastore.ErrUnavailable.Wrap(ctx.Err(), "watch")
 		}
 	}
+	return changes, err
 }
 
-// since returns the changes of keys with a prefix after a revision, the current
-// position, and a channel that is closed when the position advances.
-func (c *Cache) since(prefix string, after int64) ([]metastore.Event, int64, <-chan struct{}, error) {
+// since returns the changes of keys with a prefix after a revision and a channel that is
+// closed when the position or, with Promptly, the confirmed instant advances.
+func (c *Cache) since(prefix string, after int64) (Changes, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.check(); err != nil {
-		return nil, 0, nil, err
+		return Changes{}, nil, err
 	}
 	if after < c.oldest {
-		return nil, 0, nil, metastore.ErrCompacted.New("revision %d", after)
+		return Changes{}, nil, metastore.ErrCompacted.New("revision %d", after)
 	}
-	var events []metastore.Event
+	changes := Changes{Position: max(c.position, after), UpTo: c.upTo}
 	for _, e := range c.history {
 		if e.Revision > after && e.Revision <= c.position && strings.HasPrefix(e.Key, prefix) {
-			events = append(events, e)
+			changes.Events = append(changes.Events, e)
 		}
 	}
-	slices.SortStableFunc(events, func(a, b metastore.Event) int { return cmp.Compare(a.Revision, b.Revision) })
-	return events, c.position, c.wake, nil
+	slices.SortStableFunc(changes.Events, func(a, b metastore.Event) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changes, c.wake, nil
 }
--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/comfreyfront/comfreyfront/internal/freshness"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
 )
@@ -29,7 +30,7 @@
 }
 
 func (s cachedStore) Range(ctx context.Context, prefix, after string) (metastore.Page, error) {
-	page, err := s.cache.Range(prefix, after)
+	page, _, err := s.cache.Range(prefix, after)
 	if err != nil {
 		return s.Store.Range(ctx, prefix, after)
 	}
@@ -37,7 +38,8 @@
 }
 
 func (s cachedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
-	return s.cache.Watch(ctx, prefix, after, wait)
+	changes, err := s.cache.Watch(ctx, prefix, after, wait)
+	return changes.Events, changes.Position, err
 }
 
 // TestFollowerOfCacheMatchesStore checks that a node that watches another node's cache
@@ -49,7 +51,7 @@
 		logger := slog.New(slog.DiscardHandler)
 		hub := &metastore.Follower{
 			Store: store, Prefix: "a/", Wait: 3 * time.Millisecond, Logger: logger, Settled: func() {},
-			Changed: cache.Changed, Listed: cache.Listed, Confirmed: func(position int64) { cache.Confirmed(position, true) },
+			Changed: cache.Changed, Listed: cache.Listed, Confirmed: func(position int64) { cache.Confirmed(position, true, freshness.None) },
 		}
 		var mu sync.Mutex
 		got := map[string]string{}
@@ -98,53 +100,53 @@
 func TestWatchFromWithinHistoryGapIsCompacted(t *testing.T) {
 	c := New(time.Minute)
 	c.Listed(8)
-	c.Confirmed(8, true)
+	c.Confirmed(8, true, freshness.None)
 	// a/3 is written at 9 and removed at 10; the follower lists the range again at 11.
 	c.Changed(metastore.Event{Item: metastore.Item{Key: "a/2", Revision: 11}})
 	c.Listed(11)
-	c.Confirmed(11, true)
+	c.Confirmed(11, true, freshness.None)
 	for after := int64(8); after < 11; after++ {
-		_, _, err := c.Watch(context.Background(), "a/", after, 0)
+		_, err := c.Watch(context.Background(), "a/", after, 0)
 		require.ErrorContains(t, err, "compacted", after)
 	}
 	c.Changed(metastore.Event{Item: metastore.Item{Key: "a/2", Revision: 12}})
-	c.Confirmed(12, true)
-	events, _, err := c.Watch(context.Background(), "a/", 11, 0)
+	c.Confirmed(12, true, freshness.None)
+	changes, err := c.Watch(context.Background(), "a/", 11, 0)
 	require.NoError(t, err)
-	require.Len(t, events, 1)
+	require.Len(t, changes.Events, 1)
 }
 
 func TestUnconfirmedCacheIsUnavailable(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	c := New(time.Second)
 	c.now = func() time.Time { return now }
-	_, err := c.Range("a/", "")
+	_, _, err := c.Range("a/", "")
 	require.Error(t, err, "no confirmation received yet")
 	c.Changed(metastore.Event{Item: metastore.Item{Key: "a/1", Revision: 5}})
-	c.Confirmed(5, false)
-	_, err = c.Range("a/", "")
+	c.Confirmed(5, false, freshness.None)
+	_, _, err = c.Range("a/", "")
 	require.Error(t, err, "a confirmation by another node must not make the cache available")
-	c.Confirmed(5, true)
-	page, err := c.Range("a/", "")
+	c.Confirmed(5, true, freshness.None)
+	page, _, err := c.Range("a/", "")
 	require.NoError(t, err)
 	require.Len(t, page.Items, 1)
 	now = now.Add(2 * time.Second)
-	_, _, err = c.Watch(context.Background(), "a/", 5, time.Second)
+	_, err = c.Watch(context.Background(), "a/", 5, time.Second)
 	require.Error(t, err, "the last confirmation by the store is too old")
 }
 
 func TestHistoryIsBounded(t *testing.T) {
 	c := New(time.Minute)
 	c.Listed(1)
-	c.Confirmed(1, true)
+	c.Confirmed(1, true, freshness.None)
 	for i := range 3 * minHistory {
 		c.Changed(metastore.Event{Item: metastore.Item{Key: "a/1", Revision: int64(i + 2)}})
 	}
-	c.Confirmed(3*minHistory+1, true)
+	c.Confirmed(3*minHistory+1, true, freshness.None)
 	require.LessOrEqual(t, len(c.history), 2*minHistory)
-	_, _, err := c.Watch(context.Background(), "a/", 1, 0)
+	_, err := c.Watch(context.Background(), "a/", 1, 0)
 	require.ErrorContains(t, err, "compacted")
-	events, _, err := c.Watch(context.Background(), "a/", 3*minHistory, 0)
+	changes, err := c.Watch(context.Background(), "a/", 3*minHistory, 0)
 	require.NoError(t, err)
-	require.Len(t, events, 1)
+	require.Len(t, changes.Events, 1)
 }
