--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -37,6 +37,8 @@
 	logger  *slog.Logger
 	// prepare, if not nil, is called with each node before it runs.
 	prepare func(*Node)
+	// adjust changes the settings of the nodes that are started; nil changes nothing.
+	adjust func(*settings.Node)
 }
 
 type testNode struct {
@@ -97,6 +99,9 @@
 	config.Listen, config.ReadyListen, config.PeerListen = address(open.front), address(open.ready), address(open.peer)
 	config.StoreAddress = s.store.Address()
 	config.Grace = 5 * time.Second
+	if s.adjust != nil {
+		s.adjust(config)
+	}
 	require.NoError(s.t, config.Check())
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{node: build(config, s.logger.With(slog.String("node", name))), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
