Duties of one holder: tenure, pace, client of the management interface

Cause: calls to the platform's management interface may come from one node at a time, also where the interface checks no generation. Not used by any part yet.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -32,6 +32,8 @@
 	// ErrRefused means that the management interface cannot do what was asked for now;
 	// nothing was done.
 	ErrRefused = Errors.NewType("refused", errorx.Temporary())
+	// ErrUnavailable means that the management interface was not reached; nothing was done.
+	ErrUnavailable = Errors.NewType("unavailable", errorx.Temporary())
 	// ErrUnknown means that the call may have taken effect, or may do so later.
 	ErrUnknown = Errors.NewType("unknown", errorx.Temporary())
 )
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,20 @@
+package node
+
+import (
+	"context"
+
+	"github.com/comfreyfront/comfreyfront/internal/boottime"
+	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/duty"
+)
+
+// beginTenure returns the tenure of a duty whose unit this node acquired just now.
+func (n *Node) beginTenure(unit cluster.Unit) *duty.Held {
+	return duty.Begin(duty.Options{
+		Credentials:  duty.Credentials{Holder: n.config.Name, Generation: unit.Epoch},
+		Confirm:      func(ctx context.Context) error { return n.cluster.ConfirmUnit(ctx, unit) },
+		HolderChange: n.config.HolderChange,
+		Pace:         n.pace,
+		Now:          boottime.Now,
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreyfront/comfreyfront/internal/boottime"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/duty"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/forward"
@@ -76,6 +78,7 @@
 	retire      retireResponder
 	hubs        *hubs
 	caches      caches
+	pace        *duty.Pace
 
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
@@ -123,6 +126,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
