Usage of accounts: counted at each node, reported once by the owner of a unit

Cause: usage reports are due for each window, the same from every holder, whatever nodes end meanwhile. Change: internal/usage (clock, counter, sender, collector, reporter); the counts go to the owner of unit usage and to the node that would take over from it; the report is written to the store before it is sent. forward tells when a request began to run; metrics and the page /report/usage. Off unless the settings name a management address and a window.

--- a/internal/cluster/ownership.go
+++ b/internal/cluster/ownership.go
@@ -198,12 +198,16 @@
 	if len(names) == 0 {
 		return c.options.Self.Name
 	}
-	capacity := func(name string) float64 { return c.members[name].node.Capacity }
 	return slices.MaxFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(capacity(a), capacity(b)), cmp.Compare(rank(unit, a), rank(unit, b)), cmp.Compare(a, b))
+		return compareRank(unit, c.members[a].node, c.members[b].node)
 	})
 }
 
+// compareRank compares two nodes by their priority for a unit.
+func compareRank(unit string, a, b Node) int {
+	return cmp.Or(cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(rank(unit, a.Name), rank(unit, b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
 // rank returns the priority of a node for a unit; the order of the nodes differs between
 // units.
 func rank(unit, node string) uint64 {
--- a/internal/duty/tenure.go
+++ b/internal/duty/tenure.go
@@ -62,13 +62,18 @@
 // Waits returns how long the node must wait before its first call.
 func (t *Held) Waits() time.Duration { return max(0, t.begins-t.options.Now()) }
 
-// Confirmed records that the metadata store has confirmed the generation in another way, such
-// as by a write under the condition that it is the newest one. sent is when that question
-// was sent, by the clock of the tenure.
-func (t *Held) Confirmed(sent time.Duration) {
+// ConfirmBy asks the metadata store a question that it answers without an error only if the
+// generation is still the newest one of the duty, such as a write under that condition. It
+// saves the question that the next call would ask otherwise.
+func (t *Held) ConfirmBy(ctx context.Context, ask func(ctx context.Context) error) error {
+	sent := t.options.Now()
+	if err := ask(ctx); err != nil {
+		return err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.confirmed, t.known = max(t.confirmed, sent), true
+	return nil
 }
 
 // Do implements Tenure.
@@ -99,13 +104,11 @@
 	if t.isFresh() {
 		return nil
 	}
-	sent := t.options.Now()
 	ctx, cancel := context.WithTimeout(ctx, t.rule.validity())
 	defer cancel()
-	if err := t.options.Confirm(ctx); err != nil {
+	if err := t.ConfirmBy(ctx, t.options.Confirm); err != nil {
 		return err
 	}
-	t.Confirmed(sent)
 	if !t.isFresh() {
 		return ErrNotHeld.New("the metadata store answered too late")
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -39,13 +39,22 @@
 	Crashes   *Crashes
 	Zone      string
 	Logger    *slog.Logger
+	// Began is called once for each request that began to run at an endpoint, with the time
+	// since then. It may be nil.
+	Began func(request *call.Request, ago time.Duration)
+}
+
+// attempt is one send of a request to an endpoint.
+type attempt struct {
+	endpoint *fleet.Endpoint
+	sent     time.Time
 }
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
-	endpoint *fleet.Endpoint
-	answer   *call.Answer
-	err      error
+	attempt
+	answer *call.Answer
+	err    error
 }
 
 // requestRun is the state of one request while its attempts run.
@@ -55,12 +64,12 @@
 	request *call.Request
 	results chan attemptResult
 	tried   []string
-	// waitingFor are the IDs of the endpoints that have the request and have not
-	// answered.
-	waitingFor []string
-	// sent counts attempts that may have run, refused those that did not, and open
-	// those in flight.
-	sent, refused, open int
+	// open are the attempts in flight.
+	open []attempt
+	// sent counts attempts that may have run, and refused those that did not.
+	sent, refused int
+	// began is when the first attempt was sent that may have run; zero if there is none.
+	began time.Time
 	// lastErr is the error of the last attempt that may have run, or else that of the last
 	// one.
 	lastErr error
@@ -97,27 +106,27 @@
 func (x *requestRun) loop(ctx context.Context, record crashRecord) (*call.Answer, error) {
 	hedge := time.NewTimer(x.hedgeAfter())
 	defer hedge.Stop()
+	defer x.reportBegin()
 	x.launch(ctx)
 	for {
-		if x.open == 0 {
+		if len(x.open) == 0 {
 			done, err := x.retry(ctx, record)
 			if done {
 				return x.failure, err
 			}
-			if x.open == 0 {
+			if len(x.open) == 0 {
 				continue // no endpoint is available yet
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return nil, call.ErrEnded.Wrap(ctx.Err(), "no answer in time from %s after %d earlier attempts", strings.Join(x.waitingFor, ", "), x.sent+x.refused)
+			return nil, call.ErrEnded.Wrap(ctx.Err(), "no answer in time from %s after %d earlier attempts", strings.Join(x.waitingFor(), ", "), x.sent+x.refused)
 		case <-hedge.C:
-			if x.route.Repeatable() && x.sent+x.open < x.route.MaxAttempts {
+			if x.route.Repeatable() && x.sent+len(x.open) < x.route.MaxAttempts {
 				x.launch(ctx)
 			}
 		case result := <-x.results:
-			x.open--
-			x.waitingFor = slices.DeleteFunc(x.waitingFor, func(id string) bool { return id == result.endpoint.ID })
+			x.open = slices.DeleteFunc(x.open, func(a attempt) bool { return a.endpoint.ID == result.endpoint.ID })
 			if x.handleResult(ctx, result, record) {
 				return result.answer, nil
 			}
@@ -166,6 +175,15 @@
 	return x.lastErr
 }
 
+// waitingFor returns the IDs of the endpoints that have the request and have not answered.
+func (x *requestRun) waitingFor() []string {
+	ids := make([]string, len(x.open))
+	for i, a := range x.open {
+		ids[i] = a.endpoint.ID
+	}
+	return ids
+}
+
 // launch starts an attempt at the best endpoint, or returns false if there is none.
 func (x *requestRun) launch(ctx context.Context) bool {
 	service := x.route.ServiceFor(x.request.ID)
@@ -174,13 +192,13 @@
 		return false
 	}
 	x.tried = append(x.tried, e.ID)
-	x.waitingFor = append(x.waitingFor, e.ID)
-	x.open++
+	a := attempt{endpoint: e, sent: time.Now()}
+	x.open = append(x.open, a)
 	go func() {
 		done := e.Live.Begin()
 		defer done()
 		answer, err := x.service.Caller.Call(ctx, e, x.request)
-		x.results <- attemptResult{endpoint: e, answer: answer, err: err}
+		x.results <- attemptResult{attempt: a, answer: answer, err: err}
 	}()
 	return true
 }
@@ -189,6 +207,7 @@
 // answer to the request.
 func (x *requestRun) handleResult(ctx context.Context, result attemptResult, record crashRecord) bool {
 	now := time.Now()
+	x.noteBegin(result.attempt, result.err)
 	if result.err == nil && result.answer.Stamp == "" {
 		result.err = call.ErrForeign.New("answer without a signature, status %d", result.answer.Status)
 	}
@@ -196,7 +215,7 @@
 		x.sent++
 		result.endpoint.Live.Succeed()
 		record.clear()
-		if result.answer.Status < 500 || x.request.ReturnFailures || !x.route.Repeatable() || x.sent >= x.route.MaxAttempts && x.open == 0 {
+		if result.answer.Status < 500 || x.request.ReturnFailures || !x.route.Repeatable() || x.sent >= x.route.MaxAttempts && len(x.open) == 0 {
 			return true
 		}
 		x.failure = result.answer
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"github.com/comfreyfront/comfreyfront/internal/boottime"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
@@ -18,3 +19,10 @@
 		Now:          boottime.Now,
 	})
 }
+
+// dutyAttrs describes the beginning of a tenure in the log.
+func dutyAttrs(unit cluster.Unit, tenure *duty.Held) []slog.Attr {
+	return []slog.Attr{
+		slog.String("duty", unit.Name), slog.Int64("generation", unit.Epoch), slog.Int64("waits_ms", tenure.Waits().Milliseconds()),
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,7 @@
 	hubs        *hubs
 	caches      caches
 	pace        *duty.Pace
+	usage       *usageReports // nil if no usage is reported
 
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
@@ -156,6 +157,9 @@
 		Directory: n.directory, Caller: n.endpoints, Streamer: n.endpoints, Crashes: n.crashes,
 		Zone: config.FailureDomain, Logger: logger,
 	}
+	if n.usage = newUsageReports(n, n.registry); n.usage != nil {
+		n.forward.Began = n.usage.began
+	}
 	n.hubs = &hubs{cluster: n.cluster, peers: n.peers}
 	n.caches = caches{
 		platform.KeyOperator:  watchcache.New(hubMaxAge),
@@ -234,6 +238,9 @@
 		group.Go(func() error { return follower.Run(groupCtx) })
 	}
 	group.Go(func() error { return n.expire(groupCtx) })
+	if n.usage != nil {
+		group.Go(func() error { return n.usage.run(groupCtx) })
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -307,6 +314,9 @@
 	if err := group.Wait(); err != nil {
 		event.NodeWorkAborted.Log(finish, n.logger, slog.String("cause", err.Error()))
 	}
+	if n.usage != nil {
+		n.usage.stop(lease)
+	}
 	n.cluster.EndLease(lease)
 }
 
@@ -325,6 +335,9 @@
 }
 
 func (n *Node) ownsUnits() bool {
+	if n.usage.holds() {
+		return true
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.units) > 0
@@ -351,6 +364,9 @@
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
+	if n.usage != nil {
+		mux.HandleFunc("GET "+operator.PathUsage, n.usage.serve)
+	}
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,6 +34,8 @@
 	plain   *platformtest.Endpoint
 	nodes   map[string]*testNode
 	client  *http.Client
+	// configure changes the settings of nodes that are started afterwards; it may be nil.
+	configure func(*settings.Node)
 }
 
 type testNode struct {
@@ -94,6 +96,9 @@
 	config.Listen, config.ReadyListen, config.PeerListen = address(open.front), address(open.ready), address(open.peer)
 	config.StoreAddress = s.store.Address()
 	config.Grace = 5 * time.Second
+	if s.configure != nil {
+		s.configure(config)
+	}
 	require.NoError(s.t, config.Check())
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{node: build(config, slog.New(slog.DiscardHandler)), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -73,11 +73,6 @@
 	return encodeFigures(s.node.figures.Figures()), nil
 }
 
-// Usage implements nodepb.Node.
-func (s *peerServer) Usage(context.Context, *nodepb.UsageRequest) (*nodepb.UsageReply, error) {
-	return &nodepb.UsageReply{}, nil // no usage reports are held
-}
-
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
 	s.node.crashes.Block(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -33,13 +33,16 @@
 	cancel  context.CancelFunc
 }
 
-// wantUnits requests ownership of the unit of each engine service; the cluster
-// decides which node becomes the owner.
+// wantUnits requests ownership of the unit of each engine service and of that of the usage
+// reports; the cluster decides which node becomes the owner.
 func (n *Node) wantUnits() {
 	configuration := n.routes.Load()
 	if configuration == nil {
 		return
 	}
+	if n.usage != nil {
+		n.cluster.Want(usageUnit)
+	}
 	for name, service := range configuration.Services {
 		if service.Engine {
 			n.cluster.Want(engineUnitPrefix + name)
@@ -49,6 +52,12 @@
 
 // unitAcquired starts the work of a unit that this node now owns.
 func (n *Node) unitAcquired(unit cluster.Unit) {
+	if unit.Name == usageUnit {
+		if n.usage != nil {
+			n.usage.acquired(unit)
+		}
+		return
+	}
 	service := strings.TrimPrefix(unit.Name, engineUnitPrefix)
 	ctx, cancel := context.WithCancel(context.Background())
 	owner := submission.NewOwner(ctx, submission.OwnerOptions{
@@ -101,6 +110,12 @@
 
 // unitLost stops the work of a unit that this node no longer owns.
 func (n *Node) unitLost(unit cluster.Unit) {
+	if unit.Name == usageUnit {
+		if n.usage != nil {
+			n.usage.lost()
+		}
+		return
+	}
 	n.mu.Lock()
 	run := n.units[unit.Name]
 	delete(n.units, unit.Name)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -14,7 +14,8 @@
 const (
 	PathClasses = "/v1/classes" // GET returns State; PUT accepts Change and returns Accepted
 	PathHistory = "/v1/classes/history"
-	PathReport  = "/report" // text/plain, or text/html if the Accept header contains it
+	PathReport  = "/report"       // text/plain, or text/html if the Accept header contains it
+	PathUsage   = "/report/usage" // text/plain; ?account=NAME selects one account
 )
 
 // State is the class document in force at the entry that answers.
