--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreyfront/comfreyfront/internal/accountreport"
 	"github.com/comfreyfront/comfreyfront/internal/boottime"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
 	"github.com/comfreyfront/comfreyfront/internal/duty"
@@ -70,16 +71,21 @@
 	submissions *submission.Service
 	forward     *forward.Service
 	crashes     *forward.Crashes
+	// keysCertain reports whether no newer configuration can have withdrawn keys; nil means
+	// always.
+	keysCertain func() bool
 	endpoints   *platform.EndpointClient
 	peers       *peers
 	metrics     *nodeMetrics
 	figures     routereport.Recorder
-	registry    *prometheus.Registry
-	retire      retireResponder
-	hubs        *hubs
-	caches      caches
-	pace        *duty.Pace
-	usage       *usageReports // nil if no usage is reported
+	// accountFigures are the figures by client account.
+	accountFigures accountreport.Recorder
+	registry       *prometheus.Registry
+	retire         retireResponder
+	hubs           *hubs
+	caches         caches
+	pace           *duty.Pace
+	usage          *usageReports // nil if no usage is reported
 
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
@@ -128,6 +134,7 @@
 	}
 	n.metrics = newNodeMetrics(n.registry)
 	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
+	n.registry.MustRegister(&n.accountFigures)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -18,6 +18,10 @@
 	PathUsage   = "/report/usage" // text/plain; ?account=NAME selects one account
 )
 
+// QueryAccount is the query parameter of PathReport that requests the report on one client
+// account. Only nodes on the platform have it.
+const QueryAccount = "account"
+
 // State is the class document in force at the entry that answers.
 type State struct {
 	Revision int64 `json:"revision"`
