--- a/internal/accountreport/text.go
+++ b/internal/accountreport/text.go
@@ -24,6 +24,21 @@
 	// refused for their key.
 	Figure      Figure
 	KeyRefusals [account.RefusalCount]int64
+	// Usage is the newest usage report; nil if there is none.
+	Usage *Usage
+}
+
+// Usage is the account's part of the newest usage report.
+type Usage struct {
+	Window   int64
+	Requests int64
+	// Ended is how long ago the window ended.
+	Ended time.Duration
+}
+
+// text renders the usage in one line.
+func (u *Usage) text() string {
+	return fmt.Sprintf("usage: %d in window %d, %s ago", u.Requests, u.Window, u.Ended.Round(time.Second))
 }
 
 // Text renders the report in lines of at most 45 columns.
@@ -40,6 +55,9 @@
 	for outcome, n := range r.Figure.Outcomes {
 		lines = append(lines, fmt.Sprintf("  %-13s %d", routereport.Outcome(outcome), n))
 	}
+	if r.Usage != nil {
+		lines = append(lines, r.Usage.text())
+	}
 	lines = append(lines, fmt.Sprintf("refused for its key: %d", r.Figure.Refused()))
 	lines = append(lines, reasons(r.Figure.Refusals)...)
 	all := Figure{Refusals: r.KeyRefusals}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -118,6 +118,9 @@
 		report.Version = configuration.Version
 		_, report.Found = configuration.Accounts.Find(name)
 	}
+	if n.usage != nil {
+		report.Usage = n.usage.usageOf(ctx, name)
+	}
 	return report
 }
 
--- a/internal/node/usage_test.go
+++ b/internal/node/usage_test.go
@@ -104,6 +104,7 @@
 	stays[0].node.metricsHandler().ServeHTTP(page, httptest.NewRequest("GET", operator.PathUsage+"?account=large", nil))
 	require.Contains(t, page.Body.String(), "newest usage report: window")
 	require.Contains(t, page.Body.String(), "large: ")
+	require.Regexp(t, `usage: \d+ in window \d+, \d+s ago`, stays[0].node.accountReport(t.Context(), "large").Text())
 }
 
 func TestNoUsageWithoutSettings(t *testing.T) {
--- a/internal/node/usagereport.go
+++ b/internal/node/usagereport.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net/http"
 	"slices"
@@ -13,7 +14,9 @@
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/comfreyfront/comfreyfront/internal/accountreport"
 	"github.com/comfreyfront/comfreyfront/internal/duty"
+	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/usage"
 )
@@ -101,12 +104,36 @@
 // usagePageTimeout bounds the read of the newest report for the operators' page.
 const usagePageTimeout = time.Second
 
+// newest reads the newest report.
+func (u *usageReports) newest(ctx context.Context) (*usage.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, usagePageTimeout)
+	defer cancel()
+	item, err := u.node.store.Get(ctx, usage.RecordKey)
+	if err != nil {
+		return nil, err
+	}
+	return usage.DecodeRecord(item.Value)
+}
+
+// sinceEnd returns how long ago the window of a report ended.
+func (u *usageReports) sinceEnd(record *usage.Record) time.Duration {
+	return u.clock.Now() - record.Window.End(u.node.config.UsageWindow)
+}
+
+// usageOf returns an account's part of the newest report, or nil if it cannot be read.
+func (u *usageReports) usageOf(ctx context.Context, account string) *accountreport.Usage {
+	record, err := u.newest(ctx)
+	if err != nil {
+		event.UsageNotRead.Log(ctx, u.node.logger, slog.String("cause", err.Error()))
+		return nil
+	}
+	return &accountreport.Usage{Window: int64(record.Window), Requests: record.Counts[account], Ended: u.sinceEnd(record)}
+}
+
 // serve responds with the newest report: the count of the account that the query names, or
 // those of all accounts.
 func (u *usageReports) serve(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), usagePageTimeout)
-	defer cancel()
-	item, err := u.node.store.Get(ctx, usage.RecordKey)
+	record, err := u.newest(r.Context())
 	if errorx.IsOfType(err, metastore.ErrNotFound) {
 		http.Error(w, "no usage was reported yet", http.StatusNotFound)
 		return
@@ -115,20 +142,13 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	record, err := usage.DecodeRecord(item.Value)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	u.render(w, record, r.URL.Query().Get("account"))
 }
 
 func (u *usageReports) render(w io.Writer, record *usage.Record, account string) {
-	length := u.node.config.UsageWindow
-	ended := u.clock.Now() - record.Window.End(length)
 	fmt.Fprintf(w, "newest usage report: window %d of %s, ended %s ago, %d requests of %d accounts\n",
-		record.Window, length, ended.Round(time.Second), record.Requests(), len(record.Counts))
+		record.Window, u.node.config.UsageWindow, u.sinceEnd(record).Round(time.Second), record.Requests(), len(record.Counts))
 	if account != "" {
 		fmt.Fprintf(w, "%s: %d requests\n", account, record.Counts[account])
 		return
