--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -329,7 +329,7 @@
 // regain it.
 func TestProcessesLoseAndRegainCertainty(t *testing.T) {
 	s := newSystem(t)
-	s.adjust = func(config *settings.Node) { config.KeyRevocation = time.Second }
+	s.configure = func(config *settings.Node) { config.KeyRevocation = time.Second }
 	for i := range minHubs + 1 {
 		s.start(fmt.Sprintf("n%d", i))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreyfront/comfreyfront/internal/accountreport"
+	"github.com/comfreyfront/comfreyfront/internal/boottime"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/duty"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/forward"
@@ -83,6 +85,8 @@
 	hubs           *hubs
 	caches         caches
 	certainty      *certainty
+	pace           *duty.Pace
+	usage          *usageReports // nil if no usage is reported
 
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
@@ -130,6 +134,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
 	n.registry.MustRegister(&n.accountFigures)
 	n.certainty = newCertainty(config.KeyRevocation, logger, n.registry)
 	n.peers = newPeers(&http.Transport{
@@ -161,6 +166,9 @@
 		Directory: n.directory, Caller: n.endpoints, Streamer: n.endpoints, Crashes: n.crashes,
 		Zone: config.FailureDomain, Logger: logger,
 	}
+	if n.usage = newUsageReports(n, n.registry); n.usage != nil {
+		n.forward.Began = n.usage.began
+	}
 	n.hubs = &hubs{cluster: n.cluster, peers: n.peers}
 	n.caches = caches{
 		platform.KeyOperator:  watchcache.New(hubMaxAge),
@@ -245,6 +253,9 @@
 		group.Go(func() error { return follower.Run(groupCtx) })
 	}
 	group.Go(func() error { return n.expire(groupCtx) })
+	if n.usage != nil {
+		group.Go(func() error { return n.usage.run(groupCtx) })
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -319,6 +330,9 @@
 	if err := group.Wait(); err != nil {
 		event.NodeWorkAborted.Log(finish, n.logger, slog.String("cause", err.Error()))
 	}
+	if n.usage != nil {
+		n.usage.stop(lease)
+	}
 	n.cluster.EndLease(lease)
 }
 
@@ -337,6 +351,9 @@
 }
 
 func (n *Node) ownsUnits() bool {
+	if n.usage.holds() {
+		return true
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.units) > 0
@@ -363,6 +380,9 @@
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
+	if n.usage != nil {
+		mux.HandleFunc("GET "+operator.PathUsage, n.usage.serve)
+	}
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,11 +34,11 @@
 	plain   *platformtest.Endpoint
 	nodes   map[string]*testNode
 	client  *http.Client
-	logger  *slog.Logger
+	// configure changes the settings of nodes that are started afterwards; it may be nil.
+	configure func(*settings.Node)
+	logger    *slog.Logger
 	// prepare, if not nil, is called with each node before it runs.
 	prepare func(*Node)
-	// adjust changes the settings of the nodes that are started; nil changes nothing.
-	adjust func(*settings.Node)
 }
 
 type testNode struct {
@@ -99,8 +99,8 @@
 	config.Listen, config.ReadyListen, config.PeerListen = address(open.front), address(open.ready), address(open.peer)
 	config.StoreAddress = s.store.Address()
 	config.Grace = 5 * time.Second
-	if s.adjust != nil {
-		s.adjust(config)
+	if s.configure != nil {
+		s.configure(config)
 	}
 	require.NoError(s.t, config.Check())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -73,11 +73,6 @@
 	return encodeFigures(s.node.localFigures(request.GetAccount())), nil
 }
 
-// Usage implements nodepb.Node.
-func (s *peerServer) Usage(context.Context, *nodepb.UsageRequest) (*nodepb.UsageReply, error) {
-	return &nodepb.UsageReply{}, nil // no usage reports are held
-}
-
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
 	s.node.crashes.Block(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
