Whether keys are certain is checked before the configuration that judges them

Cause: a process suspended between reading its configuration and the check would accept a withdrawn key: the configuration is old, the confirmation new. Measured: tests of account, node, platform, submission, duty, usage, freshness and watchcache pass.

--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -25,15 +25,13 @@
 	return d
 }
 
-func certain() bool { return true }
-
 // TestIdentificationAllocatesNothing guards the path that every request takes.
 func TestIdentificationAllocatesNothing(t *testing.T) {
 	for _, accounts := range []int{87, 10_000} {
 		d := directoryOf(t, accounts)
 		credential := Credential{Key: testKey(accounts/2, 1)}
 		require.Zero(t, testing.AllocsPerRun(100, func() {
-			if caller, err := d.Identify(credential, false, certain); err != nil || caller.Account == nil {
+			if caller, err := d.Identify(credential, false, true); err != nil || caller.Account == nil {
 				t.Error("not identified")
 			}
 		}))
@@ -84,7 +82,7 @@
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				if _, err := d.Identify(credentials[i%len(credentials)], false, certain); err != nil {
+				if _, err := d.Identify(credentials[i%len(credentials)], false, true); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/account/admission.go
+++ b/internal/account/admission.go
@@ -50,7 +50,7 @@
 // can be sure that no newer configuration has withdrawn keys; an unsure node does not know
 // either that a key is unknown. With ErrUncertain the caller's account is set if its key is
 // known here. A nil directory means that there are no accounts.
-func (d *Directory) Identify(credential Credential, public bool, certain func() bool) (Caller, error) {
+func (d *Directory) Identify(credential Credential, public, certain bool) (Caller, error) {
 	if d == nil {
 		return Caller{}, nil
 	}
@@ -60,7 +60,7 @@
 		return caller, nil
 	case credential.Err != nil:
 		return caller, credential.Err
-	case !certain():
+	case !certain:
 		return caller, ErrUncertain.New("this node cannot be sure which keys are valid")
 	case caller.Account == nil:
 		return caller, ErrUnknownKey.New("the key belongs to no account")
--- a/internal/node/accounts.go
+++ b/internal/node/accounts.go
@@ -9,7 +9,7 @@
 
 // KeysCertain implements platform.Front.
 func (n *Node) KeysCertain() bool {
-	return n.keysCertain == nil || n.keysCertain()
+	return n.keysAreCertain()
 }
 
 // refusalOfKey returns the status for a request that was refused for its key and the delay
--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -10,10 +10,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/explain"
+	"github.com/comfreyfront/comfreyfront/internal/freshness"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/operator"
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
@@ -133,7 +135,10 @@
 // on serving public requests.
 func TestUnsureNodeRefusesKeyedRequests(t *testing.T) {
 	s, _ := newAccountSystem(t, 0)
-	s.prepare = func(n *Node) { n.keysCertain = func() bool { return false } }
+	s.prepare = func(n *Node) {
+		n.certainty.limit = time.Second
+		n.certainty.now = func() freshness.Instant { return freshness.None } // the clock cannot be read
+	}
 	n := s.start("n1")
 	for i, row := range []struct {
 		key, method, path string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,9 +71,6 @@
 	submissions *submission.Service
 	forward     *forward.Service
 	crashes     *forward.Crashes
-	// keysCertain reports whether no newer configuration can have withdrawn keys; nil means
-	// always.
-	keysCertain func() bool
 	endpoints   *platform.EndpointClient
 	peers       *peers
 	metrics     *nodeMetrics
