--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -31,7 +31,7 @@
 func TestIdentificationAllocatesNothing(t *testing.T) {
 	for _, accounts := range []int{87, 10_000} {
 		d := directoryOf(t, accounts)
-		credential := Credential{Key: testKey(accounts/2, 1)}
+		credential := Credential{Form: Present, Key: testKey(accounts/2, 1)}
 		require.Zero(t, testing.AllocsPerRun(100, func() {
 			if caller, err := d.Identify(credential, false, certain); err != nil || caller.Account == nil {
 				t.Error("not identified")
@@ -80,7 +80,7 @@
 			d := directoryOf(b, accounts)
 			credentials := make([]Credential, 64)
 			for i := range credentials {
-				credentials[i].Key = testKey(i*7919%accounts, i%2)
+				credentials[i] = Credential{Form: Present, Key: testKey(i*7919%accounts, i%2)}
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/internal/account/admission.go
+++ b/internal/account/admission.go
@@ -38,11 +38,24 @@
 	return !c.Checked || owner == "" || owner == c.Name()
 }
 
-// Credential is the key of a request, or the reason why it has none.
+// Form is the form in which a request presents a key.
+type Form int
+
+// Forms of credentials.
+const (
+	// Absent means that the request has no key.
+	Absent Form = iota
+	// Malformed means that the request does not have exactly one key in the required form.
+	Malformed
+	// Present means that the request has one key.
+	Present
+)
+
+// Credential is what a request presents as proof of its account. Key is empty unless Form is
+// Present.
 type Credential struct {
-	Key string
-	// Err is nil if there is a key, else ErrNoKey or ErrMalformedKey.
-	Err error
+	Form Form
+	Key  string
 }
 
 // Identify returns the caller that presents the credential, or the error for which the
@@ -58,8 +71,10 @@
 	switch {
 	case public:
 		return caller, nil
-	case credential.Err != nil:
-		return caller, credential.Err
+	case credential.Form == Absent:
+		return caller, ErrNoKey.New("the request has no key")
+	case credential.Form == Malformed:
+		return caller, ErrMalformedKey.New("the request does not have exactly one key in the required form")
 	case !certain():
 		return caller, ErrUncertain.New("this node cannot be sure which keys are valid")
 	case caller.Account == nil:
--- a/internal/submission/fixture_test.go
+++ b/internal/submission/fixture_test.go
@@ -51,7 +51,7 @@
 	started []string
 	// requests are all requests for items that were sent, in order.
 	requests []*call.Request
-	scored  map[string]int
+	scored   map[string]int
 	// scoredEarly lists the items whose scoring call came before their last event.
 	scoredEarly []string
 	written     map[string]int
