--- a/internal/accountreport/recorder.go
+++ b/internal/accountreport/recorder.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -69,17 +70,36 @@
 // latest intervals of slotTime.
 type counts struct {
 	total  Figure
+	times  times
 	recent [slots]slot
 }
 
+// boundsSeconds are the upper bounds of the buckets of request times, in seconds.
+var boundsSeconds = [...]float64{.1, .4, 1, 2.5, 10}
+
+// times holds the times of an account's requests since the start of the process.
+type times struct {
+	// buckets holds the number of requests at or below each bound and above the one before;
+	// the last bucket is above all bounds.
+	buckets [len(boundsSeconds) + 1]uint32
+	seconds float64
+}
+
+func (t *times) add(elapsed time.Duration) {
+	bucket, _ := slices.BinarySearch(boundsSeconds[:], elapsed.Seconds())
+	t.buckets[bucket]++
+	t.seconds += elapsed.Seconds()
+}
+
 type slot struct {
 	number   int64
 	outcomes [routereport.OutcomeCount]uint32
 	refusals [account.RefusalCount]uint32
 }
 
-// Ended counts the end of a request of an account. err is the reason of a refusal, or nil.
-func (r *Recorder) Ended(name string, outcome routereport.Outcome, err error) {
+// Ended counts the end of a request of an account after the given time. err is the reason of
+// a refusal, or nil.
+func (r *Recorder) Ended(name string, outcome routereport.Outcome, elapsed time.Duration, err error) {
 	refusal, refused := account.RefusalOf(err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -92,6 +112,7 @@
 	if s.number != number {
 		*s = slot{number: number}
 	}
+	c.times.add(elapsed)
 	c.total.Outcomes[outcome]++
 	s.outcomes[outcome]++
 	if refused {
@@ -167,16 +188,21 @@
 	return f
 }
 
-// totals returns the counts since the start of the process, by account.
-func (r *Recorder) totals() ([]string, map[string]Figure) {
+// total holds the counts of one account since the start of the process.
+type total struct {
+	name   string
+	figure Figure
+	times  times
+}
+
+// totals returns the counts of all accounts since the start of the process.
+func (r *Recorder) totals() []total {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	names := make([]string, 0, len(r.accounts))
-	figures := make(map[string]Figure, len(r.accounts))
+	all := make([]total, 0, len(r.accounts))
 	for name, c := range r.accounts {
-		names = append(names, name)
-		figures[name] = c.total
+		all = append(all, total{name: name, figure: c.total, times: c.times})
 	}
-	slices.Sort(names)
-	return names, figures
+	slices.SortFunc(all, func(a, b total) int { return strings.Compare(a.name, b.name) })
+	return all
 }
--- a/internal/accountreport/report_test.go
+++ b/internal/accountreport/report_test.go
@@ -18,11 +18,11 @@
 func TestFiguresCoverTheWindow(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	r := &Recorder{Now: func() time.Time { return now }}
-	r.Ended("a", routereport.Answered, nil)
-	r.Ended(NoAccount, routereport.Rejected, account.ErrUnknownKey.New("unknown"))
-	r.Ended("b", routereport.Refused, account.ErrUncertain.New("unsure"))
+	r.Ended("a", routereport.Answered, time.Second, nil)
+	r.Ended(NoAccount, routereport.Rejected, time.Second, account.ErrUnknownKey.New("unknown"))
+	r.Ended("b", routereport.Refused, time.Second, account.ErrUncertain.New("unsure"))
 	now = now.Add(routereport.Window - slotTime)
-	r.Ended("a", routereport.Unknown, nil)
+	r.Ended("a", routereport.Unknown, time.Second, nil)
 	a := r.Figure("a")
 	require.EqualValues(t, 2, a.Requests())
 	require.Zero(t, a.Refused())
@@ -32,17 +32,19 @@
 	a = r.Figure("a")
 	require.EqualValues(t, 1, a.Requests())
 	require.Zero(t, r.Refusals())
-	_, totals := r.totals()
-	require.EqualValues(t, 1, totals["b"].Refusals[account.RefusedUncertain], "metrics count from the start")
+	totals := r.totals()
+	require.Equal(t, "b", totals[2].name)
+	require.EqualValues(t, 1, totals[2].figure.Refusals[account.RefusedUncertain], "metrics count from the start")
+	require.EqualValues(t, 2, totals[1].times.buckets[2], "a second is in the bucket up to a second")
+	require.InDelta(t, 2, totals[1].times.seconds, 0)
 }
 
 func TestCountedAccountsAreBounded(t *testing.T) {
 	r := &Recorder{}
 	for i := range maxAccounts + 10 {
-		r.Ended(fmt.Sprint(i), routereport.Answered, nil)
+		r.Ended(fmt.Sprint(i), routereport.Answered, time.Second, nil)
 	}
-	names, _ := r.totals()
-	require.Len(t, names, maxAccounts)
+	require.Len(t, r.totals(), maxAccounts)
 }
 
 // TestMemoryOfCounts checks that the counts of an account take at most 600 bytes: with its
@@ -62,10 +64,10 @@
 	before := heap()
 	r := &Recorder{}
 	for _, name := range names {
-		r.Ended(name, routereport.Answered, nil)
+		r.Ended(name, routereport.Answered, time.Second, nil)
 	}
 	after := heap()
-	require.LessOrEqual(t, (after-before)/accounts, uint64(limit))
+		require.LessOrEqual(t, (after-before)/accounts, uint64(limit))
 	runtime.KeepAlive(r)
 	runtime.KeepAlive(names)
 }
--- a/internal/node/accounts_test.go
+++ b/internal/node/accounts_test.go
@@ -328,4 +328,5 @@
 	_, err = metrics.ReadFrom(response.Body)
 	require.NoError(t, err)
 	require.Contains(t, metrics.String(), `comfreyfront_account_requests_total{account="a",outcome="answered"} 1`)
+	require.Contains(t, metrics.String(), `comfreyfront_account_request_seconds_count{account="a"} 1`)
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -35,7 +35,7 @@
 	outcome := routereport.OutcomeOf(end.Status, end.Err)
 	n.metrics.ended(end.Route(), outcome, end.Status, end.Duration)
 	if end.Caller.Checked {
-		n.accountFigures.Ended(end.Caller.Name(), outcome, end.Err)
+		n.accountFigures.Ended(end.Caller.Name(), outcome, end.Duration, end.Err)
 	}
 	r := end.Matched
 	if r == nil || r.Kind == route.Batch && outcome == routereport.Answered {
