--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -150,3 +151,29 @@
 	require.NoError(t, err)
 	require.Len(t, changes.Events, 1)
 }
+
+// TestPromptWatchReturnsAtAConfirmation checks that a watch without changes returns when the
+// cache is confirmed anew if that is wanted, and that it tells up to when it is complete.
+func TestPromptWatchReturnsAtAConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, promptly := range []bool{false, true} {
+			c := New(time.Minute)
+			if promptly {
+				c.Promptly()
+			}
+			c.Confirmed(5, true, 1)
+			result := make(chan Changes)
+			go func() {
+				changes, err := c.Watch(context.Background(), "a/", 5, time.Second)
+				require.NoError(t, err)
+				result <- changes
+			}()
+			synctest.Wait()
+			began := time.Now()
+			c.Confirmed(5, true, 2)
+			changes := <-result
+			require.Equal(t, Changes{Position: 5, UpTo: 2}, changes)
+			require.Equal(t, promptly, time.Since(began) == 0)
+		}
+	})
+}
