--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -21,8 +21,12 @@
 // usageUnit is the unit whose owner reports the usage of accounts.
 const usageUnit = "usage"
 
-// usageFlushTimeout bounds how long a stopping node passes its last counts on.
-const usageFlushTimeout = 250 * time.Millisecond
+// Limits of the time for which a stopping node passes its last counts on: an absolute one,
+// and a fraction of the time until its lease must have ended.
+const (
+	usageFlushTimeout  = 250 * time.Millisecond
+	usageFlushFraction = 0.5
+)
 
 // usageReports counts the requests of accounts at this node and, while the node owns
 // usageUnit, reports the counts of all nodes.
@@ -152,7 +156,11 @@
 
 // stop passes on the last counts of a node that stops, and ends its reports.
 func (u *usageReports) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, usageFlushTimeout)
+	timeout := usageFlushTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Duration(usageFlushFraction*float64(time.Until(deadline))))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	u.sender.Flush(ctx)
 	u.lost()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -267,6 +267,9 @@
 	if _, _, err := net.SplitHostPort(n.ManagementAddress); n.ManagementAddress != "" && err != nil {
 		add("management-address: %q must be host:port", n.ManagementAddress)
 	}
+	if n.ManagementAddress != "" && n.HolderChange == 0 {
+		add("holder-change: must be above zero if there is a management-address")
+	}
 	if n.ManagementRate <= 0 {
 		add("management-rate: %g must be above zero", n.ManagementRate)
 	}
