Nodes drop the counts of windows whose reports are fixed

Cause: each process kept an account's counts for a minute, 13 windows of 5 s. Change: the receivers' answers name the oldest window whose report is not fixed.

--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -105,10 +105,10 @@
 
 func (u *usageReports) receiver(node cluster.Node) usage.Receiver {
 	self := u.node.cluster.Self()
-	return usage.Receiver{Process: processOf(node), Send: func(ctx context.Context, batches []usage.Batch) error {
+	return usage.Receiver{Process: processOf(node), Send: func(ctx context.Context, batches []usage.Batch) (usage.Window, error) {
 		if node.Name == self.Name {
 			u.collector.Merge(batches)
-			return nil
+			return u.collector.Unreported(), nil
 		}
 		return u.node.peers.passUsage(ctx, node, batches)
 	}}
@@ -181,8 +181,9 @@
 	return holding.reporter.Reported()
 }
 
-// passUsage passes counts to another node.
-func (p *peers) passUsage(ctx context.Context, node cluster.Node, batches []usage.Batch) error {
+// passUsage passes counts to another node. It returns the oldest window whose report is not
+// fixed yet as far as that node knows.
+func (p *peers) passUsage(ctx context.Context, node cluster.Node, batches []usage.Batch) (usage.Window, error) {
 	request := &nodepb.UsageRequest{}
 	for _, batch := range batches {
 		encoded := &nodepb.UsageBatch{Node: batch.Process.Node, Incarnation: batch.Process.Incarnation}
@@ -191,10 +192,11 @@
 		}
 		request.Batches = append(request.Batches, encoded)
 	}
-	if _, err := p.clientFor(node.Address).Usage(ctx, request); err != nil {
-		return ErrPeer.Wrap(err, "counts of usage to %s", node.Name)
+	reply, err := p.clientFor(node.Address).Usage(ctx, request)
+	if err != nil {
+		return 0, ErrPeer.Wrap(err, "counts of usage to %s", node.Name)
 	}
-	return nil
+	return usage.Window(reply.GetUnreported()), nil
 }
 
 // Usage implements nodepb.Node.
@@ -211,5 +213,5 @@
 		batches = append(batches, batch)
 	}
 	s.node.usage.collector.Merge(batches)
-	return &nodepb.UsageReply{}, nil
+	return &nodepb.UsageReply{Unreported: int64(s.node.usage.collector.Unreported())}, nil
 }
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -27,7 +27,7 @@
 
 	mu      sync.Mutex
 	windows map[Window]*collected
-	// oldest is the oldest window that is not reported yet, as far as known.
+	// oldest is the oldest window whose report is not fixed yet, as far as known.
 	oldest Window
 }
 
@@ -127,6 +127,14 @@
 	return earliest, found
 }
 
+// Unreported returns the oldest window whose report is not fixed yet, or zero if that is not
+// known here.
+func (c *Collector) Unreported() Window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.oldest
+}
+
 // Reported drops the counts of a window whose report is fixed, and of all earlier ones.
 func (c *Collector) Reported(w Window) {
 	c.mu.Lock()
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -88,6 +88,13 @@
 	return changed, c.changes
 }
 
+// Forget drops the windows before the given one, whose reports are fixed.
+func (c *Counter) Forget(before Window) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(before)
+}
+
 // forget drops the windows before the given one. The caller holds c.mu.
 func (c *Counter) forget(before Window) {
 	for w := range c.windows {
--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -112,23 +112,23 @@
 		if to != s.holder && to != s.successor() {
 			continue
 		}
-		receivers = append(receivers, Receiver{Process: to.process, Send: func(_ context.Context, batches []Batch) error {
+		receivers = append(receivers, Receiver{Process: to.process, Send: func(_ context.Context, batches []Batch) (Window, error) {
 			if to == from {
 				to.collector.Merge(batches)
-				return nil
+				return to.collector.Unreported(), nil
 			}
 			time.Sleep(roundTrip)
 			if to.ctx.Err() != nil || from.ctx.Err() != nil {
-				return errors.New("killed")
+				return 0, errors.New("killed")
 			}
 			lost := s.chance(s.faults.push)
 			if !lost || s.chance(2) {
 				to.collector.Merge(batches)
 			}
 			if lost {
-				return errors.New("lost")
+				return 0, errors.New("lost")
 			}
-			return nil
+			return to.collector.Unreported(), nil
 		}})
 	}
 	return receivers
@@ -287,6 +287,16 @@
 	return runTime + roundTrip + time.Duration(sends)*(minSendInterval+roundTrip)
 }
 
+// keptWindows returns the largest number of windows that a process keeps.
+func (s *installation) keptWindows() int {
+	most := 0
+	for _, n := range s.nodes {
+		windows, _ := n.counter.Since(0)
+		most = max(most, len(windows))
+	}
+	return most
+}
+
 // verify compares the reports with what began to run. Only requests of killed processes may
 // be missing, and of these only the last ones.
 func (s *installation) verify(windows int) {
@@ -336,6 +346,7 @@
 			s := playInstallation(t, seed, f, 12)
 			for w, at := range s.arrived {
 				if !f.outage {
+					require.LessOrEqual(t, s.keptWindows(), 4, "counts of reported windows are dropped")
 					require.Less(t, at-w.End(testLength), testDue, "seed %d: window %d", seed, w)
 				}
 			}
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -24,7 +24,9 @@
 // Receiver is a process to which counts are passed.
 type Receiver struct {
 	Process Process
-	Send    func(ctx context.Context, batches []Batch) error
+	// Send passes counts. It returns the oldest window whose report is not fixed yet, or zero
+	// if the receiver does not know it.
+	Send func(ctx context.Context, batches []Batch) (unreported Window, err error)
 }
 
 // SenderOptions configures a Sender.
@@ -142,9 +144,11 @@
 	if len(windows) == 0 && len(batches) == 1 {
 		return changes
 	}
-	if err := receiver.Send(ctx, batches); err != nil {
+	unreported, err := receiver.Send(ctx, batches)
+	if err != nil {
 		event.UsageNotPassedOn.Log(ctx, s.options.Logger, slog.String("receiver", receiver.Process.Node), slog.String("cause", err.Error()))
 		return received
 	}
+	s.options.Counter.Forget(unreported)
 	return changes
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -118,3 +119,32 @@
 	c.Count("a", 0)
 	require.Zero(t, testing.AllocsPerRun(100, func() { c.Count("a", 0) }))
 }
+
+// TestMemoryOfCounts checks that the counts of an account take at most 400 bytes in the
+// windows that a process keeps while reports are fixed in time.
+func TestMemoryOfCounts(t *testing.T) {
+	const accounts, windows, limit = 10_000, 4, 400
+	names := make([]string, accounts)
+	for i := range names {
+		names[i] = fmt.Sprint("account-", i)
+	}
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	now := time.Hour
+	c := NewCounter(testLength, func() time.Duration { return now })
+	before := heap()
+	for range windows {
+		now += testLength
+		for _, name := range names {
+			c.Count(name, 0)
+		}
+	}
+	perAccount := (heap() - before) / accounts
+	runtime.KeepAlive(c)
+	t.Logf("%d bytes an account", perAccount)
+	require.LessOrEqual(t, perAccount, uint64(limit))
+}
