--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -32,7 +32,7 @@
 	Windows map[Window]Counts
 }
 
-// keptTime is how long after its end the counts of a window are kept. It covers an outage
+// keptTime is how long at most the counts of a window are kept after its end. It covers an outage
 // of the metadata store, during which nothing is reported.
 const keptTime = time.Minute
 
