--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -21,8 +21,12 @@
 // usageUnit is the unit whose owner reports the usage of accounts.
 const usageUnit = "usage"
 
-// usageFlushTimeout bounds how long a stopping node passes its last counts on.
-const usageFlushTimeout = 250 * time.Millisecond
+// Limits of the time for which a stopping node passes its last counts on: an absolute one,
+// and a fraction of the time until its lease must have ended.
+const (
+	usageFlushTimeout  = 250 * time.Millisecond
+	usageFlushFraction = 0.5
+)
 
 // usageReports counts the requests of accounts at this node and, while the node owns
 // usageUnit, reports the counts of all nodes.
@@ -101,10 +105,10 @@
 
 func (u *usageReports) receiver(node cluster.Node) usage.Receiver {
 	self := u.node.cluster.Self()
-	return usage.Receiver{Process: processOf(node), Send: func(ctx context.Context, batches []usage.Batch) error {
+	return usage.Receiver{Process: processOf(node), Send: func(ctx context.Context, batches []usage.Batch) (usage.Window, error) {
 		if node.Name == self.Name {
 			u.collector.Merge(batches)
-			return nil
+			return u.collector.Unreported(), nil
 		}
 		return u.node.peers.passUsage(ctx, node, batches)
 	}}
@@ -152,7 +156,11 @@
 
 // stop passes on the last counts of a node that stops, and ends its reports.
 func (u *usageReports) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, usageFlushTimeout)
+	timeout := usageFlushTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Duration(usageFlushFraction*float64(time.Until(deadline))))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	u.sender.Flush(ctx)
 	u.lost()
@@ -173,8 +181,9 @@
 	return holding.reporter.Reported()
 }
 
-// passUsage passes counts to another node.
-func (p *peers) passUsage(ctx context.Context, node cluster.Node, batches []usage.Batch) error {
+// passUsage passes counts to another node. It returns the oldest window whose report is not
+// fixed yet as far as that node knows.
+func (p *peers) passUsage(ctx context.Context, node cluster.Node, batches []usage.Batch) (usage.Window, error) {
 	request := &nodepb.UsageRequest{}
 	for _, batch := range batches {
 		encoded := &nodepb.UsageBatch{Node: batch.Process.Node, Incarnation: batch.Process.Incarnation}
@@ -183,10 +192,11 @@
 		}
 		request.Batches = append(request.Batches, encoded)
 	}
-	if _, err := p.clientFor(node.Address).Usage(ctx, request); err != nil {
-		return ErrPeer.Wrap(err, "counts of usage to %s", node.Name)
+	reply, err := p.clientFor(node.Address).Usage(ctx, request)
+	if err != nil {
+		return 0, ErrPeer.Wrap(err, "counts of usage to %s", node.Name)
 	}
-	return nil
+	return usage.Window(reply.GetUnreported()), nil
 }
 
 // Usage implements nodepb.Node.
@@ -203,5 +213,5 @@
 		batches = append(batches, batch)
 	}
 	s.node.usage.collector.Merge(batches)
-	return &nodepb.UsageReply{}, nil
+	return &nodepb.UsageReply{Unreported: int64(s.node.usage.collector.Unreported())}, nil
 }
