--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -65,6 +65,7 @@
 	if e.Live == nil {
 		e.Live = &Live{}
 	}
+	d.noteLeaving(old, e)
 	if e.Live.left == nil {
 		e.Live.left = func() { d.saidLeaving(e.ID) }
 	}
@@ -74,6 +75,23 @@
 	d.logChange(old, e)
 }
 
+// noteLeaving sets when an endpoint leaves. An earlier time that the same process announced
+// holds: a record may arrive again. The caller must lock d.mu.
+func (d *Directory) noteLeaving(old, e *Endpoint) {
+	if e.LeavesIn <= 0 {
+		return
+	}
+	e.LeavesAt = d.now().Add(e.LeavesIn)
+	if old != nil && old.sameProcess(e) && !old.LeavesAt.IsZero() {
+		if old.LeavesAt.Before(e.LeavesAt) {
+			e.LeavesAt = old.LeavesAt
+		}
+		return
+	}
+	event.EndpointReclaimed.Log(context.Background(), d.logger, slog.String("endpoint", e.ID), slog.String("service", e.Service),
+		slog.String("failure_domain", e.Zone), slog.Int64("leaves_ms", e.LeavesIn.Milliseconds()))
+}
+
 func (d *Directory) logChange(old, e *Endpoint) {
 	attrs := []slog.Attr{slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address)}
 	switch {
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -18,6 +18,12 @@
 	Slots   int
 	// Draining is true if the directory shows that the endpoint must not receive new work.
 	Draining bool
+	// Reclaimable endpoints may be taken away at short notice. LeavesIn is the time that the
+	// endpoint had left when it wrote its record, zero if it did not say; LeavesAt is set by
+	// the directory.
+	Reclaimable bool
+	LeavesIn    time.Duration
+	LeavesAt    time.Time
 	// Versions are the weight versions that the endpoint reported in the directory,
 	// by model.
 	Versions map[string]int64
@@ -194,6 +200,9 @@
 	return ownInFlight + others
 }
 
+// TotalInFlight estimates the number of requests in flight at the endpoint from all callers.
+func (l *Live) TotalInFlight(now time.Time) int64 { return l.totalInFlight(now) }
+
 // loadPercent returns how long work takes at the endpoint, as a percentage of the
 // usual time.
 func (l *Live) loadPercent(now time.Time) int64 {
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -58,7 +58,8 @@
 // Planner decides the targets of one service. The caller must not use it concurrently. A
 // planner that starts anew takes what is there for what was ordered.
 type Planner struct {
-	samples  []sample
+	samples []sample
+	// firstAt is when demand was first seen.
 	firstAt  time.Time
 	loading  float64
 	orders   map[Group]ordered
@@ -80,15 +81,17 @@
 	// now, those that add endpoints first.
 	Targets map[Group]int
 	Orders  []Order
+	// GivenUp are the groups whose ordered endpoints did not come or were reclaimed.
+	GivenUp []Group
 }
 
 // Plan decides on the basis of the input. Orders that the caller makes must be reported with
 // Placed or Refused.
 func (p *Planner) Plan(in *Input) Plan {
-	p.observe(in)
+	givenUp := p.observe(in)
 	n := p.stable(in)
 	if n.reason == ReasonNone {
-		return Plan{Reason: ReasonNone, Targets: map[Group]int{}}
+		return Plan{Reason: ReasonNone, Targets: map[Group]int{}, GivenUp: givenUp}
 	}
 	expected := func(group Group) int { return p.expected(in, group) }
 	targets, replaced := newSpread(in, n, p.blocked(in), expected).run(n)
@@ -102,16 +105,13 @@
 	case replaced:
 		n.reason = ReasonRefused
 	}
-	plan := Plan{Urgent: n.urgent, Wanted: total, Reason: n.reason, Targets: targets}
+	plan := Plan{Urgent: n.urgent, Wanted: total, Reason: n.reason, Targets: targets, GivenUp: givenUp}
 	plan.Orders = append(p.ups(in, plan), p.downs(in, plan)...)
 	return plan
 }
 
-// observe adds the present need to the window and gives up orders that did not appear.
-func (p *Planner) observe(in *Input) {
-	if p.firstAt.IsZero() {
-		p.firstAt = in.Now
-	}
+// observe adds the present need to the window. It returns the groups that were given up.
+func (p *Planner) observe(in *Input) []Group {
 	loading, ready := 0, in.ready()
 	for _, count := range in.There {
 		loading += count.Loading
@@ -120,30 +120,45 @@
 		p.loading += loadingWeight * (float64(loading)/float64(ready) - p.loading)
 	}
 	now := needOf(in.Streams, in.Slots, p.loading, in.Now)
+	if p.firstAt.IsZero() && now.reason != ReasonNone {
+		p.firstAt = in.Now
+	}
 	start := in.Now.Add(-window(in))
 	p.samples = slices.DeleteFunc(p.samples, func(s sample) bool { return s.at.Before(start) || s.need.wanted <= now.wanted })
 	p.samples = append(p.samples, sample{in.Now, now})
-	p.observeOrders(in)
 	maps.DeleteFunc(p.refused, func(_ Group, until time.Time) bool { return !in.Now.Before(until) })
+	return p.observeOrders(in)
 }
 
 // observeOrders compares what was ordered with what is there. A group whose endpoints do not
-// appear, or were reclaimed, is not asked again for a while.
-func (p *Planner) observeOrders(in *Input) {
-	for group, order := range p.orders {
-		switch {
-		case in.There[group].Ready >= order.count:
+// appear, or were reclaimed, is not asked again for a while; such groups are returned.
+func (p *Planner) observeOrders(in *Input) []Group {
+	var givenUp []Group
+	for _, group := range sortedGroups(p.orders) {
+		order, count := p.orders[group], in.There[group]
+		if count.Ready >= order.count {
 			order.metAt = in.Now
 			p.orders[group] = order
-		case in.Now.Sub(order.metAt) > giveUpStarts*startTime(in):
+			continue
+		}
+		reclaimed := group.Kind == Reclaimable && count.Draining > 0
+		if reclaimed || in.Now.Sub(order.metAt) > giveUpStarts*startTime(in) {
 			p.Refused(group, in)
+			givenUp = append(givenUp, group)
 		}
 	}
 	for group, count := range in.There {
-		if group.Kind == Reclaimable && count.Draining > 0 && count.Ready < max(p.expected(in, group), 1) {
-			p.Refused(group, in)
+		if group.Kind == Reclaimable && count.Draining > 0 && count.Ready == 0 && p.orders[group].count == 0 && !p.wentByOrder(group) {
+			p.Refused(group, in) // reclaimed before this planner began
 		}
 	}
+	return givenUp
+}
+
+// wentByOrder reports whether the last order took all endpoints of a group away.
+func (p *Planner) wentByOrder(group Group) bool {
+	order, known := p.orders[group]
+	return known && order.count == 0
 }
 
 func startTime(in *Input) time.Duration { return max(in.Limits.StartTime, minStart) }
@@ -225,7 +240,9 @@
 }
 
 // settled reports whether the demand was observed for a whole window.
-func (p *Planner) settled(in *Input) bool { return in.Now.Sub(p.firstAt) >= window(in) }
+func (p *Planner) settled(in *Input) bool {
+	return !p.firstAt.IsZero() && in.Now.Sub(p.firstAt) >= window(in)
+}
 
 // downs returns the orders that take endpoints away: after a whole window, a few at a time,
 // and only while what is ready beyond the plan is more than a small surplus.
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -190,8 +190,10 @@
 	// listed are the stored results, in listing order.
 	listed []*recordpb.Result
 	// batch is the number of the next batch of results to write.
-	batch      int
-	ready      []*item
+	batch int
+	ready []*item
+	// openedAt is when this owner opened the submission, by its own clock.
+	openedAt   time.Time
 	unfinished map[string]int // number of unfinished items by group
 	writing    bool
 	ended      bool
--- a/internal/submission/move.go
+++ b/internal/submission/move.go
@@ -10,6 +10,7 @@
 
 // Causes of moves.
 const (
+	causeLeaving = "endpoint leaves too soon"
 	causeLoading = "loading weights"
 	causeStalled = "stalled"
 	causeSlower  = "slower than another engine"
@@ -53,6 +54,11 @@
 // to move it to if one was chosen.
 func (o *Owner) moveCause(c candidate, engines *engines, now time.Time) (string, *fleet.Endpoint) {
 	r, n := c.run, o.needOf(c.item)
+	if engines.leavesTooSoon(r.endpoint, c.remaining) {
+		if to, ok := engines.otherEngine(r.endpoint, n, c.remaining); ok {
+			return causeLeaving, to
+		}
+	}
 	if r.endpoint.Live.IsLoading(n.model, now) && o.requiresSingleVersion(c.submission) {
 		// The engine loads only after its runs have ended.
 		if to, ok := engines.otherEngine(r.endpoint, n, c.remaining); ok {
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -54,13 +54,15 @@
 	items       map[string]*item
 	// scoresOpen counts the scoring calls in flight.
 	scoresOpen int
-	// lengths, demands (the tokens that a model's submissions ask for), loadSlope and
-	// fastestGap (the lowest usual time per event of an engine) are learned from the texts and
-	// engines of the unit.
+	// lengths, demands (the tokens that a model's submissions ask for), rhythms (how often
+	// they arrive), loadSlope, fastestGap and usualGap (the lowest and the median usual time
+	// per event of an engine) are learned from the texts and engines of the unit.
 	lengths    lengths
 	demands    map[string]float64
+	rhythms    map[string]*rhythm
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
+	usualGap   time.Duration
 	saved      checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
 	// yet, to the times at which their records may be removed.
@@ -78,6 +80,7 @@
 		submissions: map[string]*ownedSubmission{},
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
+		rhythms:     map[string]*rhythm{},
 		loadSlope:   fleet.NewLoadSlope(),
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
@@ -124,7 +127,7 @@
 	defer o.mu.Unlock()
 	o.expire(now)
 	engines := newEngines(o.options.Directory.Of(o.options.Service), o.loadSlope, o.options.Zone, now)
-	o.fastestGap = engines.least
+	o.fastestGap, o.usualGap = engines.least, engines.usual
 	o.place(engines, now)
 	o.move(engines, now)
 	o.startScores(now)
@@ -141,9 +144,10 @@
 	if _, known := o.submissions[id]; known {
 		return
 	}
-	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{})}
+	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{}), openedAt: time.Now()}
 	o.submissions[id] = s
 	o.observeDemand(record)
+	o.observeRhythm(record, h.acceptedAt())
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -29,6 +29,9 @@
 	// runs is the number of runs on each endpoint, by ID.
 	runs    map[string]int
 	samples map[string]fleet.PaceSample
+	// leaves is when those endpoints leave that have announced it, by ID. The directory's
+	// newest records say so: a run keeps the record with which it began.
+	leaves map[string]time.Time
 	// usual is the median of the engines' usual times per event, and least the lowest.
 	usual, least time.Duration
 	loadSlope    *fleet.LoadSlope
@@ -39,13 +42,16 @@
 func newEngines(endpoints []*fleet.Endpoint, loadSlope *fleet.LoadSlope, zone string, now time.Time) *engines {
 	p := &engines{
 		endpoints: endpoints, runs: make(map[string]int, len(endpoints)), samples: make(map[string]fleet.PaceSample, len(endpoints)),
-		usual: initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
+		leaves: map[string]time.Time{}, usual: initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
 	}
 	var observed []fleet.PaceSample
 	for _, e := range endpoints {
 		p.runs[e.ID] = int(e.Live.InFlight())
 		sample := e.Live.Pace.Sample(now)
 		p.samples[e.ID] = sample
+		if !e.LeavesAt.IsZero() {
+			p.leaves[e.ID] = e.LeavesAt
+		}
 		if sample.Gap > 0 {
 			observed = append(observed, sample)
 		}
@@ -167,6 +173,17 @@
 	return best, true
 }
 
+// leaveMargin is how much before its announced time an engine that leaves is expected to be
+// gone: the announcement takes a while to arrive.
+const leaveMargin = 500 * time.Millisecond
+
+// leavesTooSoon reports whether an engine is known to leave before it is expected to finish
+// the given number of events of a run.
+func (p *engines) leavesTooSoon(e *fleet.Endpoint, events float64) bool {
+	at, leaves := p.leaves[e.ID]
+	return leaves && p.now.Add(p.finishTime(e, p.runs[e.ID], events)).After(at.Add(-leaveMargin))
+}
+
 // reservationTime is how long a slot is kept for an item that moves; its old run ends within
 // milliseconds.
 const reservationTime = 200 * time.Millisecond
