--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -206,7 +206,8 @@
 func (p *Planner) ups(in *Input, plan Plan) []Order {
 	var orders []Order
 	for _, group := range sortedGroups(plan.Targets) {
-		if count := plan.Targets[group]; count > p.expected(in, group) || p.lost(in, group, count) {
+		count := min(plan.Targets[group], in.Limits.Max-p.most(in, group.other()))
+		if count > p.most(in, group) || p.lost(in, group, count) {
 			orders = append(orders, Order{group, count, plan.Reason})
 		}
 	}
@@ -220,7 +221,12 @@
 // start. The order is repeated, which is harmless if they are on their way.
 func (p *Planner) lost(in *Input, group Group, count int) bool {
 	order, known := p.orders[group]
-	return known && count == order.count && in.There[group].Ready < count && in.Now.Sub(order.at) > time.Duration(repeatStarts*float64(startTime(in)))
+	return known && count == order.count && count > 0 && in.There[group].Ready < count && in.Now.Sub(order.at) > time.Duration(repeatStarts*float64(startTime(in)))
+}
+
+// most returns the largest number of endpoints that a group may have now.
+func (p *Planner) most(in *Input, group Group) int {
+	return max(in.There[group].Ready, p.expected(in, group))
 }
 
 // enough reports whether the ready endpoints satisfy the plan in total, but for a small part
@@ -262,7 +268,8 @@
 		return cmp.Compare(in.There[b].Ready-plan.Targets[b], in.There[a].Ready-plan.Targets[a])
 	})
 	for _, group := range groups {
-		down := min(in.There[group].Ready-plan.Targets[group], budget, idle(in, group))
+		leave := max(plan.Targets[group], in.Limits.Min-in.There[group.other()].Ready)
+		down := min(in.There[group].Ready-leave, budget, idle(in, group))
 		if expected := p.expected(in, group); down <= 0 || expected > in.There[group].Ready {
 			continue
 		}
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -33,6 +33,9 @@
 	Kind   Kind
 }
 
+// other returns the group of the other kind in the same failure domain.
+func (g Group) other() Group { return Group{g.Domain, Ordinary + Reclaimable - g.Kind} }
+
 // Count is the state of the endpoints of a group.
 type Count struct {
 	// Ready endpoints take new work; Draining ones are leaving.
