The owner of a service's unit orders its endpoints; page of what is wanted, ordered and there

Cause: nothing used the decision. Ordinary endpoints fill the smallest numbers of failure domains before reclaimable ones do. Measured: go test ./internal/scaling pass; go test ./internal/node -run 'Ordered|Scaling' pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,9 @@
 	caches      caches
 	pace        *duty.Pace
 
+	scalers        scalers
+	scalingMetrics *scalingMetrics
+
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
 	draining atomic.Bool
@@ -126,6 +129,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.scalingMetrics = newScalingMetrics(n.registry)
 	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
@@ -327,7 +331,7 @@
 func (n *Node) ownsUnits() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.units) > 0
+	return len(n.units) > 0 || n.scalers.any()
 }
 
 // serveReady answers the readiness check of the load balancer. A node is ready once
@@ -351,6 +355,7 @@
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
+	mux.HandleFunc("GET "+pathScaling, n.serveScaling)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,6 +34,8 @@
 	plain   *platformtest.Endpoint
 	nodes   map[string]*testNode
 	client  *http.Client
+	// management is the address of the management interface; empty means that there is none.
+	management string
 }
 
 type testNode struct {
@@ -94,6 +96,7 @@
 	config.Listen, config.ReadyListen, config.PeerListen = address(open.front), address(open.ready), address(open.peer)
 	config.StoreAddress = s.store.Address()
 	config.Grace = 5 * time.Second
+	config.ManagementAddress, config.ManagementRate, config.HolderChange = s.management, 100, 300*time.Millisecond
 	require.NoError(s.t, config.Check())
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &testNode{node: build(config, slog.New(slog.DiscardHandler)), address: config.Listen, ready: config.ReadyListen, cancel: cancel, done: make(chan struct{})}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -70,7 +70,9 @@
 
 // Figures implements nodepb.Node.
 func (s *peerServer) Figures(context.Context, *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
-	return encodeFigures(s.node.figures.Figures()), nil
+	reply := encodeFigures(s.node.figures.Figures())
+	reply.Scaling = encodeScaling(s.node)
+	return reply, nil
 }
 
 // Usage implements nodepb.Node.
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -44,11 +44,18 @@
 		if service.Engine {
 			n.cluster.Want(engineUnitPrefix + name)
 		}
+		if n.wantsScalingUnit(service) {
+			n.cluster.Want(scalingUnitPrefix + name)
+		}
 	}
 }
 
 // unitAcquired starts the work of a unit that this node now owns.
 func (n *Node) unitAcquired(unit cluster.Unit) {
+	if plain, ok := strings.CutPrefix(unit.Name, scalingUnitPrefix); ok {
+		n.startScaling(unit, plain, nil)
+		return
+	}
 	service := strings.TrimPrefix(unit.Name, engineUnitPrefix)
 	ctx, cancel := context.WithCancel(context.Background())
 	owner := submission.NewOwner(ctx, submission.OwnerOptions{
@@ -78,6 +85,7 @@
 		owner.Seed(n.fetchTexts(ctx, unit))
 	}
 	n.submissions.StartOwner(owner)
+	n.startScaling(unit, service, owner)
 	go owner.Restore()
 	go func() { _ = manager.Run(ctx) }() // Run returns nil when ctx ends
 }
@@ -101,6 +109,10 @@
 
 // unitLost stops the work of a unit that this node no longer owns.
 func (n *Node) unitLost(unit cluster.Unit) {
+	n.scalers.replace(unit.Name, nil)
+	if strings.HasPrefix(unit.Name, scalingUnitPrefix) {
+		return
+	}
 	n.mu.Lock()
 	run := n.units[unit.Name]
 	delete(n.units, unit.Name)
--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -60,6 +60,7 @@
 type Controller struct {
 	options Options
 	planner *Planner
+	now     func() time.Time
 	// unconfirmed are the orders that may have taken effect or may do so later.
 	unconfirmed map[Group]Order
 
@@ -69,7 +70,7 @@
 
 // NewController returns a controller; the caller must call Run.
 func NewController(options Options) *Controller {
-	return &Controller{options: options, planner: NewPlanner(), unconfirmed: map[Group]Order{}}
+	return &Controller{options: options, planner: NewPlanner(), now: time.Now, unconfirmed: map[Group]Order{}}
 }
 
 const (
@@ -88,7 +89,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.round(ctx, time.Now())
+			c.round(ctx)
 		}
 	}
 }
@@ -101,8 +102,8 @@
 }
 
 // round makes one decision and its orders.
-func (c *Controller) round(ctx context.Context, now time.Time) {
-	in, ok := c.options.Observe(now)
+func (c *Controller) round(ctx context.Context) {
+	in, ok := c.options.Observe(c.now())
 	if !ok {
 		return
 	}
@@ -111,6 +112,7 @@
 		delete(c.unconfirmed, group)
 		event.EndpointsNotCome.Log(ctx, c.options.Logger, append(c.attributes(group), slog.Int("there", in.There[group].Ready))...)
 	}
+	c.publish(plan, in)
 	for _, order := range c.withUnconfirmed(plan.Orders) {
 		if ctx.Err() != nil || !c.order(ctx, order, plan, in) {
 			break
@@ -142,6 +144,7 @@
 		called = true
 		return c.options.Orderer.OrderEndpoints(ctx, credentials, c.options.Service, order)
 	})
+	in.Now = c.now() // the call took a while
 	attrs := append(c.attributes(order.Group), slog.Int("count", order.Count), slog.Int("there", in.There[order.Group].Ready),
 		slog.Int("wanted", plan.Wanted), slog.Int("urgent", plan.Urgent), slog.String("reason", string(order.Reason)))
 	switch {
@@ -174,7 +177,7 @@
 // isNothingDone reports whether the error shows that a call had no effect and may be made
 // later.
 func isNothingDone(err error) bool {
-	return errorx.IsOfType(err, duty.ErrNotHeld) || errorx.IsOfType(err, duty.ErrOverRate) || errorx.IsOfType(err, duty.ErrSuperseded)
+	return errorx.IsOfType(err, duty.ErrNotHeld) || errorx.IsOfType(err, duty.ErrOverRate) || errorx.IsOfType(err, duty.ErrUnavailable) || errorx.IsOfType(err, duty.ErrSuperseded)
 }
 
 func (c *Controller) report(order Order, outcome string) {
--- a/internal/scaling/controller_test.go
+++ b/internal/scaling/controller_test.go
@@ -56,12 +56,14 @@
 			return &Input{Now: now, Limits: controllerLimits, Slots: 4, There: there, Streams: []Stream{{Open: *open}}}, true
 		},
 	})
+
 }
 
 // played runs rounds of a controller for a number of seconds and returns the time after them.
 func played(c *Controller, now time.Time, seconds int) time.Time {
 	for range 2 * seconds {
-		c.round(context.Background(), now)
+		c.now = func() time.Time { return now }
+		c.round(context.Background())
 		now = now.Add(decideInterval)
 	}
 	return now
--- a/internal/scaling/spread.go
+++ b/internal/scaling/spread.go
@@ -17,8 +17,8 @@
 )
 
 // spread distributes the wanted endpoints over the groups: first the smallest number of each
-// failure domain, then the urgent ones as ordinary endpoints, then the headroom, each to the
-// cheapest group that may take one more.
+// failure domain, then the rest of the urgent ones as ordinary endpoints, then the headroom,
+// each to the cheapest group that may take one more.
 type spread struct {
 	in *Input
 	// blocked are the groups that get no more than they have.
@@ -42,12 +42,13 @@
 
 // run returns the target of each group, and whether a blocked group had to be replaced.
 func (s *spread) run(n need) (targets map[Group]int, replaced bool) {
+	ordinary, all := s.groups(s.domains, Ordinary), s.groups(s.domains, Ordinary, Reclaimable)
 	for _, domain := range s.domains {
 		for range s.in.Limits.Min {
-			s.add(s.cheapest([]Group{{domain, Ordinary}, {domain, Reclaimable}}, s.in.Limits.Max))
+			urgent := s.count(ordinary) < n.urgent && s.take(s.groups([]string{domain}, Ordinary))
+			_ = urgent || s.take(s.groups([]string{domain}, Ordinary, Reclaimable))
 		}
 	}
-	ordinary, all := s.groups(Ordinary), s.groups(Ordinary, Reclaimable)
 	for s.count(ordinary) < n.urgent && s.take(ordinary) {
 	}
 	for s.count(all) < n.wanted && s.take(all) {
@@ -58,9 +59,10 @@
 	return s.targets, replaced
 }
 
-func (s *spread) groups(kinds ...Kind) []Group {
+// groups returns the groups of the kinds that there are in the given failure domains.
+func (s *spread) groups(domains []string, kinds ...Kind) []Group {
 	var groups []Group
-	for _, domain := range s.domains {
+	for _, domain := range domains {
 		for _, kind := range kinds {
 			if kind == Ordinary || s.in.Limits.ReclaimablePrice > 0 {
 				groups = append(groups, Group{domain, kind})
