Endpoints of the headroom are replaced after the time in which they may be back

Cause: endpoints that fail for seconds would be ordered twice: once by the platform's restart, once by an order. Change: urgent ones are ordered at once, others after the time to start.

--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -65,6 +65,8 @@
 	orders   map[Group]ordered
 	refused  map[Group]time.Time // until when
 	lastDown time.Time
+	// shortSince is since when fewer endpoints are ready than wanted; zero if there are enough.
+	shortSince time.Time
 }
 
 // NewPlanner returns a planner that has decided nothing yet.
@@ -211,10 +213,28 @@
 			orders = append(orders, Order{group, count, plan.Reason})
 		}
 	}
-	if p.enough(in, plan) && !p.worthwhile(in, plan) {
-		return nil
+	if p.short(in, plan) || p.worthwhile(in, plan) {
+		return orders
 	}
-	return orders
+	return nil
+}
+
+// short reports whether endpoints are missing that must be replaced now: urgent ones at once,
+// and those of the headroom after the time that they take to start. Endpoints that failed may
+// be back by then.
+func (p *Planner) short(in *Input, plan Plan) bool {
+	present := 0
+	for group, count := range in.There {
+		present += min(count.Ready, p.expected(in, group))
+	}
+	if present >= plan.Urgent && float64(present) >= (1-tolerance)*float64(plan.Wanted) {
+		p.shortSince = time.Time{}
+		return false
+	}
+	if p.shortSince.IsZero() {
+		p.shortSince = in.Now
+	}
+	return present < plan.Urgent || in.Now.Sub(p.shortSince) >= startTime(in)
 }
 
 // lost reports whether a group has fewer endpoints than ordered for longer than they take to
@@ -229,16 +249,6 @@
 	return max(in.There[group].Ready, p.expected(in, group))
 }
 
-// enough reports whether the ready endpoints satisfy the plan in total, but for a small part
-// of the headroom.
-func (p *Planner) enough(in *Input, plan Plan) bool {
-	present := 0
-	for group, count := range in.There {
-		present += min(count.Ready, p.expected(in, group))
-	}
-	return present >= plan.Urgent && float64(present) >= (1-tolerance)*float64(plan.Wanted)
-}
-
 // worthwhile reports whether the plan replaces endpoints by cheaper ones: only if there is a
 // surplus to be taken away anyhow, and after a whole window was seen.
 func (p *Planner) worthwhile(in *Input, plan Plan) bool {
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -106,6 +106,23 @@
 	require.LessOrEqual(t, gone, int(descentShare*40))
 }
 
+// TestShortFailuresAreCarriedByTheHeadroom checks that lost endpoints of the headroom are
+// replaced only after the time in which they may be back, and urgent ones at once.
+func TestShortFailuresAreCarriedByTheHeadroom(t *testing.T) {
+	there := func(ready int) map[Group]Count {
+		return map[Group]Count{{"a", Ordinary}: {Ready: ready}, {"c", Ordinary}: {Ready: 5}}
+	}
+	p := NewPlanner()
+	require.Empty(t, p.Plan(testInput(0, 36, there(10))).Orders)
+	require.Empty(t, p.Plan(testInput(time.Second, 36, there(6))).Orders)
+	require.Empty(t, p.Plan(testInput(2*time.Second, 36, there(10))).Orders)
+	require.Empty(t, p.Plan(testInput(3*time.Second, 36, there(6))).Orders)
+	require.NotEmpty(t, p.Plan(testInput(3*time.Second+simLimits.StartTime, 36, there(6))).Orders)
+	p = NewPlanner()
+	require.Empty(t, p.Plan(testInput(0, 36, there(10))).Orders)
+	require.NotEmpty(t, p.Plan(testInput(time.Second, 36, there(4))).Orders)
+}
+
 // TestBusyDomainKeepsItsEndpoints checks that endpoints are taken away only where the rest
 // has room for the work.
 func TestBusyDomainKeepsItsEndpoints(t *testing.T) {
