--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreyfront/comfreyfront/internal/accountreport"
 	"github.com/comfreyfront/comfreyfront/internal/boottime"
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
 	"github.com/comfreyfront/comfreyfront/internal/duty"
@@ -70,15 +71,21 @@
 	submissions *submission.Service
 	forward     *forward.Service
 	crashes     *forward.Crashes
+	// keysCertain reports whether no newer configuration can have withdrawn keys; nil means
+	// always.
+	keysCertain func() bool
 	endpoints   *platform.EndpointClient
 	peers       *peers
 	metrics     *nodeMetrics
 	figures     routereport.Recorder
-	registry    *prometheus.Registry
-	retire      retireResponder
-	hubs        *hubs
-	caches      caches
-	pace        *duty.Pace
+	// accountFigures are the figures by client account.
+	accountFigures accountreport.Recorder
+	registry       *prometheus.Registry
+	retire         retireResponder
+	hubs           *hubs
+	caches         caches
+	pace           *duty.Pace
+	usage          *usageReports // nil if no usage is reported
 
 	scalers        scalers
 	scalingMetrics *scalingMetrics
@@ -131,6 +138,7 @@
 	n.metrics = newNodeMetrics(n.registry)
 	n.scalingMetrics = newScalingMetrics(n.registry)
 	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
+	n.registry.MustRegister(&n.accountFigures)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
@@ -160,6 +168,9 @@
 		Directory: n.directory, Caller: n.endpoints, Streamer: n.endpoints, Crashes: n.crashes,
 		Zone: config.FailureDomain, Logger: logger,
 	}
+	if n.usage = newUsageReports(n, n.registry); n.usage != nil {
+		n.forward.Began = n.usage.began
+	}
 	n.hubs = &hubs{cluster: n.cluster, peers: n.peers}
 	n.caches = caches{
 		platform.KeyOperator:  watchcache.New(hubMaxAge),
@@ -238,6 +249,9 @@
 		group.Go(func() error { return follower.Run(groupCtx) })
 	}
 	group.Go(func() error { return n.expire(groupCtx) })
+	if n.usage != nil {
+		group.Go(func() error { return n.usage.run(groupCtx) })
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -311,6 +325,9 @@
 	if err := group.Wait(); err != nil {
 		event.NodeWorkAborted.Log(finish, n.logger, slog.String("cause", err.Error()))
 	}
+	if n.usage != nil {
+		n.usage.stop(lease)
+	}
 	n.cluster.EndLease(lease)
 }
 
@@ -329,6 +346,9 @@
 }
 
 func (n *Node) ownsUnits() bool {
+	if n.usage.holds() {
+		return true
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.units) > 0 || n.scalers.any()
@@ -356,6 +376,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
 	mux.HandleFunc("GET "+pathScaling, n.serveScaling)
+	if n.usage != nil {
+		mux.HandleFunc("GET "+operator.PathUsage, n.usage.serve)
+	}
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/node/scaling_test.go
+++ b/internal/node/scaling_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
+	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
@@ -19,7 +20,9 @@
 	s := newSystem(t)
 	management := platformtest.NewManagement()
 	t.Cleanup(management.Close)
-	s.management = management.Address()
+	s.configure = func(config *settings.Node) {
+		config.ManagementAddress, config.ManagementRate, config.HolderChange = management.Address(), 100, 300*time.Millisecond
+	}
 	s.store.ConfigureScaling(2)
 	for _, e := range s.engines {
 		s.store.Write(e.Key(), e.Record("draining"))
@@ -50,7 +53,9 @@
 	s := newSystem(t)
 	management := platformtest.NewManagement()
 	t.Cleanup(management.Close)
-	s.management = management.Address()
+	s.configure = func(config *settings.Node) {
+		config.ManagementAddress, config.ManagementRate, config.HolderChange = management.Address(), 100, 300*time.Millisecond
+	}
 	n := s.start("n1")
 	s.submit(n, "a", 8)
 	s.requireComplete(s.results(n, "a", 8), "a", 8)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -69,17 +69,12 @@
 }
 
 // Figures implements nodepb.Node.
-func (s *peerServer) Figures(context.Context, *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
-	reply := encodeFigures(s.node.figures.Figures())
+func (s *peerServer) Figures(_ context.Context, request *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
+	reply := encodeFigures(s.node.localFigures(request.GetAccount()))
 	reply.Scaling = encodeScaling(s.node)
 	return reply, nil
 }
 
-// Usage implements nodepb.Node.
-func (s *peerServer) Usage(context.Context, *nodepb.UsageRequest) (*nodepb.UsageReply, error) {
-	return &nodepb.UsageReply{}, nil // no usage reports are held
-}
-
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
 	s.node.crashes.Block(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
