Endpoints are exchanged for cheaper ones only while more than a small surplus is there

Cause: one endpoint more than wanted was enough to begin an exchange, which ends with the same number.

--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -252,7 +252,16 @@
 // worthwhile reports whether the plan replaces endpoints by cheaper ones: only if there is a
 // surplus to be taken away anyhow, and after a whole window was seen.
 func (p *Planner) worthwhile(in *Input, plan Plan) bool {
-	return p.settled(in) && in.ready() > plan.Wanted
+	return p.settled(in) && surplus(in, plan) > 0
+}
+
+// surplus returns how many ready endpoints exceed the plan; a small part counts as none.
+func surplus(in *Input, plan Plan) int {
+	over := in.ready() - plan.Wanted
+	if float64(over) < max(tolerance*float64(plan.Wanted), 1) {
+		return 0
+	}
+	return over
 }
 
 // settled reports whether the demand was observed for a whole window.
@@ -266,12 +275,7 @@
 	if !p.settled(in) || in.Now.Sub(p.lastDown) < startTime(in) {
 		return nil
 	}
-	ready := in.ready()
-	surplus := ready - plan.Wanted
-	if float64(surplus) < max(tolerance*float64(plan.Wanted), 1) {
-		return nil
-	}
-	budget := min(surplus, max(int(descentShare*float64(ready)), 1))
+	budget := min(surplus(in, plan), max(int(descentShare*float64(in.ready())), 1))
 	var orders []Order
 	groups := sortedGroups(in.There)
 	slices.SortStableFunc(groups, func(a, b Group) int {
