--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,9 @@
 	pace           *duty.Pace
 	usage          *usageReports // nil if no usage is reported
 
+	scalers        scalers
+	scalingMetrics *scalingMetrics
+
 	started  time.Time
 	listed   atomic.Bool // the endpoint directory has been read once
 	draining atomic.Bool
@@ -131,6 +134,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.scalingMetrics = newScalingMetrics(n.registry)
 	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
 	n.registry.MustRegister(&n.accountFigures)
 	n.certainty = newCertainty(config.KeyRevocation, logger, n.registry)
@@ -353,7 +357,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return len(n.units) > 0
+	return len(n.units) > 0 || n.scalers.any()
 }
 
 // serveReady answers the readiness check of the load balancer. A node is ready once
@@ -377,6 +381,7 @@
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
+	mux.HandleFunc("GET "+pathScaling, n.serveScaling)
 	if n.usage != nil {
 		mux.HandleFunc("GET "+operator.PathUsage, n.usage.serve)
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -70,7 +70,9 @@
 
 // Figures implements nodepb.Node.
 func (s *peerServer) Figures(_ context.Context, request *nodepb.FiguresRequest) (*nodepb.FiguresReply, error) {
-	return encodeFigures(s.node.localFigures(request.GetAccount())), nil
+	reply := encodeFigures(s.node.localFigures(request.GetAccount()))
+	reply.Scaling = encodeScaling(s.node)
+	return reply, nil
 }
 
 // Crashed implements nodepb.Node.
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -47,6 +47,9 @@
 		if service.Engine {
 			n.cluster.Want(engineUnitPrefix + name)
 		}
+		if n.wantsScalingUnit(service) {
+			n.cluster.Want(scalingUnitPrefix + name)
+		}
 	}
 }
 
@@ -58,6 +61,10 @@
 		}
 		return
 	}
+	if plain, ok := strings.CutPrefix(unit.Name, scalingUnitPrefix); ok {
+		n.startScaling(unit, plain, nil)
+		return
+	}
 	service := strings.TrimPrefix(unit.Name, engineUnitPrefix)
 	ctx, cancel := context.WithCancel(context.Background())
 	owner := submission.NewOwner(ctx, submission.OwnerOptions{
@@ -87,6 +94,7 @@
 		owner.Seed(n.fetchTexts(ctx, unit))
 	}
 	n.submissions.StartOwner(owner)
+	n.startScaling(unit, service, owner)
 	go owner.Restore()
 	go func() { _ = manager.Run(ctx) }() // Run returns nil when ctx ends
 }
@@ -116,6 +124,10 @@
 		}
 		return
 	}
+	n.scalers.replace(unit.Name, nil)
+	if strings.HasPrefix(unit.Name, scalingUnitPrefix) {
+		return
+	}
 	n.mu.Lock()
 	run := n.units[unit.Name]
 	delete(n.units, unit.Name)
