An estimate of how much concurrency each plain endpoint takes well

Cause: the choice weighs running requests per slot and the slowdown that an endpoint reports; an endpoint that is slower for good, or slows down long before it is full, gets as much as the others. Until an endpoint is known, and for equal endpoints without contention, the choice is as before.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/concurrency"
 )
 
 // Work describes the request for which an endpoint is chosen.
@@ -12,6 +14,9 @@
 	Tried []string
 	// Zone is the failure domain of this node.
 	Zone string
+	// MayProbe is true if the request can be sent to a second endpoint in time should its
+	// first one be slow, so that an endpoint believed to be slow may be tried with it.
+	MayProbe bool
 }
 
 // crossZoneCost is what waitCost adds for an endpoint in another failure domain, as a
@@ -24,12 +29,15 @@
 // Choose returns the endpoint with the lowest estimated waiting time. Leaving and
 // tried endpoints are skipped. Endpoints that recently refused work are used only if
 // there are no others, and endpoints that recently failed only after those. The
-// estimate is based on the number of requests per slot and on the endpoint's current
-// slowdown.
+// estimate is based on the number of requests per slot, on the slowdown that the endpoint
+// reports, and on how much concurrency it was observed to take well.
 func Choose(endpoints []*Endpoint, work Work, now time.Time) (*Endpoint, bool) {
 	var best *Endpoint
 	var bestRank int
 	var bestCost float64
+	if e, ok := probe(endpoints, work, now); ok {
+		return e, true
+	}
 	offset := 0
 	if len(endpoints) > 1 {
 		offset = rand.IntN(len(endpoints))
@@ -62,14 +70,42 @@
 // waitCost estimates how long work waits and runs at an endpoint, in units of the
 // run time of one request.
 func waitCost(e *Endpoint, work Work, now time.Time) float64 {
-	slots := e.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	slots := e.SlotCount()
+	state := e.Live.Estimate.State(slots, now)
+	n, capacity := float64(e.Live.TotalInFlight(now)), float64(slots)
+	cost := state.Factor(n+1) + n/capacity + max(n-capacity+1, 0)
+	if state.Limit < capacity {
+		cost += max(n+1-state.Limit, 0) / state.Limit
 	}
-	totalInFlight := float64(e.Live.totalInFlight(now))
-	cost := (1 + totalInFlight/float64(slots) + max(totalInFlight-float64(slots)+1, 0)) * float64(e.Live.loadPercent(now)) / 100
+	cost *= slowdown(e, state, now)
 	if e.Zone != work.Zone {
 		cost += crossZoneCost
 	}
 	return cost
 }
+
+// reportedSlowdown is the percentage from which a reported slowdown counts although requests
+// were not seen to take longer: the report may be newer.
+const reportedSlowdown = 125
+
+// slowdown returns how long work takes at an endpoint without contention, relative to the
+// usual time. Until the endpoint was observed, its report decides.
+func slowdown(e *Endpoint, state concurrency.State, now time.Time) float64 {
+	percent := e.Live.loadPercent(now)
+	reported := float64(percent) / 100
+	switch {
+	case !state.Known:
+		return reported
+	case percent >= reportedSlowdown:
+		return max(state.Base*state.Slowdown, reported)
+	}
+	return state.Base * state.Slowdown
+}
+
+// SlotCount returns the number of slots, or a default if the endpoint does not report it.
+func (e *Endpoint) SlotCount() int {
+	if e.Slots <= 0 {
+		return defaultSlots
+	}
+	return e.Slots
+}
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/concurrency"
 )
 
 // Endpoint is an immutable snapshot of one endpoint. Live points to the state that
@@ -77,6 +79,8 @@
 	loading atomic.Pointer[modelLoad]
 	// Pace is how fast the endpoint generates, if it is a model engine.
 	Pace Pace
+	// Estimate is how much concurrency the endpoint takes well.
+	Estimate concurrency.Estimate
 
 	mu       sync.Mutex
 	versions map[string]int64
@@ -182,9 +186,9 @@
 // maxLoadAge is how long a load report is used.
 const maxLoadAge = time.Second
 
-// totalInFlight estimates the number of requests in flight at the endpoint from all
+// TotalInFlight estimates the number of requests in flight at the endpoint from all
 // callers.
-func (l *Live) totalInFlight(now time.Time) int64 {
+func (l *Live) TotalInFlight(now time.Time) int64 {
 	ownInFlight := l.inFlight.Load()
 	r := l.load.Load()
 	if r == nil || now.Sub(r.receivedAt) > maxLoadAge {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/concurrency"
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/route"
@@ -37,8 +38,10 @@
 	Caller    call.Caller
 	Streamer  call.Streamer
 	Crashes   *Crashes
-	Zone      string
-	Logger    *slog.Logger
+	// Usual are the usual times of requests, by service and route.
+	Usual  concurrency.UsualTimes
+	Zone   string
+	Logger *slog.Logger
 }
 
 // attemptResult is the outcome of one attempt.
@@ -55,6 +58,8 @@
 	request *call.Request
 	results chan attemptResult
 	tried   []string
+	// first is the endpoint of the first attempt.
+	first *fleet.Endpoint
 	// waitingFor are the IDs of the endpoints that have the request and have not
 	// answered.
 	waitingFor []string
@@ -95,9 +100,9 @@
 }
 
 func (x *requestRun) loop(ctx context.Context, record crashRecord) (*call.Answer, error) {
+	x.launch(ctx)
 	hedge := time.NewTimer(x.hedgeAfter())
 	defer hedge.Stop()
-	x.launch(ctx)
 	for {
 		if x.open == 0 {
 			done, err := x.retry(ctx, record)
@@ -125,13 +130,6 @@
 	}
 }
 
-func (x *requestRun) hedgeAfter() time.Duration {
-	if x.route.Target <= 0 {
-		return time.Hour
-	}
-	return time.Duration(hedgeFraction * float64(x.route.Target))
-}
-
 // retry starts the next attempt when none is in flight, or reports that the request
 // is finished.
 func (x *requestRun) retry(ctx context.Context, record crashRecord) (bool, error) {
@@ -169,17 +167,20 @@
 // launch starts an attempt at the best endpoint, or returns false if there is none.
 func (x *requestRun) launch(ctx context.Context) bool {
 	service := x.route.ServiceFor(x.request.ID)
-	e, ok := fleet.Choose(x.service.Directory.Of(service), fleet.Work{Tried: x.tried, Zone: x.service.Zone}, time.Now())
+	e, ok := fleet.Choose(x.service.Directory.Of(service), x.work(service), time.Now())
 	if !ok {
 		return false
 	}
 	x.tried = append(x.tried, e.ID)
 	x.waitingFor = append(x.waitingFor, e.ID)
 	x.open++
+	if x.first == nil {
+		x.first = e
+	}
 	go func() {
-		done := e.Live.Begin()
-		defer done()
+		m := x.service.begin(e, x.kind(service))
 		answer, err := x.service.Caller.Call(ctx, e, x.request)
+		m.end(answer, err)
 		x.results <- attemptResult{endpoint: e, answer: answer, err: err}
 	}()
 	return true
