Items are placed by an engine's own slowdown beyond the service's

Cause: one slope of the load for all engines of a service; an engine that slows down long before it is full looked like the others. Change: the estimate of the engine multiplies the service's slope, and the pace is corrected by both.

--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/concurrency"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 )
 
@@ -29,6 +30,8 @@
 	// runs is the number of runs on each endpoint, by ID.
 	runs    map[string]int
 	samples map[string]fleet.PaceSample
+	// estimates are how much concurrency each endpoint takes well, by ID.
+	estimates map[string]concurrency.State
 	// usual is the median of the engines' usual times per event, and least the lowest.
 	usual, least time.Duration
 	loadSlope    *fleet.LoadSlope
@@ -39,13 +42,15 @@
 func newEngines(endpoints []*fleet.Endpoint, loadSlope *fleet.LoadSlope, zone string, now time.Time) *engines {
 	p := &engines{
 		endpoints: endpoints, runs: make(map[string]int, len(endpoints)), samples: make(map[string]fleet.PaceSample, len(endpoints)),
-		usual: initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
+		estimates: make(map[string]concurrency.State, len(endpoints)),
+		usual:     initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
 	}
 	var observed []fleet.PaceSample
 	for _, e := range endpoints {
 		p.runs[e.ID] = int(e.Live.InFlight())
 		sample := e.Live.Pace.Sample(now)
 		p.samples[e.ID] = sample
+		p.estimates[e.ID] = e.Live.Estimate.State(slotsOf(e), now)
 		if sample.Gap > 0 {
 			observed = append(observed, sample)
 		}
@@ -57,14 +62,15 @@
 	return p
 }
 
-// usualGap returns an engine's usual time per event with the given number of runs. An
+// usualGap returns an engine's usual time per event with the given number of runs: the
+// service's influence of the load, and beyond it what the engine itself slows down. An
 // engine that was not observed yet counts as an average one.
 func (p *engines) usualGap(e *fleet.Endpoint, runs int) time.Duration {
 	gap := p.samples[e.ID].Gap
 	if gap <= 0 {
 		gap = p.usual
 	}
-	return time.Duration(float64(gap) * p.loadSlope.Factor(runs))
+	return time.Duration(float64(gap) * p.loadSlope.Factor(runs) * p.estimates[e.ID].Factor(float64(runs)))
 }
 
 // finishTime estimates how long an engine with the given number of runs, the new one
--- a/internal/submission/placing_test.go
+++ b/internal/submission/placing_test.go
@@ -14,10 +14,13 @@
 // simSites are services of engines under different loads: few slots and a small influence
 // of the load, many slots and a large one, and engines that turn slow.
 var simSites = map[string]simSite{
-	"half full":       {engines: 9, slots: 8, slope: 0.003, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
-	"full":            {engines: 5, slots: 8, slope: 0.003, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
-	"batching costs":  {engines: 9, slots: 8, slope: 0.04, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
-	"engines go slow": {engines: 9, slots: 8, slope: 0.003, steps: []int{32, 36}, rounds: 3, interval: 7 * time.Second, slow: true},
+	"half full":        {engines: 9, slots: 8, slope: 0.003, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
+	"full":             {engines: 5, slots: 8, slope: 0.003, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
+	"batching costs":   {engines: 9, slots: 8, slope: 0.04, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
+	"speeds differ":    {engines: 9, slots: 8, slope: 0.003, speeds: []float64{0.7, 0.7, 1.7}, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
+	"knees at 1/3":     {engines: 9, slots: 24, slope: 0.003, knees: [3]float64{8, 24, 24}, steps: []int{64, 72}, rounds: 5, interval: 7 * time.Second},
+	"all knees at 1/3": {engines: 9, slots: 24, slope: 0.003, knees: [3]float64{8, 8, 8}, steps: []int{32, 36}, rounds: 5, interval: 7 * time.Second},
+	"engines go slow":  {engines: 9, slots: 8, slope: 0.003, steps: []int{32, 36}, rounds: 3, interval: 7 * time.Second, slow: true},
 }
 
 // meanStretch returns the mean over seeds of the time of steps relative to their lower
@@ -40,7 +43,7 @@
 			t.Parallel()
 			naive, _ := meanStretch(leastLoaded, site, seeds)
 			ours, moves := meanStretch(expectedFinish, site, seeds)
-			t.Logf("step time relative to the longest text alone: naive %.3f, ours %.3f with %.0f moves", naive, ours, moves)
+			t.Logf("%s: step time relative to the longest text alone: naive %.3f, ours %.3f with %.0f moves", name, naive, ours, moves)
 			require.Less(t, ours, naive)
 		})
 	}
--- a/internal/submission/simulation_test.go
+++ b/internal/submission/simulation_test.go
@@ -66,6 +66,7 @@
 	endpoint          *fleet.Endpoint
 	gap               time.Duration
 	slope             float64
+	knee              float64
 	salt              uint64
 	slowFrom, slowEnd time.Time
 }
@@ -112,6 +113,10 @@
 	engines, slots int
 	// slope is the fraction by which each further run slows down an engine.
 	slope float64
+	// speeds multiply the time of every third engine; nil means the usual ones. knees is the
+	// number of runs from which every third engine slows down, zero for none.
+	speeds []float64
+	knees  [3]float64
 	// steps are the sizes of the steps that are asked for at the same time, each
 	// stepInterval.
 	steps    []int
@@ -154,9 +159,13 @@
 			},
 			gap: s.fastest, slope: site.slope, salt: rng.Uint64(),
 		}
-		if i%3 == 2 {
+		if i%3 == 2 && site.speeds == nil {
 			e.gap = e.gap * 13 / 10
 		}
+		if site.speeds != nil {
+			e.gap = time.Duration(float64(e.gap) * site.speeds[i%3])
+		}
+		e.knee = site.knees[i%3]
 		if site.slow && i%5 == 0 {
 			e.slowFrom, e.slowEnd = s.now.Add(3*time.Second), s.now.Add(11*time.Second)
 		}
@@ -233,7 +242,11 @@
 
 func (s *simulation) nextGap(j *simJob) time.Duration {
 	runs := float64(j.on.endpoint.Live.InFlight())
-	return time.Duration(float64(j.on.gap) * j.on.factor(s.now) * (1 + j.on.slope*(runs-1)))
+	factor := 1 + j.on.slope*(runs-1)
+	if j.on.knee > 0 {
+		factor *= max(runs/j.on.knee, 1)
+	}
+	return time.Duration(float64(j.on.gap) * j.on.factor(s.now) * factor)
 }
 
 // advance plays the events of one tick.
@@ -243,9 +256,8 @@
 		if j.on == nil || !j.doneAt.IsZero() || j.nextAt.After(s.now) {
 			continue
 		}
-		live := j.on.endpoint.Live
 		if !j.last.IsZero() {
-			live.Pace.Observe(s.now.Sub(j.last), int(live.InFlight()), s.slope, s.now)
+			observeGap(j.on.endpoint, s.now.Sub(j.last), s.slope, s.now)
 		}
 		j.events++
 		j.last = s.now
