--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.registry.MustRegister(newEndpointGauges(n.directory))
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
@@ -343,10 +344,12 @@
 	return mux
 }
 
-// metricsHandler serves the node's metrics and the report over all nodes.
+// metricsHandler serves the node's metrics, what it believes of the endpoints, and the
+// report over all nodes.
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
+	mux.HandleFunc("GET "+pathEndpoints, n.serveEndpoints)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
