--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -127,7 +127,11 @@
 // expected returns the logarithm of the expected time without the present slowdown. The
 // caller holds e.mu.
 func (e *Estimate) expected(inFlight float64, slots int) float64 {
-	return e.base + math.Log(timeFactor(inFlight, e.knee, slots))
+	factor := timeFactor(inFlight, e.knee, slots)
+	if factor == 1 {
+		return e.base
+	}
+	return e.base + math.Log(factor)
 }
 
 // timeFactor returns how much longer requests take with a number in flight than alone. If
--- a/internal/concurrency/state.go
+++ b/internal/concurrency/state.go
@@ -54,7 +54,10 @@
 	s := State{Base: 1, Slowdown: 1, Limit: float64(slots)}
 	if e.observed >= minPaceSamples {
 		s.Known, s.Reason, s.Age = true, ReasonSlots, now.Sub(e.lastAt)
-		fade := math.Exp(-max(s.Age-staleAfter, 0).Seconds() / fadeTime.Seconds())
+		fade := 1.0
+		if s.Age > staleAfter {
+			fade = math.Exp(-(s.Age - staleAfter).Seconds() / fadeTime.Seconds())
+		}
 		s.Base, s.Slowdown = noticed(e.base*fade), max(noticed(e.recent*fade), 1)
 		s.Stale = s.Age > staleAfter && now.Sub(e.probedAt) > staleAfter
 		s.Knee = e.knee
@@ -75,13 +78,14 @@
 // between noticeable and certain in part, so that equal endpoints stay equal.
 func noticed(logarithm float64) float64 {
 	distance := math.Abs(logarithm)
-	low, high := math.Log(noticeable), math.Log(certain)
-	if distance < low {
+	if distance < logNoticeable {
 		return 1
 	}
-	return math.Exp(logarithm * min((distance-low)/(high-low), 1))
+	return math.Exp(logarithm * min((distance-logNoticeable)/(logCertain-logNoticeable), 1))
 }
 
+var logNoticeable, logCertain = math.Log(noticeable), math.Log(certain)
+
 // refusalLimit returns the number of requests with which the endpoint refused one; it rises
 // to the number of slots as the refusal becomes old. The caller holds e.mu.
 func (e *Estimate) refusalLimit(slots int, now time.Time) (float64, bool) {
