--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -104,8 +104,8 @@
 	e.observed++
 	e.lastAt = now
 	if e.observed > minPaceSamples {
-		deviation := min(max(t-e.expected(inFlight, slots), -maxDeviation), maxDeviation)
-		e.recent += recentWeight * (deviation - e.recent)
+		change := t - e.expected(inFlight, slots) - e.recent
+		e.recent += recentWeight * min(max(change, -maxDeviation), maxDeviation)
 		if now.Sub(e.sampledAt) < sampleInterval {
 			return
 		}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -77,7 +77,7 @@
 	if state.Limit < capacity {
 		cost += max(n+1-state.Limit, 0) / state.Limit
 	}
-	cost *= slowdown(e, state, now)
+	cost = cost * slowdownPercent(e, state, now) / 100
 	if e.Zone != work.Zone {
 		cost += crossZoneCost
 	}
@@ -85,21 +85,21 @@
 }
 
 // reportedSlowdown is the percentage from which a reported slowdown counts although requests
-// were not seen to take longer: the report may be newer.
+// were seen to take less: the report may be newer.
 const reportedSlowdown = 125
 
-// slowdown returns how long work takes at an endpoint without contention, relative to the
-// usual time. Until the endpoint was observed, its report decides.
-func slowdown(e *Endpoint, state concurrency.State, now time.Time) float64 {
-	percent := e.Live.loadPercent(now)
-	reported := float64(percent) / 100
+// slowdownPercent returns how long work takes at an endpoint without contention, as a
+// percentage of the usual time. The endpoint's report decides unless its requests were seen
+// to take noticeably more or less.
+func slowdownPercent(e *Endpoint, state concurrency.State, now time.Time) float64 {
+	reported, observed := float64(e.Live.loadPercent(now)), 100*state.Base*state.Slowdown
 	switch {
-	case !state.Known:
+	case observed == 100:
 		return reported
-	case percent >= reportedSlowdown:
-		return max(state.Base*state.Slowdown, reported)
+	case reported >= reportedSlowdown:
+		return max(observed, reported)
 	}
-	return state.Base * state.Slowdown
+	return observed
 }
 
 // SlotCount returns the number of slots, or a default if the endpoint does not report it.
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -31,7 +31,7 @@
 	slots := e.SlotCount()
 	state := e.Live.Estimate.State(slots, now)
 	inFlight := float64(e.Live.TotalInFlight(now)) + 1
-	return slowdown(e, state, now) * state.Factor(inFlight) * max(inFlight/float64(slots), 1), state.Known
+	return slowdownPercent(e, state, now) / 100 * state.Factor(inFlight) * max(inFlight/float64(slots), 1), state.Known
 }
 
 // Room returns how many more requests the endpoint takes well now, from all callers
