A knee is believed after four fits, and engines are compared with their service

Change: four fits in a row must show a knee. A stale slowdown fades faster than a stale base time. The pace of engines is relative to the median of their service.

--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -38,8 +38,10 @@
 	// staleAfter is how long an estimate that keeps work away is trusted without new
 	// observations.
 	staleAfter = 2 * time.Second
-	// fadeTime is how fast a stale estimate loses its influence.
-	fadeTime = 20 * time.Second
+	// baseFade and slowdownFade are how fast a stale base time and a stale slowdown lose their
+	// influence.
+	baseFade     = 20 * time.Second
+	slowdownFade = 5 * time.Second
 	// refusalMemory is how long a refusal influences the limit.
 	refusalMemory = 4 * time.Second
 	// relaxation is the factor by which the knee rises per fit that saw no load near it.
@@ -71,6 +73,8 @@
 	// knee is the number of requests from which times grow in proportion to the number;
 	// zero means that none is known.
 	knee float64
+	// seen is the number of fits in a row that showed a knee.
+	seen int
 	// refusedAt is when the endpoint last refused a request, and refusedWith the number in
 	// flight then.
 	refusedAt   time.Time
--- a/internal/concurrency/fit.go
+++ b/internal/concurrency/fit.go
@@ -14,6 +14,10 @@
 // logarithms over all observations: noise alone brings less.
 const minGain = 0.04
 
+// confirmations is the number of fits in a row that must show a knee before it is believed:
+// a disturbance that meets much load looks like one.
+const confirmations = 4
+
 // bin is the median of observations of similar concurrency.
 type bin struct{ inFlight, time, weight float64 }
 
@@ -66,10 +70,15 @@
 		}
 	}
 	_, flat := baseOf(groups, 0, slots)
+	if best > 0 && flat-bestCost >= minGain {
+		e.seen++
+	} else {
+		e.seen = 0
+	}
 	switch {
-	case best > 0 && flat-bestCost >= minGain && e.knee > 0:
+	case e.seen > 0 && e.knee > 0:
 		e.knee = math.Sqrt(e.knee * best)
-	case best > 0 && flat-bestCost >= minGain:
+	case e.seen >= confirmations:
 		e.knee = best
 	case e.knee > 0:
 		e.relax(groups, slots, highest, flat)
--- a/internal/concurrency/state.go
+++ b/internal/concurrency/state.go
@@ -54,11 +54,7 @@
 	s := State{Base: 1, Slowdown: 1, Limit: float64(slots)}
 	if e.observed >= minPaceSamples {
 		s.Known, s.Reason, s.Age = true, ReasonSlots, now.Sub(e.lastAt)
-		fade := 1.0
-		if s.Age > staleAfter {
-			fade = math.Exp(-(s.Age - staleAfter).Seconds() / fadeTime.Seconds())
-		}
-		s.Base, s.Slowdown = noticed(e.base*fade), max(noticed(e.recent*fade), 1)
+		s.Base, s.Slowdown = noticed(e.base*fade(s.Age, baseFade)), max(noticed(e.recent*fade(s.Age, slowdownFade)), 1)
 		s.Stale = s.Age > staleAfter && now.Sub(e.probedAt) > staleAfter
 		s.Knee = e.knee
 	}
@@ -71,6 +67,14 @@
 	return s
 }
 
+// fade returns how much influence an estimate of the given age still has.
+func fade(age, over time.Duration) float64 {
+	if age <= staleAfter {
+		return 1
+	}
+	return math.Exp(-(age - staleAfter).Seconds() / over.Seconds())
+}
+
 // Bad reports whether requests are believed to take noticeably longer than usual.
 func (s State) Bad() bool { return s.Base*s.Slowdown >= noticeable }
 
--- a/internal/concurrency/state_test.go
+++ b/internal/concurrency/state_test.go
@@ -57,7 +57,7 @@
 	require.True(t, e.Probe(now))
 	require.False(t, e.Probe(now), "one is enough")
 	require.False(t, e.State(testSlots, now).Stale)
-	require.Equal(t, 1.0, e.State(testSlots, now.Add(5*fadeTime)).Multiple(1))
+	require.Equal(t, 1.0, e.State(testSlots, now.Add(5*baseFade)).Multiple(1))
 }
 
 // TestRefusalsBoundTheLimitForAWhile checks that the limit follows refusals, and returns.
--- a/internal/fleet/played_test.go
+++ b/internal/fleet/played_test.go
@@ -49,7 +49,6 @@
 	lies  bool
 
 	running, waiting []*played
-	busy             float64
 }
 
 // played is one request of a played load.
@@ -303,14 +302,21 @@
 }
 
 // TestPlayedLoads checks that callers get their answers in time where the endpoints have
-// room, whatever the endpoints are like.
+// room, whatever the endpoints are like. With -v it plays and logs the other rules as well.
 func TestPlayedLoads(t *testing.T) {
+	rules := []rule{learned}
+	if testing.Verbose() {
+		rules = []rule{fixedWeights, loadOnly, learned}
+	}
 	for name, l := range playedLoads() {
 		t.Run(name, func(t *testing.T) {
-			for _, r := range []rule{fixedWeights, loadOnly, learned} {
+			for _, r := range rules {
 				for seed := range uint64(3) {
 					f := play(r, l, seed)
-					t.Logf("%-14s seed %d: p50 %v, p99 %v, late %d, refused %d of %d, found %v, back %v", ruleNames[r], seed, f.p50, f.p99, f.late, f.refused, f.ended, f.found, f.back)
+					t.Logf("%-14s seed %d: p50 %v, p99 %v, late %d, refused %d of %d", ruleNames[r], seed, f.p50, f.p99, f.late, f.refused, f.ended)
+					if name == lastingChange {
+						t.Logf("%-14s found after %v, back after %v", "", f.found, f.back)
+					}
 					if r == learned {
 						require.LessOrEqual(t, f.p99, playedTarget)
 						require.Zero(t, f.refused)
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -54,12 +54,13 @@
 	items       map[string]*item
 	// scoresOpen counts the scoring calls in flight.
 	scoresOpen int
-	// lengths, demands (the tokens that a model's submissions ask for), loadSlope and
-	// fastestGap (the lowest usual time per event of an engine) are learned from the texts and
-	// engines of the unit.
+	// lengths, demands (the tokens that a model's submissions ask for), loadSlope, usualGap
+	// and fastestGap (the median and the lowest usual time per event of an engine) are learned
+	// from the texts and engines of the unit.
 	lengths    lengths
 	demands    map[string]float64
 	loadSlope  *fleet.LoadSlope
+	usualGap   time.Duration
 	fastestGap time.Duration
 	saved      checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
@@ -79,6 +80,7 @@
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
 		loadSlope:   fleet.NewLoadSlope(),
+		usualGap:    initialGap,
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
 	}
@@ -124,7 +126,7 @@
 	defer o.mu.Unlock()
 	o.expire(now)
 	engines := newEngines(o.options.Directory.Of(o.options.Service), o.loadSlope, o.options.Zone, now)
-	o.fastestGap = engines.least
+	o.usualGap, o.fastestGap = engines.usual, engines.least
 	o.place(engines, now)
 	o.move(engines, now)
 	o.startScores(now)
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -190,7 +190,7 @@
 		return err
 	}
 	if gap := now.Sub(r.lastEvent); r.events > 0 && gap < maxPaceGap {
-		observeGap(r.endpoint, gap, o.loadSlope, now)
+		observeGap(r.endpoint, gap, o.usualGap, o.loadSlope, now)
 	}
 	r.events++
 	r.lastEvent = now
--- a/internal/submission/simulation_test.go
+++ b/internal/submission/simulation_test.go
@@ -105,6 +105,7 @@
 	jobs    []*simJob
 	moves   int
 	fastest time.Duration
+	usual   time.Duration
 }
 
 // simSite is the size of a simulated service of engines, of which each third one is 1.3
@@ -150,7 +151,7 @@
 
 func newSimulation(policy simPolicy, site simSite, seed uint64) *simulation {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	s := &simulation{policy: policy, now: time.Unix(1_700_000_000, 0), byID: map[string]*simEngine{}, slope: fleet.NewLoadSlope(), fastest: 37 * time.Millisecond}
+	s := &simulation{policy: policy, now: time.Unix(1_700_000_000, 0), byID: map[string]*simEngine{}, slope: fleet.NewLoadSlope(), fastest: 37 * time.Millisecond, usual: initialGap}
 	s.start = s.now
 	for i := range site.engines {
 		e := &simEngine{
@@ -202,6 +203,7 @@
 		endpoints = append(endpoints, e.endpoint)
 	}
 	engines := newEngines(endpoints, s.slope, "z", s.now)
+	s.usual = engines.usual
 	var waiting, running []*simJob
 	for _, j := range s.jobs {
 		switch {
@@ -257,7 +259,7 @@
 			continue
 		}
 		if !j.last.IsZero() {
-			observeGap(j.on.endpoint, s.now.Sub(j.last), s.slope, s.now)
+			observeGap(j.on.endpoint, s.now.Sub(j.last), s.usual, s.slope, s.now)
 		}
 		j.events++
 		j.last = s.now
