--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -34,14 +34,19 @@
 	return slowdownPercent(e, state, now) / 100 * state.Factor(inFlight) * max(inFlight/float64(slots), 1), state.Known
 }
 
+// Limit returns how many requests in flight the endpoint takes well, from all callers
+// together.
+func (e *Endpoint) Limit(now time.Time) int {
+	return int(e.Live.Estimate.State(e.SlotCount(), now).Limit)
+}
+
 // Room returns how many more requests the endpoint takes well now, from all callers
 // together.
 func (e *Endpoint) Room(now time.Time) int {
 	if e.Leaving() || failureRank(e, now) > 0 {
 		return 0
 	}
-	limit := e.Live.Estimate.State(e.SlotCount(), now).Limit
-	return max(int(limit)-int(e.Live.TotalInFlight(now)), 0)
+	return max(e.Limit(now)-int(e.Live.TotalInFlight(now)), 0)
 }
 
 // Room returns how many more requests the endpoints of a service take well now, from all
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -130,9 +130,9 @@
 }
 
 // scoreSlots returns how many scoring calls the owner of an engine service may have
-// open.
+// open, given what the plain endpoints take well.
 func (n *Node) scoreSlots(engines string) int {
-	slots := 0
+	slots, now := 0, time.Now()
 	configuration := n.routes.Load()
 	if configuration == nil {
 		return 0
@@ -143,7 +143,7 @@
 		}
 		for _, e := range n.directory.Of(name) {
 			if !e.Leaving() {
-				slots += e.Slots
+				slots += min(e.Slots, e.Limit(now))
 			}
 		}
 	}
