--- a/internal/fleet/played_test.go
+++ b/internal/fleet/played_test.go
@@ -77,6 +77,9 @@
 type load struct {
 	servers []server
 	callers int
+	// rate is the number of requests a second; zero means playedRoom of what the servers can
+	// do.
+	rate float64
 }
 
 // figures are the results of a played load.
@@ -114,6 +117,9 @@
 		s := &p.servers[i]
 		rate += playedRoom * min(s.knee, float64(s.slots)) / (s.speed * max(s.worst, 1) * playedWork.Seconds())
 	}
+	if l.rate > 0 {
+		rate = l.rate
+	}
 	for range l.callers {
 		var view []*Endpoint
 		for i, s := range p.servers {
@@ -297,6 +303,8 @@
 		"disturbances of 300 ms": {servers: disturbance, callers: 1},
 		lastingChange:            {servers: change, callers: 1},
 		"20 callers, knee":       {servers: unlike, callers: 20},
+		"20 callers, change":     {servers: change, callers: 20},
+		"60 callers, 12/s":       {servers: []server{slow, fast, fast}, callers: 60, rate: 12},
 		"a false load report":    {servers: liar, callers: 4},
 	}
 }
