--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,7 @@
 	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
 	n.registry.MustRegister(&n.accountFigures)
 	n.certainty = newCertainty(config.KeyRevocation, logger, n.registry)
+	n.registry.MustRegister(newEndpointGauges(n.directory))
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
@@ -377,7 +378,8 @@
 	return mux
 }
 
-// metricsHandler serves the node's metrics and the report over all nodes.
+// metricsHandler serves the node's metrics, what it believes of the endpoints, and the
+// report over all nodes.
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.PathReport, n.serveReport)
@@ -385,6 +387,7 @@
 	if n.usage != nil {
 		mux.HandleFunc("GET "+operator.PathUsage, n.usage.serve)
 	}
+	mux.HandleFunc("GET "+pathEndpoints, n.serveEndpoints)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -83,6 +83,7 @@
 		demands:     map[string]float64{},
 		rhythms:     map[string]*rhythm{},
 		loadSlope:   fleet.NewLoadSlope(),
+		usualGap:    initialGap,
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
 	}
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreyfront/comfreyfront/internal/concurrency"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 )
 
@@ -32,6 +33,8 @@
 	// leaves is when those endpoints leave that have announced it, by ID. The directory's
 	// newest records say so: a run keeps the record with which it began.
 	leaves map[string]time.Time
+	// estimates are how much concurrency each endpoint takes well, by ID.
+	estimates map[string]concurrency.State
 	// usual is the median of the engines' usual times per event, and least the lowest.
 	usual, least time.Duration
 	loadSlope    *fleet.LoadSlope
@@ -42,13 +45,15 @@
 func newEngines(endpoints []*fleet.Endpoint, loadSlope *fleet.LoadSlope, zone string, now time.Time) *engines {
 	p := &engines{
 		endpoints: endpoints, runs: make(map[string]int, len(endpoints)), samples: make(map[string]fleet.PaceSample, len(endpoints)),
-		leaves: map[string]time.Time{}, usual: initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
+		leaves: map[string]time.Time{}, estimates: make(map[string]concurrency.State, len(endpoints)),
+		usual: initialGap, least: initialGap, loadSlope: loadSlope, zone: zone, now: now,
 	}
 	var observed []fleet.PaceSample
 	for _, e := range endpoints {
 		p.runs[e.ID] = int(e.Live.InFlight())
 		sample := e.Live.Pace.Sample(now)
 		p.samples[e.ID] = sample
+		p.estimates[e.ID] = e.Live.Estimate.State(slotsOf(e), now)
 		if !e.LeavesAt.IsZero() {
 			p.leaves[e.ID] = e.LeavesAt
 		}
@@ -63,14 +68,15 @@
 	return p
 }
 
-// usualGap returns an engine's usual time per event with the given number of runs. An
+// usualGap returns an engine's usual time per event with the given number of runs: the
+// service's influence of the load, and beyond it what the engine itself slows down. An
 // engine that was not observed yet counts as an average one.
 func (p *engines) usualGap(e *fleet.Endpoint, runs int) time.Duration {
 	gap := p.samples[e.ID].Gap
 	if gap <= 0 {
 		gap = p.usual
 	}
-	return time.Duration(float64(gap) * p.loadSlope.Factor(runs))
+	return time.Duration(float64(gap) * p.loadSlope.Factor(runs) * p.estimates[e.ID].Factor(float64(runs)))
 }
 
 // finishTime estimates how long an engine with the given number of runs, the new one
