--- a/internal/submission/account.go
+++ b/internal/submission/account.go
@@ -28,9 +28,10 @@
 }
 
 // checkSubmitter returns ErrTaken if a submission that exists already belongs to another
-// account than the record that was sent under the same ID.
+// account than the record that was sent under the same ID. One without an account is not told
+// apart from others: the configuration may have gained or lost its accounts since.
 func (s *Service) checkSubmitter(ctx context.Context, record *recordpb.Submission, existing head) error {
-	if existing.Account == record.GetAccount() {
+	if existing.Account == record.GetAccount() || existing.Account == "" || record.GetAccount() == "" {
 		return nil
 	}
 	event.SubmissionOfOther.Log(ctx, s.options.Logger, slog.String("submission", record.GetId()), slog.String("account", record.GetAccount()))
--- a/internal/submission/account_test.go
+++ b/internal/submission/account_test.go
@@ -120,6 +120,9 @@
 	require.True(t, call.Is(first.Accept(context.Background(), testUnit, ofAccount("s", "b")), ErrTaken))
 	require.True(t, call.Is(f.service().Accept(context.Background(), testUnit, ofAccount("s", "b")), ErrTaken))
 	require.NoError(t, f.service().Accept(context.Background(), testUnit, ofAccount("s", "a")))
+	require.NoError(t, first.Accept(context.Background(), testUnit, submissionOf("s", 1, 1, 1)), "the accounts were removed from the configuration")
+	require.NoError(t, first.Accept(context.Background(), testUnit, submissionOf("t", 1, 1, 1)))
+	require.NoError(t, first.Accept(context.Background(), testUnit, ofAccount("t", "a")), "accounts were added to the configuration")
 	f.store.SetFaults(memory.Faults{Down: true})
 	require.True(t, call.Is(f.service().Authorize(context.Background(), callerOf("a"), "s"), ErrUnavailable), "no 404 while the store cannot be read")
 }
