--- a/internal/accountreport/report_test.go
+++ b/internal/accountreport/report_test.go
@@ -67,7 +67,7 @@
 		r.Ended(name, routereport.Answered, time.Second, nil)
 	}
 	after := heap()
-		require.LessOrEqual(t, (after-before)/accounts, uint64(limit))
+	require.LessOrEqual(t, (after-before)/accounts, uint64(limit))
 	runtime.KeepAlive(r)
 	runtime.KeepAlive(names)
 }
