Wiring of certainty is checked against every change of the configuration

Cause: the explorer uses the arithmetic only; a mistake in the followers would not be found. Change: the nodes' scenarios also run with changes; no node may claim an instant when it lacks a change from before it. Latencies are odd and the batch delay is not zero: the race detector of Go 1.26 aborts (SIGSEGV in maybeRunChan, CHECK in tsan_rtl) at a select on a due simulated timer.

--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -30,12 +30,16 @@
 const (
 	testRevocation = 5 * time.Second
 	testOwed       = testRevocation * 3 / 5
-	storeLatency   = 10 * time.Millisecond
-	slowLatency    = 600 * time.Millisecond
-	peerLatency    = 3 * time.Millisecond
-	renewal        = 400 * time.Millisecond
-	sampleInterval = 10 * time.Millisecond
-	groupSize      = 6
+	// batchDelay is not zero, and the latencies are odd, because the race detector of Go 1.26
+	// aborts at a select on a simulated timer that is already due.
+	batchDelay         = time.Nanosecond
+	storeLatency       = 10*time.Millisecond + 1013*time.Nanosecond
+	slowLatency        = 600*time.Millisecond + 10007*time.Nanosecond
+	peerLatency        = 3*time.Millisecond + 137*time.Nanosecond
+	renewal            = 400 * time.Millisecond
+	sampleInterval     = 10*time.Millisecond + 3*time.Nanosecond
+	groupSize          = 6
+	testChangeInterval = 31 * sampleInterval
 )
 
 // line is the state of a way between processes.
@@ -92,7 +96,7 @@
 	}
 	d.watches.Add(1)
 	events, revision, err := d.Store.Watch(ctx, prefix, after, wait)
-	if lost := d.pass(ctx, 0); lost != nil {
+	if lost := d.pass(ctx, time.Duration(d.latency.Load())/2); lost != nil {
 		return nil, 0, lost
 	}
 	return events, revision, err
@@ -104,6 +108,7 @@
 	direct *directWay
 	peerly way          // the way of other nodes to this one
 	calls  atomic.Int64 // of other nodes to this one
+	known  atomic.Int64 // revision of the newest change in force
 	// skipped is how much later than the test's time its clock is.
 	skipped atomic.Int64
 }
@@ -140,6 +145,15 @@
 type followGroup struct {
 	store *memory.Store
 	nodes []*follow
+	// written are the changes of the configuration during observe, by when the store accepted
+	// them.
+	written []change
+}
+
+// change is a change of the configuration.
+type change struct {
+	at       freshness.Instant
+	revision int64
 }
 
 // runGroup runs a scenario in a group of nodes in simulated time.
@@ -167,7 +181,7 @@
 				f.hubs.peers.clients[node.Address] = peerOf{follow: other}
 			}
 			f.cluster.Settled()
-			group.Go(func() { _ = f.follower(platform.KeyOperator, 0, func(metastore.Event) {}, func() {}).Run(ctx) })
+			group.Go(func() { _ = f.follower(platform.KeyOperator, batchDelay, f.changed, func() {}).Run(ctx) })
 			group.Go(func() { f.renew(ctx) })
 		}
 		for i, f := range g.nodes { // hubs first
@@ -203,6 +217,8 @@
 	return f
 }
 
+func (f *follow) changed(e metastore.Event) { f.known.Store(e.Revision) }
+
 // renew calls the store as often as a node renews its lease.
 func (f *follow) renew(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -211,15 +227,25 @@
 	}
 }
 
-// observe runs for a while and returns the greatest age at any of the nodes.
-func observe(t *testing.T, nodes []*follow, duration time.Duration) time.Duration {
+// observe runs for a while and returns the greatest age at any of the nodes. Meanwhile the
+// configuration changes at the given interval, if any, and no node may claim to know all
+// changes up to an instant when it lacks one.
+func (g *followGroup) observe(t *testing.T, nodes []*follow, duration, changeInterval time.Duration) time.Duration {
 	worst := time.Duration(0)
-	for range duration / sampleInterval {
+	for elapsed := time.Duration(0); elapsed < duration; elapsed += sampleInterval {
+		if changeInterval > 0 && elapsed%changeInterval == 0 {
+			revision := g.store.Write(platform.KeyOperator+"config", []byte("x"))
+			g.written = append(g.written, change{at: nodes[0].hubs.instant(), revision: revision})
+		}
 		time.Sleep(sampleInterval)
 		for _, f := range nodes {
 			age, confirmed := f.certainty.tracker.Age(f.hubs.instant())
 			require.True(t, confirmed)
 			worst = max(worst, age)
+			upTo := f.certainty.tracker.Last() // read before the newest known change
+			for _, c := range g.written {
+				require.True(t, c.at >= upTo || c.revision <= f.known.Load(), "%s lacks a change", f.config.Name)
+			}
 		}
 	}
 	return worst
@@ -230,7 +256,7 @@
 // stops before the limit.
 func TestAgeInCalmLeavesTimeAfterALoss(t *testing.T) {
 	runGroup(t, groupSize, testRevocation, func(t *testing.T, g *followGroup) {
-		worst := observe(t, g.nodes, 4*testRevocation)
+		worst := g.observe(t, g.nodes, 4*testRevocation, 0)
 		t.Logf("worst age in calm: %s", worst)
 		require.Less(t, worst, testRevocation-freshness.Margin(testRevocation)-testOwed)
 		cut := g.nodes[5]
@@ -294,19 +320,21 @@
 		},
 		"the store drops its history": func(g *followGroup) []*follow { g.store.DropHistory(); return g.nodes },
 	} {
-		t.Run(name, func(t *testing.T) {
-			runGroup(t, groupSize, testRevocation, func(t *testing.T, g *followGroup) {
-				observed := fault(g)
-				worst := observe(t, observed, 3*testRevocation)
-				for _, f := range g.nodes {
-					f.direct.set(up)
-					f.peerly.set(up)
-				}
-				worst = max(worst, observe(t, observed, testRevocation))
-				t.Logf("worst age: %s", worst)
-				require.Less(t, worst, testRevocation-freshness.Margin(testRevocation))
+		for _, changeInterval := range []time.Duration{0, testChangeInterval} {
+			t.Run(fmt.Sprintf("%s, change interval %s", name, changeInterval), func(t *testing.T) {
+				runGroup(t, groupSize, testRevocation, func(t *testing.T, g *followGroup) {
+					observed := fault(g)
+					worst := g.observe(t, observed, 3*testRevocation, changeInterval)
+					for _, f := range g.nodes {
+						f.direct.set(up)
+						f.peerly.set(up)
+					}
+					worst = max(worst, g.observe(t, observed, testRevocation, changeInterval))
+					t.Logf("worst age: %s", worst)
+					require.Less(t, worst, testRevocation-freshness.Margin(testRevocation))
+				})
 			})
-		})
+		}
 	}
 }
 
