Order of waiting requests by priority, fair shares of accounts and a floor

Cause: under shortage a service is taken in order of arrival, so that a few large accounts push out the others and urgent work waits behind less urgent.

--- /dev/null
+++ b/internal/share/gate.go
@@ -0,0 +1,206 @@
+package share
+
+import (
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors of shares. Requests that fail with one of them did not run.
+var (
+	Errors = errorx.NewNamespace("share")
+	// ErrExceeded means that the account has used its share and others go first.
+	ErrExceeded = Errors.NewType("exceeded", errorx.Temporary())
+	// ErrNoRoom means that there is no room for the request in the time that it has, though
+	// its account has not used more than its share.
+	ErrNoRoom = Errors.NewType("no_room", errorx.Temporary())
+
+	propRetryAfter = errorx.RegisterProperty("share_retry_after")
+)
+
+// Bounds of what a gate holds and says.
+const (
+	// maxWaiting is the largest number of requests that wait at a gate.
+	maxWaiting = 4096
+	// minRetryAfter and maxRetryAfter bound the delay after which a caller may retry.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+	// rateWindow is the time over which a gate averages how many requests get room.
+	rateWindow = 2 * time.Second
+	// minGranted is the average number of requests within rateWindow from which on the rate
+	// is trusted to refuse a request before it has waited.
+	minGranted = 8
+)
+
+// Work is a request that wants room.
+type Work struct {
+	Account  string
+	Priority int
+	// Hold is how long the request may wait for room.
+	Hold time.Duration
+	// Spread is between 0 and 1 and differs between requests: it spreads their retries.
+	Spread float64
+}
+
+// Ticket is a request that waits at a gate.
+type Ticket struct {
+	work     Work
+	until    time.Time
+	entry    *Entry[*Ticket]
+	decision chan error
+}
+
+// Decision receives nil once the request has room, or the error for which it is refused.
+func (t *Ticket) Decision() <-chan error { return t.decision }
+
+// Gate admits the requests for one service on one node. It is safe for concurrent use.
+type Gate struct {
+	mu        sync.Mutex
+	scheduler *Scheduler[*Ticket]
+	// free is the number of requests that still have room.
+	free float64
+	// granted is the average number of requests within rateWindow that got room.
+	granted   float64
+	grantedAt time.Time
+}
+
+// NewGate returns a gate without room.
+func NewGate() *Gate { return &Gate{scheduler: NewScheduler[*Ticket]()} }
+
+// Offer admits a request if there is room and nobody waits. Else it returns a ticket with
+// which the request waits, or ErrExceeded or ErrNoRoom if it cannot get room in time.
+func (g *Gate) Offer(w Work, now time.Time) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.free >= 1 && g.scheduler.Waiting() == 0 {
+		g.take(now)
+		g.scheduler.Pass(w.Account, w.Priority, 1, now)
+		return nil, nil
+	}
+	if err := g.refusal(w, now); err != nil {
+		g.scheduler.Refuse(w.Account, w.Priority, 1, now)
+		return nil, err
+	}
+	t := &Ticket{work: w, until: now.Add(w.Hold), decision: make(chan error, 1)}
+	t.entry = g.scheduler.Push(w.Account, w.Priority, 1, t, now)
+	g.admit(now)
+	return t, nil
+}
+
+// SetFree sets how many requests have room now, admits waiting requests and refuses those
+// that have waited as long as they may.
+func (g *Gate) SetFree(free float64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.free = free
+	g.scheduler.Oldest(func(t *Ticket) bool {
+		late := !now.Before(t.until)
+		if late {
+			t.decision <- g.refuse(t.work, now)
+		}
+		return late
+	})
+	g.admit(now)
+}
+
+// Ended returns the room of a request that ended, and admits the next one.
+func (g *Gate) Ended(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.free++
+	g.admit(now)
+}
+
+// Cancel removes a request that no longer waits. It reports whether the request had got
+// room, which the caller then must return.
+func (g *Gate) Cancel(t *Ticket) (admitted bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.Remove(t.entry)
+	select {
+	case err := <-t.decision:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// Waiting returns the number of waiting requests.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Waiting()
+}
+
+// admit gives the free room to waiting requests. The caller holds g.mu.
+func (g *Gate) admit(now time.Time) {
+	for g.free >= 1 && g.scheduler.Waiting() > 0 {
+		g.take(now)
+		g.scheduler.Next(now).Value.decision <- nil
+	}
+}
+
+func (g *Gate) take(now time.Time) {
+	g.free--
+	g.granted = g.grantedNow(now) + 1
+	g.grantedAt = now
+}
+
+// grantedNow is the average with the time that has passed since the last grant.
+func (g *Gate) grantedNow(now time.Time) float64 {
+	return g.granted * max(1-float64(now.Sub(g.grantedAt))/float64(rateWindow), 0)
+}
+
+// refusal returns the error of a request that cannot get room in time, else nil. The caller
+// holds g.mu.
+func (g *Gate) refusal(w Work, now time.Time) error {
+	if g.scheduler.Waiting() < maxWaiting && g.wait(w, now) <= w.Hold {
+		return nil
+	}
+	return g.refuse(w, now)
+}
+
+// wait estimates how long a new request waits.
+func (g *Gate) wait(w Work, now time.Time) time.Duration {
+	ahead, _ := g.scheduler.Ahead(w.Account, w.Priority)
+	return g.timeFor(float64(ahead), now)
+}
+
+// timeFor estimates the time until the given number of requests got room. It is zero as
+// long as the rate is not known.
+func (g *Gate) timeFor(requests float64, now time.Time) time.Duration {
+	granted := g.grantedNow(now)
+	if granted < minGranted {
+		return 0
+	}
+	return time.Duration(requests / granted * float64(rateWindow))
+}
+
+// refuse returns the error of a refused request. The caller may retry once what waits and
+// what its account owes to others is served, and not all callers at once.
+func (g *Gate) refuse(w Work, now time.Time) error {
+	_, debt := g.scheduler.Ahead(w.Account, w.Priority)
+	kind, text := ErrNoRoom, "no room in the time that the request has"
+	if debt >= 1 {
+		kind, text = ErrExceeded, "the account has used its share and others wait"
+	}
+	delay := max(g.wait(w, now), w.Hold) + g.timeFor(debt, now)
+	delay = time.Duration(float64(delay) * (0.5 + w.Spread))
+	return kind.New("%s", text).WithProperty(propRetryAfter, min(max(delay, minRetryAfter), maxRetryAfter))
+}
+
+// RetryAfter returns the delay after which a refused caller may retry, and whether err is an
+// error of this package.
+func RetryAfter(err error) (time.Duration, bool) {
+	cast := errorx.Cast(err)
+	if cast == nil {
+		return 0, false
+	}
+	value, ok := cast.Property(propRetryAfter)
+	if !ok {
+		return 0, false
+	}
+	delay, ok := value.(time.Duration)
+	return delay, ok
+}
