Requests that cannot get room in time are refused before they wait

Cause: the estimate from the present queue left out the more urgent requests to come, so that nine of ten refusals came after the whole wait. Change: the pace at which an account and a priority are served while they wait gives the expected wait.

--- a/internal/share/gate.go
+++ b/internal/share/gate.go
@@ -26,11 +26,9 @@
 	// minRetryAfter and maxRetryAfter bound the delay after which a caller may retry.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// rateWindow is the time over which a gate averages how many requests get room.
-	rateWindow = 2 * time.Second
-	// minGranted is the average number of requests within rateWindow from which on the rate
-	// is trusted to refuse a request before it has waited.
-	minGranted = 8
+	// holdFraction is the fraction of the time that a request may wait up to which its
+	// expected wait is accepted: estimates are not exact.
+	holdFraction = 0.7
 )
 
 // Work is a request that wants room.
@@ -60,9 +58,6 @@
 	scheduler *Scheduler[*Ticket]
 	// free is the number of requests that still have room.
 	free float64
-	// granted is the average number of requests within rateWindow that got room.
-	granted   float64
-	grantedAt time.Time
 }
 
 // NewGate returns a gate without room.
@@ -74,7 +69,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.free >= 1 && g.scheduler.Waiting() == 0 {
-		g.take(now)
+		g.free--
 		g.scheduler.Pass(w.Account, w.Priority, 1, now)
 		return nil, nil
 	}
@@ -136,57 +131,30 @@
 // admit gives the free room to waiting requests. The caller holds g.mu.
 func (g *Gate) admit(now time.Time) {
 	for g.free >= 1 && g.scheduler.Waiting() > 0 {
-		g.take(now)
+		g.free--
 		g.scheduler.Next(now).Value.decision <- nil
 	}
 }
 
-func (g *Gate) take(now time.Time) {
-	g.free--
-	g.granted = g.grantedNow(now) + 1
-	g.grantedAt = now
-}
-
-// grantedNow is the average with the time that has passed since the last grant.
-func (g *Gate) grantedNow(now time.Time) float64 {
-	return g.granted * max(1-float64(now.Sub(g.grantedAt))/float64(rateWindow), 0)
-}
-
 // refusal returns the error of a request that cannot get room in time, else nil. The caller
 // holds g.mu.
 func (g *Gate) refusal(w Work, now time.Time) error {
-	if g.scheduler.Waiting() < maxWaiting && g.wait(w, now) <= w.Hold {
+	wait, _ := g.scheduler.Wait(w.Account, w.Priority, now)
+	if g.scheduler.Waiting() < maxWaiting && float64(wait) <= holdFraction*float64(w.Hold) {
 		return nil
 	}
 	return g.refuse(w, now)
 }
 
-// wait estimates how long a new request waits.
-func (g *Gate) wait(w Work, now time.Time) time.Duration {
-	ahead, _ := g.scheduler.Ahead(w.Account, w.Priority)
-	return g.timeFor(float64(ahead), now)
-}
-
-// timeFor estimates the time until the given number of requests got room. It is zero as
-// long as the rate is not known.
-func (g *Gate) timeFor(requests float64, now time.Time) time.Duration {
-	granted := g.grantedNow(now)
-	if granted < minGranted {
-		return 0
-	}
-	return time.Duration(requests / granted * float64(rateWindow))
-}
-
 // refuse returns the error of a refused request. The caller may retry once what waits and
-// what its account owes to others is served, and not all callers at once.
+// what its account got beyond others is served, and not all callers at once.
 func (g *Gate) refuse(w Work, now time.Time) error {
-	_, debt := g.scheduler.Ahead(w.Account, w.Priority)
+	wait, debt := g.scheduler.Wait(w.Account, w.Priority, now)
 	kind, text := ErrNoRoom, "no room in the time that the request has"
-	if debt >= 1 {
+	if debt > 0 {
 		kind, text = ErrExceeded, "the account has used its share and others wait"
 	}
-	delay := max(g.wait(w, now), w.Hold) + g.timeFor(debt, now)
-	delay = time.Duration(float64(delay) * (0.5 + w.Spread))
+	delay := time.Duration(float64(max(wait, w.Hold)+debt) * (0.5 + w.Spread))
 	return kind.New("%s", text).WithProperty(propRetryAfter, min(max(delay, minRetryAfter), maxRetryAfter))
 }
 
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -40,6 +40,7 @@
 	// virtual is the start tag of the work that was served last.
 	virtual float64
 	waiting int
+	pace    pace
 }
 
 type flowKey struct {
@@ -54,6 +55,7 @@
 	tally         tally
 	first, last   *Entry[T]
 	waiting       int
+	pace          pace
 	start, finish float64 // tags
 	need          float64
 	position      [2]int // in the heaps
@@ -110,7 +112,11 @@
 	f.waiting++
 	f.level.waiting++
 	s.waiting++
+	if f.level.waiting == 1 {
+		f.level.pace.begin(now)
+	}
 	if f.waiting == 1 {
+		f.pace.begin(now)
 		f.start = max(f.level.virtual, f.finish)
 		f.need = f.tally.need(s.growth(now) * cost)
 		heap.Push(&f.level.fair, f)
@@ -155,6 +161,8 @@
 		f.level.virtual = max(f.level.virtual, f.start)
 	}
 	e := f.first
+	f.pace.count(now)
+	f.level.pace.count(now)
 	s.Remove(e)
 	s.serve(f, f.start, e.cost, now)
 	if f.waiting > 0 {
@@ -176,25 +184,24 @@
 	}
 }
 
-// Ahead estimates how much waiting work is served before new work of an account, and Debt
-// how much the account got beyond others that have waiting work.
-func (s *Scheduler[T]) Ahead(account string, priority int) (ahead int, debt float64) {
-	own := s.flows[flowKey{account, priority}]
-	for _, l := range s.levels {
-		if l.priority < priority {
-			ahead += l.waiting
-		}
-		if l.priority != priority {
-			continue
-		}
-		turns := 1
-		if own != nil {
+// Wait estimates how long new work of an account would wait, and debt how long it takes to
+// serve others until the account has got no more than they. Both are zero if nothing waits
+// or the pace is not known.
+func (s *Scheduler[T]) Wait(account string, priority int, now time.Time) (wait, debt time.Duration) {
+	at, found := slices.BinarySearchFunc(s.levels, priority, comparePriority[T])
+	if !found || s.levels[at].waiting == 0 {
+		return 0, 0
+	}
+	l, turns := s.levels[at], 1
+	if own := s.flows[flowKey{account, priority}]; own != nil {
+		debt = l.pace.timeFor(max(own.finish-l.virtual, 0)*float64(len(l.fair.flows)), now)
+		if own.waiting > 0 {
 			turns += own.waiting
-			debt = max(own.finish-l.virtual, 0)
+			wait = own.pace.timeFor(float64(own.waiting+1), now)
 		}
-		ahead += min(l.waiting, turns*len(l.fair.flows))
 	}
-	return ahead, debt
+	ahead := min(l.waiting, turns*len(l.fair.flows))
+	return max(wait, l.pace.timeFor(float64(ahead+1), now)), debt
 }
 
 // pick returns the flow that goes next. owed means that it does so because its account is
@@ -254,13 +261,15 @@
 }
 
 func (s *Scheduler[T]) level(priority int) *level[T] {
-	at, found := slices.BinarySearchFunc(s.levels, priority, func(l *level[T], p int) int { return cmp.Compare(l.priority, p) })
+	at, found := slices.BinarySearchFunc(s.levels, priority, comparePriority[T])
 	if !found {
 		s.levels = slices.Insert(s.levels, at, &level[T]{priority: priority, fair: flowHeap[T]{less: func(a, b *flow[T]) bool { return a.start < b.start }}})
 	}
 	return s.levels[at]
 }
 
+func comparePriority[T any](l *level[T], priority int) int { return cmp.Compare(l.priority, priority) }
+
 // growth is the weight of work that is counted now. Old work counts less because the weight
 // grows, so that the tallies need not be changed as time passes.
 func (s *Scheduler[T]) growth(now time.Time) float64 {
