Steps of accounts share short engines by priority and virtual time

Cause: with engines short, the owner serves steps by age only: steps of one account or of a less urgent route push out the others, and late steps take slots from steps that can still be whole in time. Change: share.Steps orders whole steps (floor, priority, in time, start tags over tokens); the owner uses it only with accounts in the configuration and more waiting items than free slots. Otherwise the order is as before.

--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/share"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
@@ -62,7 +63,11 @@
 	demands    map[string]float64
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
-	saved      checkpoints
+	// steps orders the submissions of accounts while the engines are short, and urgencies is
+	// the priority of the last submission for each model.
+	steps     share.Steps
+	urgencies map[string]int
+	saved     checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
 	// yet, to the times at which their records may be removed.
 	removals map[string]time.Time
@@ -79,6 +84,7 @@
 		submissions: map[string]*ownedSubmission{},
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
+		urgencies:   map[string]int{},
 		loadSlope:   fleet.NewLoadSlope(),
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
@@ -145,6 +151,7 @@
 	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{})}
 	o.submissions[id] = s
 	o.observeDemand(record)
+	o.urgencies[record.GetModel()] = o.priorityOf(s)
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -51,7 +51,7 @@
 		o.restartUnlessServed(i, engines)
 		items = append(items, o.candidateOf(i))
 	}
-	sortByPriority(items)
+	o.sort(items, engines, now)
 	for _, c := range items {
 		n := o.needOf(c.item)
 		engines.release(c.reserved, now)
@@ -60,6 +60,7 @@
 			c.timing.wait(engines.anyLoading(n.model), now)
 			continue
 		}
+		o.steps.Started(c.submission.id)
 		o.start(c.item, e, now)
 	}
 }
