Callers' requests wait for room and are refused at once without it

Cause: a request for a service without room was sent on, tried at several endpoints and refused late, whoever sent it. Change: with accounts in the configuration each node admits requests for plain services through a gate per service; refusals carry a Retry-After and are logged (8200), counted by account and cause and shown by the account report. Without accounts nothing changes.

--- a/internal/accountreport/collector.go
+++ b/internal/accountreport/collector.go
@@ -12,6 +12,7 @@
 
 var (
 	requestsMetric = prometheus.NewDesc("comfreyfront_account_requests_total", "Requests that ended, by client account.", []string{"account", "outcome"}, nil)
+	sharesMetric   = prometheus.NewDesc("comfreyfront_account_share_refusals_total", "Requests that were refused for their share, by client account and cause.", []string{"account", "cause"}, nil)
 	refusalsMetric = prometheus.NewDesc("comfreyfront_account_refusals_total", "Requests that were refused for their key, by client account and reason.", []string{"account", "reason"}, nil)
 )
 
@@ -21,6 +22,7 @@
 func (r *Recorder) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- requestsMetric
 	descriptions <- refusalsMetric
+	descriptions <- sharesMetric
 }
 
 // Collect implements prometheus.Collector. The accounts are those of the configuration, and
@@ -39,6 +41,9 @@
 		for refusal, n := range f.Refusals {
 			send(metrics, refusalsMetric, n, label, account.Refusal(refusal).String())
 		}
+		for cause, n := range f.Shares {
+			send(metrics, sharesMetric, n, label, Share(cause).String())
+		}
 	}
 }
 
--- a/internal/accountreport/recorder.go
+++ b/internal/accountreport/recorder.go
@@ -7,8 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/comfreyfront/comfreyfront/internal/account"
 	"github.com/comfreyfront/comfreyfront/internal/routereport"
+	"github.com/comfreyfront/comfreyfront/internal/share"
 )
 
 // NoAccount is the name under which requests without a known account are counted.
@@ -29,6 +32,35 @@
 	// Refusals holds the number of requests that were refused for their key, by reason. They
 	// are also counted in Outcomes.
 	Refusals [account.RefusalCount]int64
+	// Shares holds the number of requests that were refused for their share, by cause. They
+	// are also counted in Outcomes.
+	Shares [ShareCount]int64
+}
+
+// Share is the cause for which a request was refused for its share.
+type Share int
+
+// Causes of refusals for a share.
+const (
+	ShareExceeded Share = iota
+	ShareNoRoom
+	ShareCount // number of causes
+)
+
+// String implements fmt.Stringer. The names are labels of metrics.
+func (s Share) String() string { return [...]string{"exceeded", "no_room"}[s] }
+
+// shareOf returns the cause of an error of package share, and false for any other error.
+func shareOf(err error) (Share, bool) {
+	switch {
+	case err == nil:
+		return 0, false
+	case errorx.IsOfType(err, share.ErrExceeded):
+		return ShareExceeded, true
+	case errorx.IsOfType(err, share.ErrNoRoom):
+		return ShareNoRoom, true
+	}
+	return 0, false
 }
 
 // Add adds the counts of another figure.
@@ -39,6 +71,9 @@
 	for i, n := range other.Refusals {
 		f.Refusals[i] += n
 	}
+	for i, n := range other.Shares {
+		f.Shares[i] += n
+	}
 }
 
 // Requests returns the number of all requests.
@@ -47,6 +82,12 @@
 // Refused returns the number of requests that were refused for their key.
 func (f *Figure) Refused() int64 { return sum(f.Refusals[:]) }
 
+// Wanted returns the number of requests that wanted room, and Got of those that got it.
+func (f *Figure) Wanted() int64 { return f.Requests() - f.Refused() }
+
+// Got returns the number of requests that got room.
+func (f *Figure) Got() int64 { return f.Wanted() - sum(f.Shares[:]) }
+
 func sum(counts []int64) int64 {
 	total := int64(0)
 	for _, n := range counts {
@@ -76,6 +117,7 @@
 	number   int64
 	outcomes [routereport.OutcomeCount]uint32
 	refusals [account.RefusalCount]uint32
+	shares   [ShareCount]uint32
 }
 
 // Ended counts the end of a request of an account. err is the reason of a refusal, or nil.
@@ -98,6 +140,10 @@
 		c.total.Refusals[refusal]++
 		s.refusals[refusal]++
 	}
+	if cause, short := shareOf(err); short {
+		c.total.Shares[cause]++
+		s.shares[cause]++
+	}
 }
 
 // countsOf returns the counts of an account, or nil if there are too many accounts. The
@@ -163,6 +209,9 @@
 		for refusal, n := range s.refusals {
 			f.Refusals[refusal] += int64(n)
 		}
+		for cause, n := range s.shares {
+			f.Shares[cause] += int64(n)
+		}
 	}
 	return f
 }
--- a/internal/accountreport/text.go
+++ b/internal/accountreport/text.go
@@ -40,6 +40,7 @@
 	for outcome, n := range r.Figure.Outcomes {
 		lines = append(lines, fmt.Sprintf("  %-13s %d", routereport.Outcome(outcome), n))
 	}
+	lines = append(lines, shares(r.Figure)...)
 	lines = append(lines, fmt.Sprintf("refused for its key: %d", r.Figure.Refused()))
 	lines = append(lines, reasons(r.Figure.Refusals)...)
 	all := Figure{Refusals: r.KeyRefusals}
@@ -52,6 +53,17 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
+// shares renders how many requests wanted room and got it.
+func shares(f Figure) []string {
+	lines := []string{fmt.Sprintf("wanted room: %d, got it: %d", f.Wanted(), f.Got())}
+	for cause, n := range f.Shares {
+		if n > 0 {
+			lines = append(lines, fmt.Sprintf("  %-13s %d", Share(cause), n))
+		}
+	}
+	return lines
+}
+
 // reasons renders the counts that are not zero.
 func reasons(refusals [account.RefusalCount]int64) []string {
 	var lines []string
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -66,7 +66,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	totalInFlight := float64(e.Live.totalInFlight(now))
+	totalInFlight := float64(e.Live.TotalInFlight(now))
 	cost := (1 + totalInFlight/float64(slots) + max(totalInFlight-float64(slots)+1, 0)) * float64(e.Live.loadPercent(now)) / 100
 	if e.Zone != work.Zone {
 		cost += crossZoneCost
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -182,9 +182,9 @@
 // maxLoadAge is how long a load report is used.
 const maxLoadAge = time.Second
 
-// totalInFlight estimates the number of requests in flight at the endpoint from all
+// TotalInFlight estimates the number of requests in flight at the endpoint from all
 // callers.
-func (l *Live) totalInFlight(now time.Time) int64 {
+func (l *Live) TotalInFlight(now time.Time) int64 {
 	ownInFlight := l.inFlight.Load()
 	r := l.load.Load()
 	if r == nil || now.Sub(r.receivedAt) > maxLoadAge {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/panics"
 	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/share"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
@@ -193,6 +194,11 @@
 
 // Do implements platform.Front.
 func (n *Node) Do(ctx context.Context, r *route.Route, request *call.Request) (*call.Answer, error) {
+	gate, err := n.admit(ctx, r, request)
+	if err != nil {
+		return nil, err
+	}
+	defer gate.leave()
 	return n.forward.Do(ctx, r, request)
 }
 
@@ -240,8 +246,11 @@
 	if status, after, ok := refusalOfKey(err); ok {
 		return status, after
 	}
+	if after, ok := share.RetryAfter(err); ok {
+		return http.StatusServiceUnavailable, after
+	}
 	switch {
-	case call.NotRun(err):
+	case call.NotRun(err), call.Is(err, share.ErrNoRoom):
 		return http.StatusServiceUnavailable, retryAfterNotRun
 	case call.Is(err, call.ErrEnded, submission.ErrUnknown):
 		return http.StatusGatewayTimeout, 0
@@ -276,6 +285,10 @@
 		event.KeyRefused.Log(context.Background(), n.logger, append(attrs, slog.String("cause", end.Err.Error()))...)
 		return
 	}
+	if call.Is(end.Err, share.ErrExceeded, share.ErrNoRoom) {
+		event.ShareRefused.Log(context.Background(), n.logger, append(attrs, slog.String("cause", end.Err.Error()))...)
+		return
+	}
 	if end.Err != nil {
 		event.RequestFailed.Log(context.Background(), n.logger, append(attrs, slog.String("cause", end.Err.Error()))...)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	figures     routereport.Recorder
 	// accountFigures are the figures by client account.
 	accountFigures accountreport.Recorder
+	gates          gates
 	registry       *prometheus.Registry
 	retire         retireResponder
 	hubs           *hubs
@@ -167,6 +168,7 @@
 	}
 	n.crashes.OnBlock = n.broadcastCrash
 	n.directory.Changed = n.fleetChanged
+	n.gates.room = n
 	n.retire = retireResponder{node: n, handled: map[string]struct{}{}}
 	return n
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -151,7 +151,7 @@
 
 func encodeFigures(f figures) *nodepb.FiguresReply {
 	reply := &nodepb.FiguresReply{
-		Account:     &nodepb.AccountFigure{Counts: f.account.Outcomes[:], Refusals: f.account.Refusals[:]},
+		Account:     &nodepb.AccountFigure{Counts: f.account.Outcomes[:], Refusals: f.account.Refusals[:], Shares: f.account.Shares[:]},
 		KeyRefusals: f.keyRefusals[:],
 	}
 	for _, r := range f.routes {
@@ -172,6 +172,7 @@
 	}
 	copy(f.account.Outcomes[:], reply.GetAccount().GetCounts())
 	copy(f.account.Refusals[:], reply.GetAccount().GetRefusals())
+	copy(f.account.Shares[:], reply.GetAccount().GetShares())
 	copy(f.keyRefusals[:], reply.GetKeyRefusals())
 	return f
 }
--- a/internal/share/room.go
+++ b/internal/share/room.go
@@ -11,12 +11,22 @@
 	Nodes float64
 }
 
-// Free returns for how many requests this node has room. A node may always use an equal
+// plenty is the fraction of the slots in use below which all nodes may use all free slots:
+// until so much is in flight, the next reports show that less is free.
+const plenty = 0.85
+
+// Plenty reports whether there is room for all, however many nodes there are.
+func (p Pool) Plenty() bool { return p.InFlight < plenty*p.Slots }
+
+// Free returns for how many requests this node has room. Under shortage a node may always use an equal
 // share of the slots. Beyond it, the nodes share what is free, and while too much is in
 // flight, the nodes that use more than an equal share give up what is in excess. No node
 // needs to know what another one wants: room that one does not use appears as free in the
 // reports of the endpoints.
 func (p Pool) Free() float64 {
+	if p.Plenty() {
+		return max(p.Slots-p.InFlight, 1)
+	}
 	nodes := max(p.Nodes, 1)
 	equal := max(p.Slots/nodes, 1)
 	if p.Own < equal {
