Floor of shares holds over many nodes; play over three seeds

Cause: with a floor of 0.30 per node, one of eight seeds (4 priorities, 6 instances) served an account 0.241 as often as all, below the stated quarter. Change: the floor per node is a third; the play runs three seeds.

--- a/internal/share/play_test.go
+++ b/internal/share/play_test.go
@@ -23,6 +23,7 @@
 	playHold     = 250 * time.Millisecond
 	playShortage = 0.3
 	playSeed     = 1
+	playSeeds    = 3
 )
 
 // rule is an order of waiting requests.
@@ -335,13 +336,16 @@
 					naive[name] = play(playSeed, instances, levels, newRule)
 					t.Logf("%-20s %s", name, naive[name].line(levels))
 				}
-				ours := play(playSeed, instances, levels, nil)
-				t.Logf("%-20s %s", "ours", ours.line(levels))
-				require.GreaterOrEqual(t, ours.worst(), quarter)
-				for level := 1; level < levels; level++ {
-					more := ours.levelServed[level-1] / ours.levelWanted[level-1]
-					less := ours.levelServed[level] / ours.levelWanted[level]
-					require.GreaterOrEqual(t, more+0.05, less, "priority %d behind a less urgent one", level-1)
+				var ours *playResult
+				for seed := range uint64(playSeeds) {
+					ours = play(playSeed+seed, instances, levels, nil)
+					t.Logf("%-20s %s", "ours", ours.line(levels))
+					require.GreaterOrEqual(t, ours.worst(), quarter)
+					for level := 1; level < levels; level++ {
+						more := ours.levelServed[level-1] / ours.levelWanted[level-1]
+						less := ours.levelServed[level] / ours.levelWanted[level]
+						require.GreaterOrEqual(t, more+0.05, less, "priority %d behind a less urgent one", level-1)
+					}
 				}
 				require.Greater(t, ours.overall(), 0.95*naive["plain"].overall())
 				if levels == 1 {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -5,9 +5,10 @@
 
 import "math"
 
-// FloorShare is how often an account or a priority is served at least, as a fraction of how
-// often all are served. Whoever is below it goes before the more urgent.
-const FloorShare = 0.3
+// FloorShare is how often an account or a priority is served at least on one node, as a
+// fraction of how often all are served. Whoever is below it goes before the more urgent. Over
+// all nodes together the fraction is lower, since each node sees only a part.
+const FloorShare = 1.0 / 3
 
 // tally is the work that was wanted and the work that got room, both in the same unit.
 type tally struct {
