--- a/internal/share/bench_test.go
+++ b/internal/share/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -71,3 +72,25 @@
 		})
 	}
 }
+
+// TestMemoryOfAccounts checks that an account of which work waits takes at most 1 KB.
+func TestMemoryOfAccounts(t *testing.T) {
+	const accounts, limit = 10_000, 1 << 10
+	names := accountNames(accounts)
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := heap()
+	s := NewScheduler[int]()
+	for _, name := range names {
+		s.Push(name, 0, 1, 0, testStart)
+	}
+	each := (heap() - before) / accounts
+	t.Logf("%d bytes", each)
+	require.LessOrEqual(t, each, uint64(limit))
+	runtime.KeepAlive(s)
+	runtime.KeepAlive(names)
+}
