Engines follow the demand of urgent models more, with accounts

Cause: engines are assigned to models by the tokens that are asked for, so under shortage the more urgent model gets no more than another. Without accounts nothing changes.

--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -191,11 +191,12 @@
 }
 
 // Demand returns how many tokens the submissions for a model ask for on average, or zero
-// if there was none.
+// if there was none. With accounts in the configuration, what the more urgent ask for counts
+// more.
 func (o *Owner) Demand(model string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.demands[model]
+	return o.demands[model] * o.urgency(model)
 }
 
 // attachItem creates an item for a submission, or reuses the text of an item with the
