Groups that no trainer waits for go last while engines are short

Cause: the surplus groups of a step went before the wanted ones of the next. Change: with accounts and short engines, wanted groups of all steps go first. Result: go test -run 'Urgen|Steps|Wanted' ./internal/submission passes.

--- a/internal/submission/shares.go
+++ b/internal/submission/shares.go
@@ -11,7 +11,7 @@
 
 // sort sorts items into the order in which they get slots. While slots are short and the
 // configuration has accounts, submissions are ordered by priority and by the shares of their
-// accounts. The caller holds o.mu.
+// accounts, and groups that no trainer waits for come last. The caller holds o.mu.
 func (o *Owner) sort(items []candidate, engines *engines, now time.Time) {
 	if !o.sharing() || !o.short(items, engines) {
 		sortByPriority(items)
@@ -32,8 +32,8 @@
 	sortByPriority(items)
 	slices.SortStableFunc(items, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(place[a.submission.id], place[b.submission.id]),
-			compareBool(wanted[b.submission][groupOf(b.record)], wanted[a.submission][groupOf(a.record)]))
+			compareBool(wanted[b.submission][groupOf(b.record)], wanted[a.submission][groupOf(a.record)]),
+			cmp.Compare(place[a.submission.id], place[b.submission.id]))
 	})
 }
 
