--- a/internal/accountreport/collector.go
+++ b/internal/accountreport/collector.go
@@ -13,6 +13,7 @@
 var (
 	requestsMetric = prometheus.NewDesc("comfreyfront_account_requests_total", "Requests that ended, by client account.", []string{"account", "outcome"}, nil)
 	secondsMetric  = prometheus.NewDesc("comfreyfront_account_request_seconds", "Time from a request's arrival to its end, by client account.", []string{"account"}, nil)
+	sharesMetric   = prometheus.NewDesc("comfreyfront_account_share_refusals_total", "Requests that were refused for their share, by client account and cause.", []string{"account", "cause"}, nil)
 	refusalsMetric = prometheus.NewDesc("comfreyfront_account_refusals_total", "Requests that were refused for their key, by client account and reason.", []string{"account", "reason"}, nil)
 )
 
@@ -23,6 +24,7 @@
 	descriptions <- requestsMetric
 	descriptions <- secondsMetric
 	descriptions <- refusalsMetric
+	descriptions <- sharesMetric
 }
 
 // Collect implements prometheus.Collector. The accounts are those of the configuration, and
@@ -40,6 +42,9 @@
 			send(metrics, refusalsMetric, n, label, account.Refusal(refusal).String())
 		}
 		metrics <- t.times.histogram(label)
+		for cause, n := range t.figure.Shares {
+			send(metrics, sharesMetric, n, label, Share(cause).String())
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	figures     routereport.Recorder
 	// accountFigures are the figures by client account.
 	accountFigures accountreport.Recorder
+	gates          gates
 	registry       *prometheus.Registry
 	retire         retireResponder
 	hubs           *hubs
@@ -182,6 +183,7 @@
 	}
 	n.crashes.OnBlock = n.broadcastCrash
 	n.directory.Changed = n.fleetChanged
+	n.gates.room = n
 	n.retire = retireResponder{node: n, handled: map[string]struct{}{}}
 	return n
 }
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/route"
+	"github.com/comfreyfront/comfreyfront/internal/share"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
@@ -64,7 +65,11 @@
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
 	usualGap   time.Duration
-	saved      checkpoints
+	// steps orders the submissions of accounts while the engines are short, and urgencies is
+	// the priority of the last submission for each model.
+	steps     share.Steps
+	urgencies map[string]int
+	saved     checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
 	// yet, to the times at which their records may be removed.
 	removals map[string]time.Time
@@ -82,6 +87,7 @@
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
 		rhythms:     map[string]*rhythm{},
+		urgencies:   map[string]int{},
 		loadSlope:   fleet.NewLoadSlope(),
 		usualGap:    initialGap,
 		saved:       checkpoints{items: map[int][]string{}},
@@ -150,6 +156,7 @@
 	o.submissions[id] = s
 	o.observeDemand(record)
 	o.observeRhythm(record, h.acceptedAt())
+	o.urgencies[record.GetModel()] = o.priorityOf(s)
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
@@ -189,11 +196,12 @@
 }
 
 // Demand returns how many tokens the submissions for a model ask for on average, or zero
-// if there was none.
+// if there was none. With accounts in the configuration, what the more urgent ask for counts
+// more.
 func (o *Owner) Demand(model string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.demands[model]
+	return o.demands[model] * o.urgency(model)
 }
 
 // attachItem creates an item for a submission, or reuses the text of an item with the
