--- /dev/null
+++ b/e2e/crowd/node_test.go
@@ -0,0 +1,108 @@
+package crowd
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyfront/comfreyfront/internal/proctest"
+	"github.com/comfreyfront/comfreyfront/platform/platformtest"
+)
+
+// nodeBody is just below the largest body in nodeConfiguration.
+const nodeBody = 7_900_000
+
+const nodeConfiguration = `{"version":1,"routes":[
+ {"name":"lookup","host":"h","prefix":"/lookup/","kind":"idempotent","timeout_ms":5000,"service":"app","max_attempts":2},
+ {"name":"large","host":"h","prefix":"/large/","kind":"idempotent","timeout_ms":60000,"service":"large","max_attempts":2},
+ {"name":"held","host":"h","prefix":"/held/","kind":"non_idempotent","timeout_ms":60000,"service":"held","max_attempts":2},
+ {"name":"chat","host":"h","prefix":"/chat/","kind":"stream","resumable":true,"timeout_ms":60000,"service":"lm","max_attempts":3},
+ {"name":"draft","host":"h","prefix":"/draft/","kind":"rollout","run_deadline_ms":9000,"max_queue_s":60,"service":"lm","max_attempts":3}],
+ "services":[{"name":"app","max_conns":500},{"name":"large","max_conns":500},{"name":"held","max_conns":500},{"name":"lm","max_conns":500,"engine":{"models":[{"name":"m"}]}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":8000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+// The parts of a crowd before a node.
+var (
+	nodeLargeChunks = behavior{name: "large chunks", clients: 24, send: chunked(head("POST", "/held/x"), nodeBody, 256<<10, true)}
+	nodeByteChunks  = behavior{name: "chunks of one byte", clients: 96, send: chunked(head("POST", "/lookup/x"), 1_000_000, 1, false)}
+	nodeStopsShort  = behavior{name: "stops short of the end", clients: 24, send: chunked(head("POST", "/lookup/x"), nodeBody, 64<<10, false)}
+	nodeLengthOnly  = behavior{name: "stated length never sent", clients: 600, send: stated(head("POST", "/lookup/x"), nodeBody, "")}
+	nodeHeads       = behavior{name: "heads never finished", clients: 600, send: text(head("GET", "/lookup/x", "X-Filler: "+strings.Repeat("x", 8<<10)))}
+	nodeStreams     = behavior{name: "streams never read", clients: 300, unread: true, send: text(head("POST", "/chat/x") + "Content-Length: 0\r\n\r\n")}
+	nodeAnswers     = behavior{name: "answers never read", clients: 120, unread: true, send: text(strings.Repeat(head("GET", "/large/x")+"\r\n", 32))}
+	nodeSubmissions = behavior{name: "submissions half sent", clients: 40, send: stated(head("POST", "/draft/x"), nodeBody, `{"step":1,"items":[{"body":"`+strings.Repeat("A", nodeBody/2))}
+	nodeParts       = []behavior{nodeLargeChunks, nodeByteChunks, nodeStopsShort, nodeLengthOnly, nodeHeads, nodeStreams, nodeAnswers, nodeSubmissions}
+)
+
+func TestCrowdNodeLargeChunks(t *testing.T)     { withstand(t, startNode(t, 1), nodeLargeChunks) }
+func TestCrowdNodeByteChunks(t *testing.T)      { withstand(t, startNode(t, 2), nodeByteChunks) }
+func TestCrowdNodeStopsShort(t *testing.T)      { withstand(t, startNode(t, 3), nodeStopsShort) }
+func TestCrowdNodeLengthOnly(t *testing.T)      { withstand(t, startNode(t, 4), nodeLengthOnly) }
+func TestCrowdNodeHeads(t *testing.T)           { withstand(t, startNode(t, 5), nodeHeads) }
+func TestCrowdNodeStreamsUnread(t *testing.T)   { withstand(t, startNode(t, 6), nodeStreams) }
+func TestCrowdNodeAnswersUnread(t *testing.T)   { withstand(t, startNode(t, 7), nodeAnswers) }
+func TestCrowdNodeSubmissionsHalf(t *testing.T) { withstand(t, startNode(t, 8), nodeSubmissions) }
+func TestCrowdNodeAllTogether(t *testing.T)     { withstand(t, startNode(t, 9), nodeParts...) }
+
+// startNode starts a store, endpoints and a node with a loopback address of its own.
+func startNode(t *testing.T, number int) subject {
+	t.Helper()
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	for _, e := range []*platformtest.Endpoint{
+		{ID: "app-0", Service: "app", Zone: "z0"},
+		{ID: "large-0", Service: "large", Zone: "z0", Padding: strings.Repeat("x", 1_000_000)},
+		{ID: "held-0", Service: "held", Zone: "z0", Hold: hold},
+		{ID: "lm-0", Service: "lm", Zone: "z0", Model: "m", Events: 2000, Gap: time.Millisecond, Padding: strings.Repeat("x", 16<<10)},
+	} {
+		e = platformtest.NewEndpoint(e)
+		t.Cleanup(e.Close)
+		store.Write(e.Key(), e.Record("ready"))
+	}
+	store.Write("op/config", []byte(nodeConfiguration))
+	host := fmt.Sprintf("127.200.%d.%d", os.Getpid()%250+1, number)
+	at := func(port int) string { return fmt.Sprintf("%s:%d", host, port) }
+	log := &proctest.Log{}
+	process, err := proctest.Start(proctest.Spec{
+		Name: "node", Path: binaries.Entry, Log: log, NoReadyLine: true,
+		Args: []string{
+			"node", "--name", "node", "--failure-domain", "z0", "--listen", at(7001), "--ready-listen", at(7002),
+			"--peer-listen", at(7003), "--metrics-listen", at(7004), "--store-address", store.Address(),
+			"--memory", strconv.Itoa(memoryMB), "--max-files", strconv.Itoa(maxFiles),
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(process.Kill)
+	t.Cleanup(func() { logTail(t, log) })
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	return subject{process: process, address: at(7001), ordinary: func() bool {
+		request, err := platformtest.Request(http.MethodGet, at(7001), "/lookup/x", "ordinary", nil)
+		return err == nil && answered(client, request)
+	}}
+}
+
+func answered(client *http.Client, request *http.Request) bool {
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// logTail shows the last lines of a failed test's processes.
+func logTail(t *testing.T, log *proctest.Log) {
+	const shown = 30
+	if t.Failed() {
+		lines := strings.Split(log.String(), "\n")
+		t.Log(strings.Join(lines[max(0, len(lines)-shown):], "\n"))
+	}
+}
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -168,6 +168,9 @@
 	<-p.done
 }
 
+// ID returns the identifier of the process in the operating system.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Done returns a channel that is closed when the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
