Callers outside the limits cannot end a process

Cause: no bound on all bodies, answers and connections together; buffers that grew by doubling or were allocated as promised; a renewed time at each byte; and, found on the way, the rest of a body that no handler read was awaited by net/http without a limit (a refused client could stay for ever).

Change: package internal/intake, used by node and entry: memory of bodies, of answers that wait for callers, of events and of submissions being parsed is counted against a quarter of the instance's memory as it arrives, and given back when the request ends; the latest caller (longest unfinished for what it sent or read) loses its connection first; who finds no room is refused as not run (503); bounds on connections from memory and descriptors, on those of one client (off), on the time of a body, on thin chunks and on unread answers. Settings intake-*, of entry also memory and max-files; metrics and events 8170, 8171. The entry's own bound of 256 MB on bodies is replaced by it; TestBufferedBodiesAreBounded now sets the same bound through the intake and checks the same refusal, and that all memory is given back.

--- a/e2e/crowd/node_test.go
+++ b/e2e/crowd/node_test.go
@@ -15,18 +15,9 @@
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
-// nodeBody is just below the largest body in nodeConfiguration.
+// nodeBody is just below the largest body in the configuration.
 const nodeBody = 7_900_000
 
-const nodeConfiguration = `{"version":1,"routes":[
- {"name":"lookup","host":"h","prefix":"/lookup/","kind":"idempotent","timeout_ms":5000,"service":"app","max_attempts":2},
- {"name":"large","host":"h","prefix":"/large/","kind":"idempotent","timeout_ms":60000,"service":"large","max_attempts":2},
- {"name":"held","host":"h","prefix":"/held/","kind":"non_idempotent","timeout_ms":60000,"service":"held","max_attempts":2},
- {"name":"chat","host":"h","prefix":"/chat/","kind":"stream","resumable":true,"timeout_ms":60000,"service":"lm","max_attempts":3},
- {"name":"draft","host":"h","prefix":"/draft/","kind":"rollout","run_deadline_ms":9000,"max_queue_s":60,"service":"lm","max_attempts":3}],
- "services":[{"name":"app","max_conns":500},{"name":"large","max_conns":500},{"name":"held","max_conns":500},{"name":"lm","max_conns":500,"engine":{"models":[{"name":"m"}]}}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":8000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-
 // The parts of a crowd before a node.
 var (
 	nodeLargeChunks = behavior{name: "large chunks", clients: 24, send: chunked(head("POST", "/held/x"), nodeBody, 256<<10, true)}
@@ -67,7 +58,7 @@
 		t.Cleanup(e.Close)
 		store.Write(e.Key(), e.Record("ready"))
 	}
-	store.Write("op/config", []byte(nodeConfiguration))
+	store.ConfigureForCrowd()
 	host := fmt.Sprintf("127.200.%d.%d", os.Getpid()%250+1, number)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", host, port) }
 	log := &proctest.Log{}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -22,6 +22,10 @@
 			subcommand.String(flag.Text, "", flag.Name, usage)
 			continue
 		}
+		if flag.Number != nil {
+			subcommand.Int(flag.Number, "", flag.Name, usage)
+			continue
+		}
 		subcommand.Duration(flag.Duration, "", flag.Name, usage)
 	}
 	parser.AttachSubcommand(subcommand, 1)
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 )
 
 // maxServiceAnswer bounds the buffered answer of a plain service, in bytes.
@@ -76,12 +79,14 @@
 	if err := checkServiceAnswer(answer, call.RequestID, repeatable); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxServiceAnswer+1))
-	if err != nil {
-		return nil, sent.classify(ctx, err)
-	}
-	if len(body) > maxServiceAnswer {
+	body, err := intake.ReadAnswer(ctx, answer.Body, answer.ContentLength, maxServiceAnswer)
+	switch {
+	case errorx.IsOfType(err, intake.ErrTooLarge):
 		return nil, ErrFailed.New("answer larger than %d bytes", maxServiceAnswer)
+	case errorx.IsOfType(err, intake.ErrShort):
+		return nil, ErrFailed.Wrap(err, "the answer was not read")
+	case err != nil:
+		return nil, sent.classify(ctx, err)
 	}
 	return &ServiceAnswer{Status: answer.StatusCode, Header: answer.Header, Body: body}, nil
 }
--- a/internal/entry/build.go
+++ b/internal/entry/build.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
 	"github.com/comfreyfront/comfreyfront/internal/exchange"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/listclient"
 	"github.com/comfreyfront/comfreyfront/internal/keyvalue/metakv"
@@ -47,6 +48,7 @@
 	claims   *claim.Server
 	steps    *step.Service
 	traffic  *traffic.Server
+	intake   *intake.Intake
 	// runs holds the background loops; each returns when its context ends.
 	runs []func(ctx context.Context) error
 }
@@ -70,6 +72,7 @@
 func build(cfg *settings.Entry, address string, logger *slog.Logger) *parts {
 	b := newBuilder(cfg, logger)
 	p := &parts{health: &health{snapshots: b.snapshots}}
+	p.intake = intake.New(cfg.Intake.Limits(int64(cfg.MemoryMB)<<20, intake.FileLimit(cfg.MaxFiles)), logger, b.registry)
 	p.owner = ownership.New(b.store, cfg.ID, ownership.Options{}, logger)
 	p.claims = claim.NewServer(b.store, p.owner, claim.Options{Alive: b.ownerAlive}, logger, b.registry)
 	b.claimer = claim.NewRouter(b.cfg.ID, p.claims, b.claimPeers,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,11 +10,13 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
@@ -50,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(cfg.MemoryMB)
 	parts := build(cfg, bound.internal.Addr().String(), logger)
 	if _, err := fmt.Fprintf(out, "ready %s %s\n", bound.callers.Addr(), bound.internal.Addr()); err != nil {
 		return err
@@ -62,6 +65,20 @@
 	return serve(ctx, cfg, parts, bound, logger)
 }
 
+// Parameters of the runtime of an entry whose memory is known, as of a node.
+const (
+	memoryFraction = 0.6
+	gcPercent      = 60
+)
+
+// limitMemory keeps the heap small if the memory of the instance is known.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(memoryFraction * float64(megabytes) * (1 << 20)))
+	}
+}
+
 func listen(cfg *settings.Entry) (listeners, error) {
 	callers, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
@@ -79,9 +96,10 @@
 	baseCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	callers := newServer(parts.callers)
+	intake.Track(callers, intake.ConnOf)
 	internal := newServer(parts.internal)
 	group, groupCtx := errgroup.WithContext(baseCtx)
-	group.Go(func() error { return ignoreClosed(callers.Serve(bound.callers)) })
+	group.Go(func() error { return ignoreClosed(callers.Serve(parts.intake.Listener(bound.callers))) })
 	group.Go(func() error { return ignoreClosed(internal.Serve(bound.internal)) })
 	for _, run := range parts.runs {
 		group.Go(func() error { return run(groupCtx) })
--- /dev/null
+++ b/internal/intake/conn.go
@@ -0,0 +1,263 @@
+package intake
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// phase is what a connection waits for.
+type phase int32
+
+const (
+	// awaiting means that no complete request head has arrived, and idle the same after an
+	// earlier request.
+	awaiting phase = iota
+	idle
+	// serving means that the process itself has work on the request.
+	serving
+	// receiving means that a body is arriving, and sending that an answer is being written.
+	receiving
+	sending
+)
+
+// Parameters of the order in which callers are turned away.
+const (
+	// referenceRate is the rate, in bytes a second, at which a caller does not fall behind.
+	referenceRate = 1 << 20
+	// idleDivisor makes connections between two requests count as later than others only after a
+	// longer time.
+	idleDivisor = 8
+	// minLateness is how late a caller must be to lose its connection to a new one.
+	minLateness = 100 * time.Millisecond
+	// writePart bounds what is written at once, so that progress shows.
+	writePart = 64 << 10
+)
+
+// Conn is a caller's connection.
+type Conn struct {
+	net.Conn
+	intake *Intake
+	client string
+
+	phase atomic.Int32
+	since atomic.Int64 // when the phase began, in Unix nanoseconds
+	// received counts all bytes, bodyBytes those of the present body.
+	received, bodyBytes atomic.Int64
+	// bodyRead is set when the body of the present request was read to its end.
+	bodyRead atomic.Bool
+	// stalled is the time that the writes of the present answer took so far, in nanoseconds, and
+	// sent counts its bytes.
+	stalled, sent atomic.Int64
+	hold          atomic.Pointer[Hold]
+}
+
+// Admit returns a connection that counts towards the bounds. If there are too many, the latest
+// caller loses its connection; if no caller is late, the new connection is closed and Admit returns
+// false.
+func (in *Intake) Admit(accepted net.Conn) (*Conn, bool) {
+	conn := &Conn{Conn: accepted, intake: in}
+	conn.begin(awaiting)
+	if in.limits.ClientConnections > 0 {
+		conn.client = clientOf(accepted)
+	}
+	victim, bound := in.register(conn)
+	if victim != nil {
+		victim.abort()
+	}
+	if bound != "" {
+		in.turnedAway(bound)
+	}
+	if bound != "" && victim == nil {
+		reset(accepted)
+		return nil, false
+	}
+	return conn, true
+}
+
+// register adds a connection. It returns the bound that it meets, if any, and the connection that
+// has to go in its place; without one, the connection was not added.
+func (in *Intake) register(conn *Conn) (victim *Conn, met Bound) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch {
+	case conn.client != "" && in.clients[conn.client] >= in.limits.ClientConnections:
+		victim, met = in.latest(func(c *Conn) bool { return c.client == conn.client }), BoundClientConnections
+	case len(in.conns) >= in.limits.Connections:
+		victim, met = in.latest(func(*Conn) bool { return true }), BoundConnections
+	}
+	if met != "" && victim == nil {
+		return nil, met
+	}
+	if victim != nil {
+		in.remove(victim)
+	}
+	in.conns[conn] = struct{}{}
+	if conn.client != "" {
+		in.clients[conn.client]++
+	}
+	return victim, met
+}
+
+// latest returns the caller that is latest, at least by minLateness, or nil. The caller holds mu.
+func (in *Intake) latest(eligible func(*Conn) bool) *Conn {
+	now := in.now().UnixNano()
+	var latest *Conn
+	most := minLateness
+	for conn := range in.conns {
+		if !eligible(conn) {
+			continue
+		}
+		if late, ok := conn.lateness(now); ok && late >= most {
+			latest, most = conn, late
+		}
+	}
+	return latest
+}
+
+// remove removes a connection. The caller holds mu.
+func (in *Intake) remove(conn *Conn) {
+	if _, open := in.conns[conn]; !open {
+		return
+	}
+	delete(in.conns, conn)
+	if conn.client == "" {
+		return
+	}
+	if in.clients[conn.client]--; in.clients[conn.client] == 0 {
+		delete(in.clients, conn.client)
+	}
+}
+
+func clientOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return conn.RemoteAddr().String()
+	}
+	return host
+}
+
+func (c *Conn) begin(p phase) {
+	c.since.Store(c.intake.now().UnixNano())
+	c.phase.Store(int32(p))
+}
+
+// lateness returns how far a caller is behind one that sends and reads at referenceRate, and false
+// if it is not the caller that is waited for.
+func (c *Conn) lateness(now int64) (time.Duration, bool) {
+	elapsed := time.Duration(now - c.since.Load())
+	switch phase(c.phase.Load()) {
+	case awaiting:
+		return elapsed, true
+	case idle:
+		return elapsed / idleDivisor, true
+	case receiving:
+		return elapsed - timeFor(c.bodyBytes.Load(), referenceRate), true
+	case sending:
+		return elapsed + time.Duration(c.stalled.Load()) - timeFor(c.sent.Load(), referenceRate), true
+	}
+	return 0, false
+}
+
+// timeFor returns how long a number of bytes takes at a rate in bytes a second.
+func timeFor(bytes, rate int64) time.Duration {
+	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
+}
+
+// changed follows the states of an HTTP connection.
+func (c *Conn) changed(state http.ConnState) {
+	switch state {
+	case http.StateNew:
+	case http.StateIdle:
+		c.begin(idle)
+		c.endHold()
+	case http.StateActive:
+		c.stalled.Store(0)
+		c.sent.Store(0)
+		c.bodyBytes.Store(0)
+		c.bodyRead.Store(false)
+		c.hold.Store(newHold(c))
+		c.begin(serving)
+	case http.StateHijacked, http.StateClosed:
+		c.endHold()
+		c.forget()
+	}
+}
+
+func (c *Conn) endHold() {
+	if hold := c.hold.Swap(nil); hold != nil {
+		hold.Release()
+	}
+}
+
+func (c *Conn) forget() {
+	c.intake.mu.Lock()
+	defer c.intake.mu.Unlock()
+	c.intake.remove(c)
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn. It fails if the caller reads nothing for the time of the limit.
+func (c *Conn) Write(b []byte) (written int, err error) {
+	before, since := phase(c.phase.Load()), c.since.Load()
+	defer func() {
+		c.since.Store(since)
+		c.phase.Store(int32(before))
+	}()
+	for {
+		part := b[written:min(len(b), written+writePart)]
+		began := c.intake.now()
+		if err := c.Conn.SetWriteDeadline(began.Add(c.intake.limits.WriteStall)); err != nil {
+			return written, err
+		}
+		c.begin(sending)
+		n, err := c.Conn.Write(part)
+		written += n
+		c.sent.Add(int64(n))
+		c.stalled.Add(int64(c.intake.now().Sub(began)))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.intake.turnedAway(BoundWriteStall)
+			c.abort()
+		}
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.forget()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending direction.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// abort closes the connection and drops what was not sent.
+func (c *Conn) abort() {
+	c.forget()
+	reset(c.Conn)
+}
+
+// reset closes a connection without sending what is left.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the connection is closed next in any case
+	}
+	_ = conn.Close()
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
 	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/panics"
 	"github.com/comfreyfront/comfreyfront/internal/route"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
@@ -78,6 +79,7 @@
 		ConnState:         trackConnState,
 		BaseContext:       func(net.Listener) context.Context { return f.requests },
 	}
+	intake.Track(server, intakeConn)
 	s := &frontServer{server: server, conns: &connListener{conns: make(chan net.Conn), done: f.done}}
 	f.servers = append(f.servers, s)
 	go func() { _ = server.Serve(s.conns) }() // Serve returns when the front closes
@@ -107,10 +109,14 @@
 				return err
 			}
 		}
+		admitted, ok := f.node.intake.Admit(conn)
+		if !ok {
+			continue
+		}
 		f.mu.Lock()
 		s := f.servers[len(f.servers)-1]
 		f.mu.Unlock()
-		s.conns.deliver(newHeadConn(conn))
+		s.conns.deliver(newHeadConn(admitted))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/forward"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/logging"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
@@ -75,6 +76,7 @@
 	registry    *prometheus.Registry
 	retire      retireResponder
 	hubs        *hubs
+	intake      *intake.Intake
 	caches      caches
 
 	started  time.Time
@@ -123,6 +125,7 @@
 		units:     map[string]*unitRun{},
 	}
 	n.metrics = newNodeMetrics(n.registry)
+	n.intake = intake.New(config.Intake.Limits(int64(config.MemoryMB)<<20, intake.FileLimit(config.MaxFiles)), logger, n.registry)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
--- a/internal/node/slowhead.go
+++ b/internal/node/slowhead.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 )
 
 // slowHeadResponse is sent to a caller whose request head does not arrive in time.
@@ -65,6 +67,16 @@
 	}
 }
 
+// intakeConn returns the connection of the intake that a connection wraps, or nil.
+func intakeConn(conn net.Conn) *intake.Conn {
+	c, ok := conn.(*headConn)
+	if !ok {
+		return nil
+	}
+	counted, _ := c.Conn.(*intake.Conn)
+	return counted
+}
+
 // CloseWrite closes the sending direction; the caller can still read what was sent.
 // net/http calls CloseWrite before it closes a connection whose request was not
 // read to the end.
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -45,6 +45,7 @@
 	// MaxFiles is the number of file descriptors that the process may open; zero means that
 	// the limit of the operating system applies.
 	MaxFiles int
+	Intake   Intake
 	LogLevel string
 }
 
@@ -68,7 +69,7 @@
 	return &Node{
 		Grace: defaultGrace, LeaseTTL: defaultLeaseTTL, StatusLife: defaultStatusLife,
 		MemoryMB: defaultMemoryMB, Capacity: defaultCapacity,
-		HolderChange: defaultHolderChange, ManagementRate: defaultManagementRate, UsageDue: defaultUsageDue, LogLevel: slog.LevelInfo.String(),
+		HolderChange: defaultHolderChange, ManagementRate: defaultManagementRate, UsageDue: defaultUsageDue, Intake: defaultIntake(), LogLevel: slog.LevelInfo.String(),
 	}
 }
 
@@ -88,7 +89,7 @@
 
 // Settings lists the settings of a node.
 func (n *Node) Settings() []Setting {
-	return []Setting{
+	return append([]Setting{
 		textSetting("name", "name of this instance", &n.Name),
 		textSetting("failure-domain", "failure domain of this instance", &n.FailureDomain),
 		textSetting("listen", "host:port for callers", &n.Listen),
@@ -109,7 +110,7 @@
 		durationSetting("usage-due", "time after the end of a window in which its usage report is due, such as 10s, or in seconds", &n.UsageDue, time.Second),
 		integerSetting("max-files", "file descriptors that this process may open; 0: the limit of the operating system", &n.MaxFiles),
 		textSetting("log-level", "DEBUG, INFO, WARN or ERROR", &n.LogLevel),
-	}
+	}, n.Intake.settings()...)
 }
 
 func textSetting(name, usage string, value *string) Setting {
@@ -250,6 +251,7 @@
 		add("capacity: %g must be above zero", n.Capacity)
 	}
 	mistakes = append(mistakes, n.managementMistakes()...)
+	mistakes = append(mistakes, n.Intake.mistakes()...)
 	if n.MemoryMB < minMemoryMB {
 		add("memory: %d must be at least %d", n.MemoryMB, minMemoryMB)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,6 +28,11 @@
 	RequestTimeout  time.Duration
 	ShutdownTimeout time.Duration
 	Policy          string
+	// MemoryMB is the memory of this instance, and MaxFiles the number of file descriptors that
+	// the process may open; zero means that they are not known.
+	MemoryMB int
+	MaxFiles int
+	Intake   Intake
 }
 
 // Policies for choosing endpoints and ordering requests.
@@ -57,9 +63,10 @@
 type Flag struct {
 	Name  string
 	Usage string
-	// Text or Duration points to the variable that the flag sets; the other is nil.
+	// Text, Duration or Number points to the variable that the flag sets; the others are nil.
 	Text     *string
 	Duration *time.Duration
+	Number   *int
 }
 
 // Environment returns the name of the flag's environment variable.
@@ -76,6 +83,7 @@
 		RequestTimeout:  defaultRequestTimeout,
 		ShutdownTimeout: defaultShutdownTimeout,
 		Policy:          PolicyDefault,
+		Intake:          defaultIntake(),
 	}
 }
 
@@ -93,6 +101,14 @@
 		{Name: "request-timeout", Usage: "longest time for one request, such as 10m or 30s", Duration: &e.RequestTimeout},
 		{Name: "shutdown-timeout", Usage: "longest time to finish work in flight, such as 2m", Duration: &e.ShutdownTimeout},
 		{Name: "policy", Usage: "default, or naive for comparisons", Text: &e.Policy},
+		{Name: "memory", Usage: "memory of this instance, in MB; the process stays below it; 0: not known", Number: &e.MemoryMB},
+		{Name: "max-files", Usage: "file descriptors that this process may open; 0: the limit of the operating system", Number: &e.MaxFiles},
+		{Name: "intake-memory", Usage: "memory for the bodies of all callers and for answers that wait for them, in MB; 0: a quarter of the memory, or 256 MB", Number: &e.Intake.MemoryMB},
+		{Name: "intake-connections", Usage: "connections of callers; 0: as many as the memory and the descriptors allow", Number: &e.Intake.Connections},
+		{Name: "intake-client-connections", Usage: "connections of one client address; 0: no bound, as behind a load balancer", Number: &e.Intake.ClientConnections},
+		{Name: "intake-body-rate", Usage: "rate at which a body must arrive on average after --intake-body-grace, in KB a second", Number: &e.Intake.BodyRateKB},
+		{Name: "intake-body-grace", Usage: "time that any body may take, such as 30s", Duration: &e.Intake.BodyGrace},
+		{Name: "intake-write-stall", Usage: "time after which a caller that reads none of its answer is disconnected, such as 10s", Duration: &e.Intake.WriteStall},
 	}
 }
 
@@ -109,6 +125,15 @@
 			*flag.Text = value
 			continue
 		}
+		if flag.Number != nil {
+			number, err := strconv.Atoi(value)
+			if err != nil {
+				mistakes = append(mistakes, fmt.Sprintf("%s: %q is not a whole number", flag.Environment(), value))
+				continue
+			}
+			*flag.Number = number
+			continue
+		}
 		duration, err := time.ParseDuration(value)
 		if err != nil {
 			mistakes = append(mistakes, fmt.Sprintf("%s: %q is not a duration such as 30s", flag.Environment(), value))
@@ -143,6 +168,15 @@
 	if e.ShutdownTimeout <= 0 {
 		add("--shutdown-timeout: %s must be above zero", e.ShutdownTimeout)
 	}
+	if e.MemoryMB != 0 && e.MemoryMB < minMemoryMB {
+		add("--memory: %d must be at least %d", e.MemoryMB, minMemoryMB)
+	}
+	if e.MaxFiles < 0 {
+		add("--max-files: %d must not be negative", e.MaxFiles)
+	}
+	for _, mistake := range e.Intake.mistakes() {
+		add("--%s", mistake)
+	}
 	if e.Policy != PolicyDefault && e.Policy != PolicyNaive {
 		add("--policy: %q must be %s or %s", e.Policy, PolicyDefault, PolicyNaive)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,11 +36,18 @@
 		if flag.Duration != nil {
 			value = "7s"
 		}
+		if flag.Number != nil {
+			value = "7"
+		}
 		require.NoError(t, e.ReadEnvironment(func(name string) (string, bool) { return value, name == flag.Environment() }))
 		if flag.Duration != nil {
 			require.Equal(t, 7*time.Second, *flag.Duration, flag.Name)
 			continue
 		}
+		if flag.Number != nil {
+			require.Equal(t, 7, *flag.Number, flag.Name)
+			continue
+		}
 		require.Equal(t, "x", *flag.Text, flag.Name)
 	}
 }
--- a/internal/step/errors.go
+++ b/internal/step/errors.go
@@ -24,6 +24,8 @@
 	ErrDraining = Errors.NewType("draining", errorx.Temporary())
 	// ErrUnreachable means that no entry that may own the step could be reached.
 	ErrUnreachable = Errors.NewType("unreachable", errorx.Temporary())
+	// ErrShort means that there is no memory for the call; nothing was done.
+	ErrShort = Errors.NewType("short", errorx.Temporary())
 
 	propHolder   = errorx.RegisterProperty("holder")
 	propLastPull = errorx.RegisterProperty("last_pull")
--- a/internal/step/problem.go
+++ b/internal/step/problem.go
@@ -52,7 +52,7 @@
 	case errorx.IsOfType(err, ErrNotOwner):
 		p.Status, p.Title, p.Type = http.StatusConflict, "not owner any more", wire.ProblemNotOwner
 		p.RetryAfterMillis = retryAfter.Milliseconds()
-	case errorx.IsOfType(err, ErrDraining), errorx.IsOfType(err, ErrUnreachable):
+	case errorx.IsOfType(err, ErrDraining), errorx.IsOfType(err, ErrUnreachable), errorx.IsOfType(err, ErrShort):
 		p.Status, p.Title = http.StatusServiceUnavailable, "refused"
 		p.RetryAfterMillis = retryAfter.Milliseconds()
 	default:
--- a/internal/step/router.go
+++ b/internal/step/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -11,8 +10,11 @@
 
 	"github.com/hashicorp/golang-lru/v2"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/peer/peerpb"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 	"github.com/comfreyfront/comfreyfront/internal/step/wire"
@@ -92,12 +94,17 @@
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	call, err := readCall(w, req)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		writeResult(w, problemResult(err))
 		return
 	}
 	writeResult(w, r.Route(req.Context(), call))
 }
 
+// callCopies is how many times its size a call needs beyond its body: the decoded call, and its
+// encoding for the owner.
+const callCopies = 2
+
 func readCall(w http.ResponseWriter, req *http.Request) (*peerpb.StepCall, error) {
 	if req.Method == methodHandOver {
 		return nil, ErrInvalid.New("unknown action or method")
@@ -106,7 +113,13 @@
 	if req.URL.Path == wire.PathSteps {
 		limit = maxSpecBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
+	body, err := intake.ReadBody(w, req, intake.BodyLimits{Size: limit})
+	if err == nil {
+		err = intake.HoldOf(req.Context()).Take(req.Context(), callCopies*int64(len(body)))
+	}
+	if errorx.IsOfType(err, intake.ErrShort) {
+		return nil, ErrShort.Wrap(err, "this entry has reached its limit on the memory for request bodies")
+	}
 	if err != nil {
 		return nil, ErrInvalid.Wrap(err, "the body is incomplete or exceeds %d bytes", limit)
 	}
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"regexp"
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
@@ -20,6 +21,8 @@
 	maxBodySize   = 1 << 20 // bytes
 	maxKeyLength  = 255     // bytes of an Idempotency-Key
 	defaultTenant = "default"
+	// overloadRetryAfter is the retry delay reported when there is no memory for a body.
+	overloadRetryAfter = time.Second
 )
 
 // HeaderIdempotent is the header with which a caller states whether a request may run more
@@ -146,15 +149,17 @@
 
 // readBody reads the complete body within the limits on its size and time.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
-	var tooLarge *http.MaxBytesError
+	body, err := intake.ReadBody(w, r, intake.BodyLimits{Size: maxBodySize})
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return body, nil
+	case errorx.IsOfType(err, intake.ErrTooLarge):
 		return nil, request.ErrTooLarge.New("at most %d bytes are accepted", maxBodySize)
-	case err != nil:
-		return nil, request.ErrInvalid.Wrap(err, "the body did not arrive completely")
+	case errorx.IsOfType(err, intake.ErrShort):
+		refused := request.ErrRefused.Wrap(err, "this entry has reached its limit on the memory for request bodies")
+		return nil, request.WithRetryAfter(refused, overloadRetryAfter)
 	}
-	return body, nil
+	return nil, request.ErrInvalid.Wrap(err, "the body did not arrive completely")
 }
 
 // receive reads the headers and the body of a request. It returns false if it has answered
@@ -163,7 +168,9 @@
 	c, err := s.readCaller(w, r)
 	var body []byte
 	if err == nil {
-		body, err = readBody(w, r)
+		if body, err = readBody(w, r); err != nil {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	if err != nil {
 		s.record(c, s.fail(w, c, err), dispatch.Effort{})
--- a/internal/traffic/keyed.go
+++ b/internal/traffic/keyed.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/claim"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/event"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
@@ -100,7 +101,10 @@
 func (s *Server) runGranted(ctx context.Context, c *caller, grant claim.Grant, run work) (*reply, dispatch.Effort, error) {
 	detachedCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.RequestTimeout)
 	done := make(chan workResult, 1)
+	hold := intake.HoldOf(ctx)
+	hold.Retain() // the work may outlast its caller
 	s.detached.Go(func() {
+		defer hold.Release()
 		defer cancel()
 		answer, effort, err := run(detachedCtx)
 		s.settle(detachedCtx, c, grant, answer, err)
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/comfreyfront/comfreyfront/internal/claim"
 	"github.com/comfreyfront/comfreyfront/internal/control"
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
@@ -43,13 +41,6 @@
 	Record(Record)
 }
 
-const (
-	// maxBufferedBodies bounds the total size of all request bodies in memory, in bytes.
-	maxBufferedBodies = 256 << 20
-	// overloadRetryAfter is the retry delay reported when that bound is reached.
-	overloadRetryAfter = time.Second
-)
-
 // Options configures a Server. All fields without a default are required.
 type Options struct {
 	Snapshots  *control.Snapshots
@@ -73,8 +64,6 @@
 	options Options
 	logger  *slog.Logger
 	mux     *http.ServeMux
-	// bodies bounds the total size of the bodies in memory, in bytes.
-	bodies *semaphore.Weighted
 	// detached tracks keyed requests, which continue after their callers disconnect.
 	detached sync.WaitGroup
 }
@@ -84,7 +73,7 @@
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
-	s := &Server{options: options, logger: logger, mux: http.NewServeMux(), bodies: semaphore.NewWeighted(maxBufferedBodies)}
+	s := &Server{options: options, logger: logger, mux: http.NewServeMux()}
 	s.mux.HandleFunc("POST /v1/completions", s.serveCompletion)
 	s.mux.HandleFunc("/services/{application}/{path...}", s.serveService)
 	s.mux.Handle("/v1/steps", options.Steps)
@@ -99,25 +88,9 @@
 // ServeHTTP serves one request. It logs a panic of the handler and aborts the response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer panics.Recover(r, s.logger)
-	size := bufferedSize(r)
-	if !s.bodies.TryAcquire(size) {
-		err := request.ErrRefused.New("this entry has reached its limit on the total size of request bodies")
-		writeProblem(w, request.ProblemOf(request.WithRetryAfter(err, overloadRetryAfter)))
-		return
-	}
-	defer s.bodies.Release(size)
-	r.Body = newTimedBody(w, r.Body)
 	s.mux.ServeHTTP(w, r)
 }
 
-// bufferedSize returns the number of body bytes to reserve for a request, at least one.
-func bufferedSize(r *http.Request) int64 {
-	if r.ContentLength < 0 {
-		return maxBodySize
-	}
-	return min(max(r.ContentLength, 1), maxBufferedBodies)
-}
-
 // Wait waits until all keyed requests have ended, including those whose callers have
 // disconnected. It returns the context's error if ctx ends first.
 func (s *Server) Wait(ctx context.Context) error {
--- a/internal/traffic/server_test.go
+++ b/internal/traffic/server_test.go
@@ -22,6 +22,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/endpoint"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/metrics"
 	"github.com/comfreyfront/comfreyfront/internal/policy/naive"
 	"github.com/comfreyfront/comfreyfront/internal/request"
@@ -82,6 +83,12 @@
 // newServer returns a test server whose only endpoint is one plain service, and the records
 // that it reports.
 func newServer(t *testing.T, service http.Handler, claims *memoryClaims) (*httptest.Server, *records) {
+	t.Helper()
+	return newServerWithin(t, service, claims, intake.New(intake.Limits{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry()))
+}
+
+// newServerWithin returns the same server within the bounds of an intake.
+func newServerWithin(t *testing.T, service http.Handler, claims *memoryClaims, bounds *intake.Intake) (*httptest.Server, *records) {
 	t.Helper()
 	backend := httptest.NewUnstartedServer(service)
 	backend.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
@@ -112,6 +119,8 @@
 		RequestTimeout: 10 * time.Second,
 	}, logger))
 	entry.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)
+	intake.Track(entry.Config, intake.ConnOf)
+	entry.Listener = bounds.Listener(entry.Listener)
 	entry.Start()
 	t.Cleanup(entry.Close)
 	return entry, recorder
@@ -302,15 +311,15 @@
 }
 
 func TestBufferedBodiesAreBounded(t *testing.T) {
-	entry, _ := newServer(t, &countingService{}, newClaims())
-	server := entry.Config.Handler.(*Server)
-	require.True(t, server.bodies.TryAcquire(maxBufferedBodies-1))
+	none := intake.New(intake.Limits{Memory: 1}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	entry, _ := newServerWithin(t, &countingService{}, newClaims(), none)
 	answer, body := send(t, http.MethodPost, entry.URL+"/services/register/wells", "xx", withKey("k"))
 	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, body)
 	require.Equal(t, string(request.NotRun), answer.Header.Get(request.HeaderOutcome))
-	server.bodies.Release(maxBufferedBodies - 1)
+	enough := intake.New(intake.Limits{Memory: 1 << 20}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+	entry, _ = newServerWithin(t, &countingService{}, newClaims(), enough)
 	answer, _ = send(t, http.MethodPost, entry.URL+"/services/register/wells", "xx", withKey("k"))
 	require.Equal(t, http.StatusOK, answer.StatusCode)
-	released := func() bool { return server.bodies.TryAcquire(maxBufferedBodies) }
+	released := func() bool { return enough.Used() == 0 }
 	require.Eventually(t, released, 10*time.Second, time.Millisecond, "each request releases its reserved bytes")
 }
