Memory alone bounds a crowd where descriptors are plentiful; calm requests are served

Cause: a trial of the crowd before a node with max-files 4000 instead of 400 took it to 117 MB of 96 MB: 409 connections, most of them with one to an endpoint, cost more than the share for connections. A request of the largest size plus one byte whose last read came with the end of the body was served.

Change: each request that goes to an endpoint counts 48 KB; the share of connections follows from 0.15 of the memory (0.2 before).

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -73,6 +73,9 @@
 		}
 		n, err := reader.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		if length < 0 && int64(len(buffer)) > limit {
+			break
+		}
 		if errors.Is(err, io.EOF) && (length < 0 || int64(len(buffer)) == length) {
 			return trim(hold, buffer), nil
 		}
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -21,6 +21,10 @@
 	shortWait = time.Second
 )
 
+// ExchangeBytes is what a request needs beyond its body and its answer while an endpoint has it: the
+// buffers and stacks of a connection to the endpoint, and the heads.
+const ExchangeBytes = 48 << 10
+
 // Hold is the memory that one request occupies. It is safe for concurrent use; a nil Hold counts
 // nothing.
 type Hold struct {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -38,7 +38,7 @@
 	memoryShare = 0.25
 	// connectionShare is the fraction of the memory for connections, each of which needs
 	// connectionBytes: its head, buffers and stacks.
-	connectionShare = 0.2
+	connectionShare = 0.15
 	connectionBytes = 48 << 10
 	// filesShare is the fraction of the descriptors for callers' connections. A request may need
 	// two further ones, for calls of endpoints.
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -150,6 +150,9 @@
 // readBody reads the complete body within the limits on its size and time.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := intake.ReadBody(w, r, intake.BodyLimits{Size: maxBodySize})
+	if err == nil {
+		err = intake.HoldOf(r.Context()).Take(r.Context(), intake.ExchangeBytes)
+	}
 	switch {
 	case err == nil:
 		return body, nil
