Engines get no more items than their memory holds; crash fingerprints name the account

Cause: an engine crashes or preempts when the requests that it holds exceed its memory; placing looked at slots only. A request that crashes endpoints is one path, account and body; the account was missing, so that one account's request could block another's.

Change: the owner of a service, through which all its items run, places and moves items only where the sum of their tokens stays within the engine's memory of the configuration; an item larger than that goes to an engine without items, which refuses it. Where the configuration gives no memory, nothing changes. Fingerprints without an account stay as they were.

Measured: tests of both, and of internal/submission and internal/forward, pass.

--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -38,10 +38,14 @@
 }
 
 // Fingerprint returns a hash of the parts of a request that stay the same when a
-// caller repeats it.
+// caller repeats it: its path, its account if it has one, and its body.
 func Fingerprint(request *call.Request) uint64 {
 	digest := xxhash.New()
-	for _, part := range []string{request.Host, request.URI} {
+	parts := []string{request.Host, request.URI}
+	if request.Account != "" {
+		parts = append(parts, request.Account)
+	}
+	for _, part := range parts {
 		_, _ = digest.WriteString(part) // never fails
 		_, _ = digest.WriteString("\x00")
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -265,3 +265,14 @@
 		})
 	}
 }
+
+// TestFingerprintDistinguishesAccounts checks that a request that crashes endpoints blocks no other
+// account, and that the identifier of a repeat does not matter.
+func TestFingerprintDistinguishesAccounts(t *testing.T) {
+	request := func(id, account string) *call.Request {
+		return &call.Request{ID: id, URI: "/same", Account: account, Body: []byte("same")}
+	}
+	require.Equal(t, Fingerprint(request("1", "a")), Fingerprint(request("2", "a")))
+	require.NotEqual(t, Fingerprint(request("1", "a")), Fingerprint(request("1", "b")))
+	require.NotEqual(t, Fingerprint(request("1", "a")), Fingerprint(request("1", "")))
+}
--- a/internal/submission/move.go
+++ b/internal/submission/move.go
@@ -40,7 +40,7 @@
 	r.cancel()
 	i.timing.enter(phaseMoving, now)
 	if to != nil {
-		i.reserved = reservation{endpoint: to.ID, until: now.Add(reservationTime)}
+		i.reserved = reservation{endpoint: to.ID, until: now.Add(reservationTime), tokens: i.record.GetTokens()}
 	}
 	if cause == causeStalled {
 		r.endpoint.Live.Fail(now)
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -124,6 +124,7 @@
 	defer o.mu.Unlock()
 	o.expire(now)
 	engines := newEngines(o.options.Directory.Of(o.options.Service), o.loadSlope, o.options.Zone, now)
+	engines.memory = o.engineMemory()
 	o.fastestGap = engines.least
 	o.place(engines, now)
 	o.move(engines, now)
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -32,6 +32,7 @@
 	// usual is the median of the engines' usual times per event, and least the lowest.
 	usual, least time.Duration
 	loadSlope    *fleet.LoadSlope
+	memory       engineMemory
 	zone         string
 	now          time.Time
 }
@@ -90,6 +91,8 @@
 	minVersion int64
 	// version is the only version that may continue the text; zero allows any.
 	version int64
+	// tokens is how much of an engine's memory the item occupies.
+	tokens int64
 }
 
 func (n need) satisfiedBy(e *fleet.Endpoint) bool {
@@ -102,7 +105,7 @@
 
 // accepts reports whether the engine can accept a run now.
 func (p *engines) accepts(e *fleet.Endpoint, n need) bool {
-	return p.runs[e.ID] < slotsOf(e) && p.usable(e, n)
+	return p.runs[e.ID] < slotsOf(e) && p.memory.fits(e, n.tokens) && p.usable(e, n)
 }
 
 // usable reports whether the engine can run an item if it has a free slot.
@@ -138,6 +141,7 @@
 		return nil, false
 	}
 	p.runs[best.ID]++
+	p.memory.add(best.ID, n.tokens)
 	return best, true
 }
 
@@ -163,7 +167,7 @@
 	if best == nil || present-after < moveCost+max(minMoveGain, time.Duration(minMoveShare*float64(present))) {
 		return nil, false
 	}
-	p.move(from, best)
+	p.move(from, best, n)
 	return best, true
 }
 
@@ -175,18 +179,21 @@
 type reservation struct {
 	endpoint string
 	until    time.Time
+	tokens   int64
 }
 
 // reserve counts a reserved slot as taken, and release as free again.
 func (p *engines) reserve(r reservation, now time.Time) {
 	if now.Before(r.until) {
 		p.runs[r.endpoint]++
+		p.memory.add(r.endpoint, r.tokens)
 	}
 }
 
 func (p *engines) release(r reservation, now time.Time) {
 	if now.Before(r.until) {
 		p.runs[r.endpoint]--
+		p.memory.add(r.endpoint, -r.tokens)
 	}
 }
 
@@ -197,13 +204,15 @@
 	if best == nil {
 		return nil, false
 	}
-	p.move(from, best)
+	p.move(from, best, n)
 	return best, true
 }
 
-func (p *engines) move(from, to *fleet.Endpoint) {
+func (p *engines) move(from, to *fleet.Endpoint, n need) {
 	p.runs[from.ID]--
 	p.runs[to.ID]++
+	p.memory.add(from.ID, -n.tokens)
+	p.memory.add(to.ID, n.tokens)
 }
 
 // fastest returns the engine, other than the excluded one, that can accept the run and is
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -94,7 +94,7 @@
 }
 
 func (o *Owner) needOf(i *item) need {
-	n := need{model: i.submission.record.GetModel(), minVersion: i.submission.record.GetMinVersion()}
+	n := need{model: i.submission.record.GetModel(), minVersion: i.submission.record.GetMinVersion(), tokens: i.record.GetTokens()}
 	if o.requiresSingleVersion(i.submission) && len(i.text.versions) == 1 {
 		n.version = i.text.versions[0]
 	}
