A crowd of clients outside the limits in the soak; the crowd tests run apart

Change: the clients of e2e/crowd moved unchanged to internal/crowd, which the soak uses as a further kind of fault: 190 clients at one node, whose peak of memory must stay within its setting (128 MB) and whose process must live. make test runs e2e/crowd after all other packages, since those run side by side.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 	$(GO) build -o bin/ ./cmd/...
 
 test:
-	$(GO) test -count=1 -timeout 20m -skip '$(shell sh .ci/known-red)' ./...
+	$(GO) test -count=1 -timeout 20m -skip '$(shell sh .ci/known-red)' $$($(GO) list ./... | grep -v '/e2e/crowd$$')
+	$(GO) test -count=1 -timeout 20m -skip '$(shell sh .ci/known-red)' ./e2e/crowd # apart from other load
 
 race:
 	$(GO) test -count=1 -race -short -timeout 20m -skip '$(shell sh .ci/known-red)' ./internal/... ./platform/... ./trainer/...
--- a/e2e/crowd/bounds_test.go
+++ b/e2e/crowd/bounds_test.go
@@ -1,9 +1,8 @@
-package crowd
+package crowds
 
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyfront/comfreyfront/internal/crowd"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 )
 
@@ -44,16 +44,17 @@
 }
 
 // withstand gathers a crowd around a process and checks the bounds.
-func withstand(t *testing.T, s subject, behaviors ...behavior) {
+func withstand(t *testing.T, s subject, behaviors ...crowd.Behavior) {
 	t.Helper()
 	require.True(t, s.answers(), "before the crowd")
 	idle, _ := s.memory()
 	stop, files := make(chan struct{}), make(chan int)
 	go func() { files <- s.mostFiles(stop) }()
-	c := gather(s.address, behaviors...)
+	c := crowd.Start(s.address, behaviors...)
+	c.Await()
 	s.settle()
 	answered := s.answers()
-	c.leave()
+	c.Leave()
 	close(stop)
 	most := <-files
 	peak, alive := s.memory()
@@ -97,8 +98,8 @@
 
 // memory returns the largest memory that the process has had so far, in MB, and whether it lives.
 func (s subject) memory() (float64, bool) {
-	kilobytes, err := strconv.ParseFloat(s.status("VmHWM:"), 64)
-	return kilobytes / 1024, err == nil
+	megabytes, err := s.process.PeakMemory()
+	return megabytes, err == nil
 }
 
 // status returns the figure of a field of the status of the process.
--- a/e2e/crowd/entry_test.go
+++ b/e2e/crowd/entry_test.go
@@ -1,4 +1,4 @@
-package crowd
+package crowds
 
 import (
 	"net/http"
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyfront/comfreyfront/internal/crowd"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 )
 
@@ -35,15 +36,15 @@
 
 // The parts of a crowd before an entry.
 var (
-	entryLargeChunks = behavior{name: "large chunks", clients: 200, send: chunked(head("PUT", "/services/slow/x", classField), entryBody, 100_000, true)}
-	entryByteChunks  = behavior{name: "chunks of one byte", clients: 120, send: chunked(head("PUT", "/services/register/x", classField), entryBody, 1, false)}
-	entryStopsShort  = behavior{name: "stops short of the end", clients: 200, send: chunked(head("PUT", "/services/register/x", classField), entryBody, 50_000, false)}
-	entryLengthOnly  = behavior{name: "stated length never sent", clients: 600, send: stated(head("PUT", "/services/register/x", classField), entryBody, "")}
-	entryHeads       = behavior{name: "heads never finished", clients: 600, send: text(head("GET", "/services/register/x", "X-Filler: "+strings.Repeat("x", 8<<10)))}
-	entryStreams     = behavior{name: "streams never read", clients: 600, unread: true, send: stated(head("POST", "/v1/completions", classField), len(longPrompt), longPrompt)}
-	entryAnswers     = behavior{name: "answers never read", clients: 64, unread: true, send: text(strings.Repeat(head("GET", largeValue, classField)+"\r\n", 32))}
-	entrySubmissions = behavior{name: "submissions half sent", clients: 200, send: stated(head("POST", "/v1/steps", classField), entryBody, `{"model":"`+strings.Repeat("A", entryBody-100_000))}
-	entryParts       = []behavior{entryLargeChunks, entryByteChunks, entryStopsShort, entryLengthOnly, entryHeads, entryStreams, entryAnswers, entrySubmissions}
+	entryLargeChunks = crowd.Behavior{Name: "large chunks", Clients: 200, Send: crowd.Chunked(crowd.Head("PUT", "/services/slow/x", classField), entryBody, 100_000, true)}
+	entryByteChunks  = crowd.Behavior{Name: "chunks of one byte", Clients: 120, Send: crowd.Chunked(crowd.Head("PUT", "/services/register/x", classField), entryBody, 1, false)}
+	entryStopsShort  = crowd.Behavior{Name: "stops short of the end", Clients: 200, Send: crowd.Chunked(crowd.Head("PUT", "/services/register/x", classField), entryBody, 50_000, false)}
+	entryLengthOnly  = crowd.Behavior{Name: "stated length never sent", Clients: 600, Send: crowd.Stated(crowd.Head("PUT", "/services/register/x", classField), entryBody, "")}
+	entryHeads       = crowd.Behavior{Name: "heads never finished", Clients: 600, Send: crowd.Text(crowd.Head("GET", "/services/register/x", "X-Filler: "+strings.Repeat("x", 8<<10)))}
+	entryStreams     = crowd.Behavior{Name: "streams never read", Clients: 600, Unread: true, Send: crowd.Stated(crowd.Head("POST", "/v1/completions", classField), len(longPrompt), longPrompt)}
+	entryAnswers     = crowd.Behavior{Name: "answers never read", Clients: 64, Unread: true, Send: crowd.Text(strings.Repeat(crowd.Head("GET", largeValue, classField)+"\r\n", 32))}
+	entrySubmissions = crowd.Behavior{Name: "submissions half sent", Clients: 200, Send: crowd.Stated(crowd.Head("POST", "/v1/steps", classField), entryBody, `{"model":"`+strings.Repeat("A", entryBody-100_000))}
+	entryParts       = []crowd.Behavior{entryLargeChunks, entryByteChunks, entryStopsShort, entryLengthOnly, entryHeads, entryStreams, entryAnswers, entrySubmissions}
 )
 
 func TestCrowdEntryLargeChunks(t *testing.T)     { withstand(t, startEntry(t), entryLargeChunks) }
--- a/e2e/crowd/main_test.go
+++ b/e2e/crowd/main_test.go
@@ -1,4 +1,4 @@
-package crowd
+package crowds
 
 import (
 	"flag"
--- a/e2e/crowd/node_test.go
+++ b/e2e/crowd/node_test.go
@@ -1,4 +1,4 @@
-package crowd
+package crowds
 
 import (
 	"fmt"
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyfront/comfreyfront/internal/crowd"
 	"github.com/comfreyfront/comfreyfront/internal/proctest"
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
@@ -20,15 +21,15 @@
 
 // The parts of a crowd before a node.
 var (
-	nodeLargeChunks = behavior{name: "large chunks", clients: 24, send: chunked(head("POST", "/held/x"), nodeBody, 256<<10, true)}
-	nodeByteChunks  = behavior{name: "chunks of one byte", clients: 96, send: chunked(head("POST", "/lookup/x"), 1_000_000, 1, false)}
-	nodeStopsShort  = behavior{name: "stops short of the end", clients: 24, send: chunked(head("POST", "/lookup/x"), nodeBody, 64<<10, false)}
-	nodeLengthOnly  = behavior{name: "stated length never sent", clients: 600, send: stated(head("POST", "/lookup/x"), nodeBody, "")}
-	nodeHeads       = behavior{name: "heads never finished", clients: 600, send: text(head("GET", "/lookup/x", "X-Filler: "+strings.Repeat("x", 8<<10)))}
-	nodeStreams     = behavior{name: "streams never read", clients: 300, unread: true, send: text(head("POST", "/chat/x") + "Content-Length: 0\r\n\r\n")}
-	nodeAnswers     = behavior{name: "answers never read", clients: 120, unread: true, send: text(strings.Repeat(head("GET", "/large/x")+"\r\n", 32))}
-	nodeSubmissions = behavior{name: "submissions half sent", clients: 40, send: stated(head("POST", "/draft/x"), nodeBody, `{"step":1,"items":[{"body":"`+strings.Repeat("A", nodeBody/2))}
-	nodeParts       = []behavior{nodeLargeChunks, nodeByteChunks, nodeStopsShort, nodeLengthOnly, nodeHeads, nodeStreams, nodeAnswers, nodeSubmissions}
+	nodeLargeChunks = crowd.Behavior{Name: "large chunks", Clients: 24, Send: crowd.Chunked(crowd.Head("POST", "/held/x"), nodeBody, 256<<10, true)}
+	nodeByteChunks  = crowd.Behavior{Name: "chunks of one byte", Clients: 96, Send: crowd.Chunked(crowd.Head("POST", "/lookup/x"), 1_000_000, 1, false)}
+	nodeStopsShort  = crowd.Behavior{Name: "stops short of the end", Clients: 24, Send: crowd.Chunked(crowd.Head("POST", "/lookup/x"), nodeBody, 64<<10, false)}
+	nodeLengthOnly  = crowd.Behavior{Name: "stated length never sent", Clients: 600, Send: crowd.Stated(crowd.Head("POST", "/lookup/x"), nodeBody, "")}
+	nodeHeads       = crowd.Behavior{Name: "heads never finished", Clients: 600, Send: crowd.Text(crowd.Head("GET", "/lookup/x", "X-Filler: "+strings.Repeat("x", 8<<10)))}
+	nodeStreams     = crowd.Behavior{Name: "streams never read", Clients: 300, Unread: true, Send: crowd.Text(crowd.Head("POST", "/chat/x") + "Content-Length: 0\r\n\r\n")}
+	nodeAnswers     = crowd.Behavior{Name: "answers never read", Clients: 120, Unread: true, Send: crowd.Text(strings.Repeat(crowd.Head("GET", "/large/x")+"\r\n", 32))}
+	nodeSubmissions = crowd.Behavior{Name: "submissions half sent", Clients: 40, Send: crowd.Stated(crowd.Head("POST", "/draft/x"), nodeBody, `{"step":1,"items":[{"body":"`+strings.Repeat("A", nodeBody/2))}
+	nodeParts       = []crowd.Behavior{nodeLargeChunks, nodeByteChunks, nodeStopsShort, nodeLengthOnly, nodeHeads, nodeStreams, nodeAnswers, nodeSubmissions}
 )
 
 func TestCrowdNodeLargeChunks(t *testing.T)     { withstand(t, startNode(t, 1), nodeLargeChunks) }
--- a/e2e/crowd/client_test.go
+++ b/internal/crowd/crowd.go
@@ -1,3 +1,6 @@
+// Package crowd plays clients outside the published limits: many connections at once that send
+// large, unfinished or very slow requests, or read no answers. Only tests and the soak command use
+// it. Each client opens a bounded number of connections and ends by itself after a bounded time.
 package crowd
 
 import (
@@ -22,45 +25,46 @@
 	holdLimit = 60 * time.Second
 )
 
-// behavior is what each client of a part of a crowd does.
-type behavior struct {
-	name    string
-	clients int
-	// send writes to a new connection. It returns an error if the connection was closed.
-	send func(w *bufio.Writer) error
-	// unread means that the client never reads.
-	unread bool
+// Behavior is what each client of a part of a crowd does.
+type Behavior struct {
+	Name    string
+	Clients int
+	// Send writes to a new connection. It returns an error if the connection was closed.
+	Send func(w *bufio.Writer) error
+	// Unread means that the client never reads.
+	Unread bool
 }
 
-// crowd is a set of clients that have all sent what they send.
-type crowd struct {
-	cancel context.CancelFunc
-	ended  sync.WaitGroup
+// Crowd is a set of clients.
+type Crowd struct {
+	cancel      context.CancelFunc
+	sent, ended sync.WaitGroup
 }
 
-// gather starts the clients, and returns when each has sent or given up its first connection. The
-// clients hold their connections open until leave is called or holdLimit has passed.
-func gather(address string, behaviors ...behavior) *crowd {
+// Start starts the clients. They hold their connections open until Leave is called or holdLimit has
+// passed.
+func Start(address string, behaviors ...Behavior) *Crowd {
 	ctx, cancel := context.WithTimeout(context.Background(), sendLimit+holdLimit)
-	c := &crowd{cancel: cancel}
-	var sent sync.WaitGroup
+	c := &Crowd{cancel: cancel}
 	for _, b := range behaviors {
-		for range b.clients {
-			sent.Add(1)
-			c.ended.Go(func() { b.run(ctx, address, sync.OnceFunc(sent.Done)) })
+		for range b.Clients {
+			c.sent.Add(1)
+			c.ended.Go(func() { b.run(ctx, address, sync.OnceFunc(c.sent.Done)) })
 		}
 	}
-	sent.Wait()
 	return c
 }
 
-// leave closes all connections and waits until all clients have ended.
-func (c *crowd) leave() {
+// Await waits until each client has sent or given up its first connection.
+func (c *Crowd) Await() { c.sent.Wait() }
+
+// Leave closes all connections and waits until all clients have ended.
+func (c *Crowd) Leave() {
 	c.cancel()
 	c.ended.Wait()
 }
 
-func (b behavior) run(ctx context.Context, address string, sent func()) {
+func (b Behavior) run(ctx context.Context, address string, sent func()) {
 	defer sent()
 	for range connections {
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
@@ -76,11 +80,11 @@
 }
 
 // use sends on a connection and holds it until the process closes it or ctx ends.
-func (b behavior) use(ctx context.Context, conn net.Conn, sent func()) {
+func (b Behavior) use(ctx context.Context, conn net.Conn, sent func()) {
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	defer func() { _ = conn.Close() }()
 	closed := make(chan struct{})
-	if !b.unread {
+	if !b.Unread {
 		go func() {
 			defer close(closed)
 			_, _ = io.Copy(io.Discard, conn)
@@ -88,7 +92,7 @@
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(sendLimit))
 	w := bufio.NewWriterSize(conn, 64<<10)
-	err := b.send(w)
+	err := b.Send(w)
 	if err == nil {
 		err = w.Flush()
 	}
@@ -102,14 +106,14 @@
 	}
 }
 
-// head returns a request head without its last empty line.
-func head(method, path string, fields ...string) string {
+// Head returns a request head without its last empty line.
+func Head(method, path string, fields ...string) string {
 	lines := append([]string{method + " " + path + " HTTP/1.1", "Host: h", "X-Request-Id: crowd"}, fields...)
 	return strings.Join(lines, "\r\n") + "\r\n"
 }
 
-// chunked sends a body of size bytes in chunks; if complete, with the last chunk that ends it.
-func chunked(head string, size, chunk int, complete bool) func(*bufio.Writer) error {
+// Chunked sends a body of size bytes in chunks; if complete, with the last chunk that ends it.
+func Chunked(head string, size, chunk int, complete bool) func(*bufio.Writer) error {
 	text := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk))
 	return func(w *bufio.Writer) error {
 		if _, err := w.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n"); err != nil {
@@ -128,13 +132,13 @@
 	}
 }
 
-// stated sends a head that states a length, and part of the body.
-func stated(head string, length int, part string) func(*bufio.Writer) error {
-	return text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, length, part))
+// Stated sends a head that states a length, and part of the body.
+func Stated(head string, length int, part string) func(*bufio.Writer) error {
+	return Text(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, length, part))
 }
 
-// text sends a text.
-func text(content string) func(*bufio.Writer) error {
+// Text sends a text.
+func Text(content string) func(*bufio.Writer) error {
 	return func(w *bufio.Writer) error {
 		_, err := w.WriteString(content)
 		return err
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -171,6 +172,19 @@
 // ID returns the identifier of the process in the operating system.
 func (p *Process) ID() int { return p.command.Process.Pid }
 
+// PeakMemory returns the largest memory that the process has had so far, in MB, or an error if it
+// has ended.
+func (p *Process) PeakMemory() (float64, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.ID()))
+	if err != nil {
+		return 0, err
+	}
+	_, after, _ := strings.Cut(string(content), "VmHWM:")
+	text, _, _ := strings.Cut(strings.TrimSpace(after), " ")
+	kilobytes, err := strconv.ParseFloat(text, 64)
+	return kilobytes / 1024, err
+}
+
 // Done returns a channel that is closed when the process has exited.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -115,6 +115,9 @@
 	{"endpoint says in its answers that it leaves and is replaced", func(env *environment, random *rand.Rand) func() error {
 		return env.replaceEndpoint(random, (*environment).leaveEndpoint)
 	}, false},
+	{"crowd of clients outside the limits", func(env *environment, random *rand.Rand) func() error {
+		return env.gatherCrowd(env.randomNode(random))
+	}, false},
 }
 
 // injectFaults injects random faults, one or two at a time with a pause after each round, until the
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -199,7 +200,7 @@
 			"node", "--name", n.name, "--failure-domain", n.zone,
 			"--listen", n.callerAddress(), "--ready-listen", fmt.Sprintf("%s:%d", n.host, portReady),
 			"--peer-listen", fmt.Sprintf("%s:%d", n.host, portPeers), "--metrics-listen", fmt.Sprintf("%s:%d", n.host, portMetrics),
-			"--store-address", n.link.Address(), "--status-life", "10m",
+			"--store-address", n.link.Address(), "--status-life", "10m", "--memory", strconv.Itoa(memoryMB),
 		},
 	})
 	if err != nil {
