A request that crashes endpoints and runs once at each node is contained over the fleet

Cause: a request is blocked after two broken runs at one node, and only then reported. One that may run only once breaks one run at a node, is not repeated there, and comes again at another node: with 6 nodes it broke 6 runs (the new test without the report).

Requests that may be repeated already break both runs at their first node. One message for each such run; items never count, as before.

Measured: 2 runs with 6 nodes.

--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/route"
 )
 
 // Limits for tracking requests that break connections to endpoints.
@@ -27,6 +28,10 @@
 	// OnBlock is called when this node starts to block a request because of its own
 	// observations; it may be nil.
 	OnBlock func(fingerprint uint64, life time.Duration)
+	// OnBroken is called when a run broke of a request that may run only once; it may be nil.
+	// Such a request breaks one run at a node and then comes to another one, so that only the
+	// runs of all nodes together show it.
+	OnBroken func(fingerprint uint64)
 
 	mu            sync.Mutex
 	byFingerprint map[uint64]*crash
@@ -58,14 +63,16 @@
 type crashRecord struct {
 	crashes     *Crashes
 	fingerprint uint64
+	// once means that the request may run only once and can be told from others by its body.
+	once bool
 }
 
-// recordOf returns the record of a request.
-func (c *Crashes) recordOf(request *call.Request) crashRecord {
+// recordOf returns the record of a request on a route.
+func (c *Crashes) recordOf(r *route.Route, request *call.Request) crashRecord {
 	if request.Owed {
 		return crashRecord{}
 	}
-	return crashRecord{crashes: c, fingerprint: Fingerprint(request)}
+	return crashRecord{crashes: c, fingerprint: Fingerprint(request), once: !r.Repeatable() && len(request.Body) > 0}
 }
 
 // blocked reports whether the request must not be sent.
@@ -73,8 +80,12 @@
 
 // countBroken counts a run during which the connection broke.
 func (r crashRecord) countBroken() {
-	if r.crashes != nil {
-		r.crashes.CountBroken(r.fingerprint)
+	if r.crashes == nil {
+		return
+	}
+	r.crashes.CountBroken(r.fingerprint)
+	if r.once && r.crashes.OnBroken != nil {
+		r.crashes.OnBroken(r.fingerprint)
 	}
 }
 
@@ -98,6 +109,9 @@
 	}
 }
 
+// CountReported counts a run at another node during which the connection broke.
+func (c *Crashes) CountReported(fingerprint uint64) { c.CountBroken(fingerprint) }
+
 // Block blocks a request that another node reported.
 func (c *Crashes) Block(fingerprint uint64, life time.Duration) {
 	c.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -73,7 +73,7 @@
 // request may have run. The caller cancels ctx when it stops waiting or when the
 // request's deadline passes.
 func (s *Service) Do(ctx context.Context, r *route.Route, request *call.Request) (*call.Answer, error) {
-	record, err := s.admit(ctx, request)
+	record, err := s.admit(ctx, r, request)
 	if err != nil {
 		return nil, err
 	}
@@ -85,8 +85,8 @@
 
 // admit returns the record of the crashes during the request, or ErrRejected if the request
 // is blocked because endpoints crashed while running it.
-func (s *Service) admit(ctx context.Context, request *call.Request) (crashRecord, error) {
-	record := s.Crashes.recordOf(request)
+func (s *Service) admit(ctx context.Context, r *route.Route, request *call.Request) (crashRecord, error) {
+	record := s.Crashes.recordOf(r, request)
 	if record.blocked() {
 		event.RequestWithheld.Log(ctx, s.Logger, slog.String("request", request.ID))
 		return record, call.ErrRejected.New("the request is blocked because endpoints crashed while running it")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -276,3 +276,34 @@
 	require.NotEqual(t, Fingerprint(request("1", "a")), Fingerprint(request("1", "b")))
 	require.NotEqual(t, Fingerprint(request("1", "a")), Fingerprint(request("1", "")))
 }
+
+// TestCrashingRequestThatRunsOnceIsContained checks that a request that may run only once, and that
+// comes to another node each time, breaks no more runs in the fleet than one that may be repeated.
+func TestCrashingRequestThatRunsOnceIsContained(t *testing.T) {
+	const nodes = 6
+	f := &fakeCaller{}
+	for range nodes {
+		f.script = append(f.script, response{err: call.ErrBroken.New("reset")})
+	}
+	var services []*Service
+	for range nodes {
+		services = append(services, serviceOf(f, 1))
+	}
+	for i, s := range services {
+		s.Crashes.OnBlock = func(fingerprint uint64, life time.Duration) {
+			for _, other := range services {
+				if other != s {
+					other.Crashes.Block(fingerprint, life)
+				}
+			}
+		}
+		if i > 0 { // the first node counts
+			s.Crashes.OnBroken = services[0].Crashes.CountReported
+		}
+	}
+	for i, s := range services {
+		_, err := s.Do(context.Background(), routeOf(route.NonIdempotent, 1), &call.Request{ID: fmt.Sprint(i), URI: "/same", Body: []byte("same")})
+		require.Error(t, err)
+	}
+	require.Equal(t, crashesToBlock, f.ran)
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,7 @@
 // the caller sees one answer, with the head from the first endpoint. The result
 // started reports whether anything was passed to receiver.
 func (s *Service) Stream(ctx context.Context, r *route.Route, request *call.Request, after int, receiver call.Receiver) (started bool, err error) {
-	record, err := s.admit(ctx, request)
+	record, err := s.admit(ctx, r, request)
 	if err != nil {
 		return false, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 		cluster.Prefix:        watchcache.New(hubMaxAge),
 	}
 	n.crashes.OnBlock = n.broadcastCrash
+	n.crashes.OnBroken = n.reportBroken
 	n.directory.Changed = n.fleetChanged
 	n.retire = retireResponder{node: n, handled: map[string]struct{}{}}
 	return n
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -80,6 +80,10 @@
 
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
+	if request.GetBroken() {
+		s.node.crashes.CountReported(request.GetFingerprint())
+		return &nodepb.CrashedReply{}, nil
+	}
 	s.node.crashes.Block(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
 	return &nodepb.CrashedReply{}, nil
 }
