--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 	"github.com/comfreyfront/comfreyfront/internal/forward"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/logging"
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
@@ -81,6 +82,7 @@
 	registry       *prometheus.Registry
 	retire         retireResponder
 	hubs           *hubs
+	intake         *intake.Intake
 	caches         caches
 	certainty      *certainty
 	pace           *duty.Pace
@@ -140,6 +142,7 @@
 	n.registry.MustRegister(&n.accountFigures)
 	n.certainty = newCertainty(config.KeyRevocation, logger, n.registry)
 	n.registry.MustRegister(newEndpointGauges(n.directory))
+	n.intake = intake.New(config.Intake.Limits(int64(config.MemoryMB)<<20, intake.FileLimit(config.MaxFiles)), logger, n.registry)
 	n.peers = newPeers(&http.Transport{
 		DialContext:            platform.Dialer().DialContext,
 		MaxIdleConnsPerHost:    peerConnsPerHost,
@@ -182,6 +185,7 @@
 		n.caches[platform.KeyOperator].Promptly()
 	}
 	n.crashes.OnBlock = n.broadcastCrash
+	n.crashes.OnBroken = n.reportBroken
 	n.directory.Changed = n.fleetChanged
 	n.gates.room = n
 	n.retire = retireResponder{node: n, handled: map[string]struct{}{}}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -77,6 +77,10 @@
 
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
+	if request.GetBroken() {
+		s.node.crashes.CountReported(request.GetFingerprint())
+		return &nodepb.CrashedReply{}, nil
+	}
 	s.node.crashes.Block(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
 	return &nodepb.CrashedReply{}, nil
 }
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -135,6 +135,7 @@
 	defer o.mu.Unlock()
 	o.expire(now)
 	engines := newEngines(o.options.Directory.Of(o.options.Service), o.loadSlope, o.options.Zone, now)
+	engines.memory = o.engineMemory()
 	o.fastestGap, o.usualGap = engines.least, engines.usual
 	o.place(engines, now)
 	o.move(engines, now)
