Endpoints of streams are not left waiting for callers that read slowly

Cause: a stream was read from its endpoint only as fast as its caller read; an endpoint cuts off an answer that stays unread.

Callers that keep up take the same path as before.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -53,6 +53,11 @@
 	// sent counts its bytes.
 	stalled, sent atomic.Int64
 	hold          atomic.Pointer[Hold]
+	// keeps is set if what a slow caller does not read of the present answer is kept; backlog is
+	// what is kept, and backlogSince when the caller last read some of it, in Unix nanoseconds.
+	keeps        atomic.Bool
+	backlog      atomic.Pointer[backlog]
+	backlogSince atomic.Int64
 }
 
 // Admit returns a connection that counts towards the bounds. If there are too many, the latest
@@ -148,6 +153,9 @@
 // lateness returns how far a caller is behind one that sends and reads at referenceRate, and false
 // if it is not the caller that is waited for.
 func (c *Conn) lateness(now int64) (time.Duration, bool) {
+	if c.backlog.Load() != nil {
+		return time.Duration(now - c.backlogSince.Load()), true
+	}
 	elapsed := time.Duration(now - c.since.Load())
 	switch phase(c.phase.Load()) {
 	case awaiting:
@@ -179,11 +187,14 @@
 		c.sent.Store(0)
 		c.bodyBytes.Store(0)
 		c.bodyRead.Store(false)
+		c.keeps.Store(false)
 		c.hold.Store(newHold(c))
 		c.begin(serving)
 	case http.StateHijacked, http.StateClosed:
 		c.endHold()
-		c.forget()
+		if l := c.backlog.Load(); l == nil || !l.after(func() error { c.forget(); return nil }) {
+			c.forget()
+		}
 	}
 }
 
@@ -208,15 +219,25 @@
 
 // Write implements net.Conn. It fails if the caller reads nothing for the time of the limit.
 func (c *Conn) Write(b []byte) (written int, err error) {
+	if l := c.backlog.Load(); l != nil {
+		if kept, err := c.writeBehind(l, b); kept || err != nil {
+			return len(b), err
+		}
+	}
 	before, since := phase(c.phase.Load()), c.since.Load()
 	defer func() {
 		c.since.Store(since)
 		c.phase.Store(int32(before))
 	}()
+	tried := false // to keep the rest
 	for {
 		part := b[written:min(len(b), written+writePart)]
 		began := c.intake.now()
-		if err := c.Conn.SetWriteDeadline(began.Add(c.intake.limits.WriteStall)); err != nil {
+		limit := c.intake.limits.WriteStall
+		if c.keeps.Load() && !tried {
+			limit = min(limit, backlogAfter)
+		}
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 			return written, err
 		}
 		c.begin(sending)
@@ -224,6 +245,12 @@
 		written += n
 		c.sent.Add(int64(n))
 		c.stalled.Add(int64(c.intake.now().Sub(began)))
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.keeps.Load() && !tried {
+			if c.keep(b[written:]) {
+				return len(b), nil
+			}
+			tried, err = true, nil
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.intake.turnedAway(BoundWriteStall)
 			c.abort()
@@ -236,12 +263,26 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	if l := c.backlog.Load(); l != nil && l.after(c.closeNow) {
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *Conn) closeNow() error {
 	c.forget()
 	return c.Conn.Close()
 }
 
 // CloseWrite closes the sending direction.
 func (c *Conn) CloseWrite() error {
+	if l := c.backlog.Load(); l != nil && l.after(c.closeWriteNow) {
+		return nil
+	}
+	return c.closeWriteNow()
+}
+
+func (c *Conn) closeWriteNow() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -190,13 +190,16 @@
 	var others []lateHold
 	in.mu.Lock()
 	for conn := range in.conns {
-		hold := conn.hold.Load()
-		if hold == nil || hold == h {
+		late, ok := conn.lateness(now)
+		if !ok || late <= max(own, minLateness) {
 			continue
 		}
-		if late, ok := conn.lateness(now); ok && late > max(own, minLateness) {
+		if hold := conn.hold.Load(); hold != nil && hold != h {
 			others = append(others, lateHold{hold, late})
 		}
+		if l := conn.backlog.Load(); l != nil && l.hold != h {
+			others = append(others, lateHold{l.hold, late})
+		}
 	}
 	in.mu.Unlock()
 	slices.SortFunc(others, func(a, b lateHold) int { return cmp.Compare(b.late, a.late) })
--- a/internal/traffic/stream.go
+++ b/internal/traffic/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/dispatch"
 	"github.com/comfreyfront/comfreyfront/internal/engine"
+	"github.com/comfreyfront/comfreyfront/internal/intake"
 	"github.com/comfreyfront/comfreyfront/internal/request"
 )
 
@@ -24,6 +25,7 @@
 // last piece of a complete answer.
 func (s *Server) streamCompletion(ctx context.Context, w http.ResponseWriter, c *caller, completion *dispatch.Completion) {
 	stream := &eventStream{w: w, control: http.NewResponseController(w), id: c.requestID, model: completion.Request.Model}
+	intake.KeepReading(ctx)
 	completion.OnPiece = func(piece engine.CompletionChoice) error {
 		if !stream.started {
 			s.options.Metrics.FirstToken(c.class.Name, c.tenant, s.now().Sub(c.arrived))
