A unit is not taken from a process whose record is not seen yet

A process may own a unit before its own record is written; others that still know the record of its former process took the unit at once, and both sent orders until the first one learned of it. Measured: the new test fails without the change; go test ./internal/cluster passes with it.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -361,3 +361,20 @@
 	c.members["n0"] = &member{node: Node{Name: "n0", Incarnation: 2}}
 	require.Equal(t, []string{"u"}, c.claimableUnits(ctx), "another incarnation has the owner's name")
 }
+
+// TestUnitIsNotTakenFromAProcessWhoseRecordIsNotSeenYet covers nodes that all start at once:
+// the first one takes the unit before others see its own record, and they still know the
+// record of its former process.
+func TestUnitIsNotTakenFromAProcessWhoseRecordIsNotSeenYet(t *testing.T) {
+	f := newFakeNodes()
+	now := time.Unix(1000, 0)
+	c := New(Options{Self: Node{Name: "n1", Incarnation: 11}, Pinger: f, TTL: testTTL, Logger: slog.New(slog.DiscardHandler)})
+	c.now = func() time.Time { return now }
+	c.members["n0"], c.members["n1"] = &member{node: Node{Name: "n0", Incarnation: 1}}, &member{node: c.options.Self}
+	c.units["u"], c.wanted["u"] = Unit{Name: "u", Owner: "n0", Incarnation: 10, Epoch: 852}, struct{}{}
+	require.Empty(t, c.claimableUnits(context.Background()))
+	now = now.Add(missingKeyGrace)
+	require.Empty(t, c.claimableUnits(context.Background()))
+	now = now.Add(time.Millisecond)
+	require.Equal(t, []string{"u"}, c.claimableUnits(context.Background()), "the process of the unit never wrote its record")
+}
--- a/internal/cluster/ownership.go
+++ b/internal/cluster/ownership.go
@@ -119,7 +119,7 @@
 			continue
 		}
 		m := c.members[unit.Owner]
-		if hasOwner && m == nil && !c.ownerMissing(unit) {
+		if hasOwner && unit.ownerUnseen(m) && !c.ownerMissing(unit) {
 			continue
 		}
 		if !hasOwner || m == nil || m.node.Incarnation != unit.Incarnation || c.replaceable(unit, m) || m.node.Leaving {
@@ -136,10 +136,17 @@
 	return names
 }
 
-// ownerMissing reports whether this node has seen no record of a unit's owner for longer
-// than missingKeyGrace. Without this delay, a node that just started would take over a unit
-// while its owner writes its record again after an outage of the store. The caller holds
-// c.mu.
+// ownerUnseen reports whether the member's record is not from the process that owns the unit
+// nor from a later one. A process that acquires a unit soon after its start may write its own
+// record after that of the unit. m is nil if there is no record.
+func (u Unit) ownerUnseen(m *member) bool {
+	return m == nil || m.node.Incarnation < u.Incarnation
+}
+
+// ownerMissing reports whether this node has seen no record of the process that owns a unit
+// for longer than missingKeyGrace. Without this delay, a node that just started would take
+// over a unit while its owner writes its record again after an outage of the store, and all
+// nodes that start at once would take it from the one that was first. The caller holds c.mu.
 func (c *Cluster) ownerMissing(unit Unit) bool {
 	missing := c.missingOwners[unit.Name]
 	if missing.epoch != unit.Epoch {
