--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -63,11 +63,9 @@
 	demands    map[string]float64
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
-	// steps orders the submissions of accounts while the engines are short, and urgencies is
-	// the priority of the last submission for each model.
-	steps     share.Steps
-	urgencies map[string]int
-	saved     checkpoints
+	// steps orders the submissions of accounts while the engines are short.
+	steps share.Steps
+	saved checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
 	// yet, to the times at which their records may be removed.
 	removals map[string]time.Time
@@ -84,7 +82,6 @@
 		submissions: map[string]*ownedSubmission{},
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
-		urgencies:   map[string]int{},
 		loadSlope:   fleet.NewLoadSlope(),
 		saved:       checkpoints{items: map[int][]string{}},
 		removals:    map[string]time.Time{},
@@ -151,7 +148,6 @@
 	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{})}
 	o.submissions[id] = s
 	o.observeDemand(record)
-	o.urgencies[record.GetModel()] = o.priorityOf(s)
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
@@ -191,12 +187,11 @@
 }
 
 // Demand returns how many tokens the submissions for a model ask for on average, or zero
-// if there was none. With accounts in the configuration, what the more urgent ask for counts
-// more.
+// if there was none.
 func (o *Owner) Demand(model string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.demands[model] * o.urgency(model)
+	return o.demands[model]
 }
 
 // attachItem creates an item for a submission, or reuses the text of an item with the
--- a/internal/submission/shares.go
+++ b/internal/submission/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -100,16 +99,6 @@
 	return step
 }
 
-// urgency returns the weight of a model's demand against that of other models. The caller
-// holds o.mu.
-func (o *Owner) urgency(model string) float64 {
-	priority, known := o.urgencies[model]
-	if !known || !o.sharing() {
-		return 1
-	}
-	return share.Urgency(priority, slices.Collect(maps.Values(o.urgencies)))
-}
-
 // priorityOf returns the priority of a submission: that of its account before that of its
 // route.
 func (o *Owner) priorityOf(s *ownedSubmission) int {
