--- a/internal/share/steps.go
+++ b/internal/share/steps.go
@@ -48,8 +48,9 @@
 }
 
 // Order sorts steps: those that the floor of their priority or account calls for first, then
-// by priority, then steps that can still be in time, then by fair shares of the accounts.
-// It must be given all steps that lack items.
+// by priority, then by fair shares of the accounts. A step that can no longer be in time keeps
+// its place, since its trainer waits for it before it goes on, but it does not count as served
+// to its account. Order must be given all steps that lack items.
 func (o *Steps) Order(steps []Step, now time.Time) {
 	o.age(now)
 	slices.SortFunc(steps, func(a, b Step) int { return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID)) })
@@ -65,8 +66,7 @@
 	slices.SortStableFunc(steps, func(a, b Step) int {
 		return cmp.Or(
 			compareBool(!o.places[a.ID].owed, !o.places[b.ID].owed),
-			cmp.Compare(a.Priority, b.Priority),
-			compareBool(a.late(now), b.late(now)))
+			cmp.Compare(a.Priority, b.Priority))
 	})
 }
 
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -65,11 +65,9 @@
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
 	usualGap   time.Duration
-	// steps orders the submissions of accounts while the engines are short, and urgencies is
-	// the priority of the last submission for each model.
-	steps     share.Steps
-	urgencies map[string]int
-	saved     checkpoints
+	// steps orders the submissions of accounts while the engines are short.
+	steps share.Steps
+	saved checkpoints
 	// removals maps ended submissions that this owner did not run, or could not remove
 	// yet, to the times at which their records may be removed.
 	removals map[string]time.Time
@@ -87,7 +85,6 @@
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
 		rhythms:     map[string]*rhythm{},
-		urgencies:   map[string]int{},
 		loadSlope:   fleet.NewLoadSlope(),
 		usualGap:    initialGap,
 		saved:       checkpoints{items: map[int][]string{}},
@@ -157,7 +154,6 @@
 	o.submissions[id] = s
 	o.observeDemand(record)
 	o.observeRhythm(record, h.acceptedAt())
-	o.urgencies[record.GetModel()] = o.priorityOf(s)
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
@@ -197,12 +193,11 @@
 }
 
 // Demand returns how many tokens the submissions for a model ask for on average, or zero
-// if there was none. With accounts in the configuration, what the more urgent ask for counts
-// more.
+// if there was none.
 func (o *Owner) Demand(model string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.demands[model] * o.urgency(model)
+	return o.demands[model]
 }
 
 // attachItem creates an item for a submission, or reuses the text of an item with the
