Shares order steps only while the open steps cannot all be whole in time

Cause: a step's items always outnumber the free slots when it comes, and while engines load a version; that is no shortage, yet the order by shares applied. Change: share.Feasible, the earliest due step first against the engines' slots and pace; else the order by age.

--- a/internal/share/steps.go
+++ b/internal/share/steps.go
@@ -23,6 +23,28 @@
 // late reports whether the step can no longer be whole in time.
 func (s Step) late(now time.Time) bool { return !s.Due.IsZero() && s.Due.Sub(now) < s.Least }
 
+// Feasible reports whether all steps that can still be in time are whole in time if the one
+// that is due first goes first: slots run at once, and each needs gap for a token. Steps that
+// are late or have no due time need slots too.
+func Feasible(steps []Step, slots int, gap time.Duration, now time.Time) bool {
+	steps = slices.Clone(steps)
+	slices.SortFunc(steps, func(a, b Step) int { return a.Due.Compare(b.Due) })
+	tokens := 0.0
+	for _, s := range steps {
+		if s.Due.IsZero() {
+			return false
+		}
+		tokens += s.Tokens
+		if s.late(now) {
+			continue
+		}
+		if time.Duration(tokens/float64(max(slots, 1))*float64(gap)) > s.Due.Sub(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // Steps orders the steps of accounts while the engines are short. Each step is kept whole:
 // it gets its place when it comes, by start-time fair queueing over the tokens that the
 // accounts' steps need, and keeps it until it ends. It is not safe for concurrent use; the
--- a/internal/share/steps_test.go
+++ b/internal/share/steps_test.go
@@ -153,3 +153,22 @@
 		require.True(t, slices.IsSortedFunc(steps, func(a, b Step) int { return a.Accepted.Compare(b.Accepted) }))
 	}
 }
+
+// TestFeasible checks that a burst of items is no shortage while all steps can be whole in
+// time, and that a late step takes room from the others but is no shortage by itself.
+func TestFeasible(t *testing.T) {
+	const gap = 100 * time.Millisecond
+	step := func(due time.Duration, tokens float64) Step {
+		return Step{Due: testStart.Add(due), Tokens: tokens, Least: time.Second}
+	}
+	require.True(t, Feasible(nil, 10, gap, testStart))
+	require.True(t, Feasible([]Step{step(4*time.Second, 400)}, 10, gap, testStart), "4 s of work for 4 s")
+	require.False(t, Feasible([]Step{step(4*time.Second, 401)}, 10, gap, testStart))
+	require.True(t, Feasible([]Step{step(8*time.Second, 400), step(4*time.Second, 400)}, 10, gap, testStart))
+	require.False(t, Feasible([]Step{step(8*time.Second, 401), step(4*time.Second, 400)}, 10, gap, testStart))
+	require.False(t, Feasible([]Step{{Tokens: 1}}, 10, gap, testStart))
+	late := step(time.Second/2, 100)
+	require.True(t, Feasible([]Step{late}, 10, gap, testStart))
+	require.True(t, Feasible([]Step{late, step(4*time.Second, 300)}, 10, gap, testStart))
+	require.False(t, Feasible([]Step{late, step(4*time.Second, 301)}, 10, gap, testStart))
+}
--- a/internal/submission/shares.go
+++ b/internal/submission/shares.go
@@ -8,15 +8,20 @@
 	"github.com/comfreyfront/comfreyfront/internal/share"
 )
 
-// sort sorts items into the order in which they get slots. While slots are short and the
-// configuration has accounts, submissions are ordered by priority and by the shares of their
-// accounts, and groups that no trainer waits for come last. The caller holds o.mu.
+// sort sorts items into the order in which they get slots. While the open steps cannot all be
+// whole in time and the configuration has accounts, submissions are ordered by priority and by
+// the shares of their accounts, and groups that no trainer waits for come last. The caller
+// holds o.mu.
 func (o *Owner) sort(items []candidate, engines *engines, now time.Time) {
-	if !o.sharing() || !o.short(items, engines) {
+	if !o.sharing() || !o.waiting(items, engines) {
 		sortByPriority(items)
 		return
 	}
 	steps := o.openSteps(engines, now)
+	if share.Feasible(steps, engines.slots(), engines.usual, now) {
+		sortByPriority(items)
+		return
+	}
 	o.steps.Order(steps, now)
 	place := make(map[string]int, len(steps))
 	for i, s := range steps {
@@ -42,13 +47,13 @@
 	return configuration != nil && configuration.Accounts != nil
 }
 
-// short reports whether more items of a kind wait than engines have free slots for them.
-func (o *Owner) short(items []candidate, engines *engines) bool {
-	waiting := map[need]int{}
+// waiting reports whether more items of a kind wait than engines have free slots for them.
+func (o *Owner) waiting(items []candidate, engines *engines) bool {
+	counts := map[need]int{}
 	for _, c := range items {
-		waiting[o.needOf(c.item)]++
+		counts[o.needOf(c.item)]++
 	}
-	for n, count := range waiting {
+	for n, count := range counts {
 		if count > engines.free(n) {
 			return true
 		}
@@ -67,6 +72,17 @@
 	return free
 }
 
+// slots returns the slots of all engines that may get work.
+func (p *engines) slots() int {
+	slots := 0
+	for _, e := range p.endpoints {
+		if !e.Leaving() {
+			slots += slotsOf(e)
+		}
+	}
+	return slots
+}
+
 // openSteps describes the submissions that lack items. The caller holds o.mu.
 func (o *Owner) openSteps(engines *engines, now time.Time) []share.Step {
 	bySubmission := map[*ownedSubmission]*share.Step{}
--- a/internal/submission/shares_test.go
+++ b/internal/submission/shares_test.go
@@ -75,6 +75,10 @@
 	o.options.Directory.Publish()
 	o.sort(items, newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now), now)
 	require.Equal(t, []string{"large-1", "large-2", "urgent", "small"}, orderOf(items), "with room for all the order stays")
+	o, items = shortOwner(t, accounts, now)
+	o.options.Routes.Load().Routes[0].RunDeadline = time.Hour
+	o.sort(items, newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now), now)
+	require.Equal(t, []string{"large-1", "large-2", "urgent", "small"}, orderOf(items), "a burst that can be done in time is no shortage")
 }
 
 // TestWantedGroupsGoFirst checks that the groups that need least go first, as many as the
