The memory set aside for an item follows the estimate of its length

Cause: items were counted with the longest text that their requests allow, several times what most become; engines with free slots got no more items. Change: the prompt and twice the estimated length, at most what the request allows. An engine whose texts outgrow its memory preempts the newest, as before.

--- a/internal/submission/memory.go
+++ b/internal/submission/memory.go
@@ -1,6 +1,9 @@
 package submission
 
-import "github.com/comfreyfront/comfreyfront/internal/fleet"
+import (
+	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
+)
 
 // engineMemory counts the tokens of the items on each engine. All items of a service run through
 // one owner, so the sum over an engine is what all nodes together send it as items. An engine whose
@@ -25,6 +28,19 @@
 	}
 }
 
+// memoryEstimates is how many times the estimated length of a text is set aside for it. Texts
+// are often longer than estimated, yet seldom as long as their requests allow; an engine whose
+// texts outgrow its memory preempts the newest.
+const memoryEstimates = 2
+
+// memoryTokens returns how much of an engine's memory an item is expected to occupy at most.
+func memoryTokens(record *recordpb.Item) int64 {
+	if record.GetPromptTokens() <= 0 || record.GetExpectedTokens() <= 0 {
+		return record.GetTokens()
+	}
+	return min(record.GetPromptTokens()+memoryEstimates*record.GetExpectedTokens(), record.GetTokens())
+}
+
 // engineMemory returns the tokens of the running items on each engine. The caller holds o.mu.
 func (o *Owner) engineMemory() engineMemory {
 	m := engineMemory{used: map[string]int64{}}
@@ -33,7 +49,7 @@
 	}
 	for _, i := range o.items {
 		if i.run != nil && i.state == running {
-			m.add(i.run.endpoint.ID, i.record.GetTokens())
+			m.add(i.run.endpoint.ID, memoryTokens(i.record))
 		}
 	}
 	return m
--- a/internal/submission/memory_test.go
+++ b/internal/submission/memory_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
 // TestEngineIsNotSentMoreThanItsMemory checks that an engine with free slots gets no item that its
@@ -34,3 +35,14 @@
 	_, ok = engines.choose(need{model: "m", minVersion: 1, tokens: 5000}, 10)
 	require.True(t, ok, "the engine refuses it")
 }
+
+// TestMemoryOfAnItem checks that the memory set aside for an item follows the estimate of its
+// length, so that requests that allow far longer texts do not leave slots empty.
+func TestMemoryOfAnItem(t *testing.T) {
+	for _, row := range []struct{ prompt, estimate, tokens, want int64 }{
+		{276, 1500, 11_600, 3276}, {276, 9000, 11_600, 11_600}, {0, 1500, 11_600, 11_600}, {276, 0, 11_600, 11_600},
+	} {
+		record := &recordpb.Item{PromptTokens: row.prompt, ExpectedTokens: row.estimate, Tokens: row.tokens}
+		require.Equal(t, row.want, memoryTokens(record), row)
+	}
+}
--- a/internal/submission/move.go
+++ b/internal/submission/move.go
@@ -41,7 +41,7 @@
 	r.cancel()
 	i.timing.enter(phaseMoving, now)
 	if to != nil {
-		i.reserved = reservation{endpoint: to.ID, until: now.Add(reservationTime), tokens: i.record.GetTokens()}
+		i.reserved = reservation{endpoint: to.ID, until: now.Add(reservationTime), tokens: memoryTokens(i.record)}
 	}
 	if cause == causeStalled {
 		r.endpoint.Live.Fail(now)
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -95,7 +95,7 @@
 }
 
 func (o *Owner) needOf(i *item) need {
-	n := need{model: i.submission.record.GetModel(), minVersion: i.submission.record.GetMinVersion(), tokens: i.record.GetTokens()}
+	n := need{model: i.submission.record.GetModel(), minVersion: i.submission.record.GetMinVersion(), tokens: memoryTokens(i.record)}
 	if o.requiresSingleVersion(i.submission) && len(i.text.versions) == 1 {
 		n.version = i.text.versions[0]
 	}
--- a/internal/submission/shares.go
+++ b/internal/submission/shares.go
@@ -51,7 +51,9 @@
 func (o *Owner) waiting(items []candidate, engines *engines) bool {
 	counts := map[need]int{}
 	for _, c := range items {
-		counts[o.needOf(c.item)]++
+		n := o.needOf(c.item)
+		n.tokens = 0 // engines are counted, not their memory
+		counts[n]++
 	}
 	for n, count := range counts {
 		if count > engines.free(n) {
