Intake, forward and crowd code: clearer names and comments

intake: unexported names follow the usual terms. Disconnecting a caller to make room is an eviction (turnAway, leave, leaving, isLeaving become evictLatest, startEviction, evicting, isEvicting); the counter of callers is countTurnedAway and boundMetric (turnedAway, met, meeting); also awaitingHead, phaseSince, writeTime, onState, keepsBacklog, startBacklog, onEnd, atEnd, memoryWait, maxWritePart. Conn.Write is split (writeWithin). Doc comments are added, and the package comment says which caller is disconnected first.

forward: runsOnce, measure and reportFirstEvent in place of once, begin and withBegin; noHedge names the delay without a target; comments on OnBroken and on the load of a measurement.

crowd, e2e/crowd: sendBuffer and ordinaryTimeout are named; startPlatform and applyClasses are split off; parameters no longer shadow the settings; doc comments.

settings, entry, step, soak: doc comments, constants explained, one import group, one long line.

--- a/e2e/crowd/bounds_test.go
+++ b/e2e/crowd/bounds_test.go
@@ -22,6 +22,7 @@
 	manyFiles = 4000
 )
 
+// Parameters of the sampling and of the waits.
 const (
 	sampleInterval = 5 * time.Millisecond
 	// tries bounds the tries of the ordinary request, retryPause apart.
@@ -71,6 +72,7 @@
 	assert.True(t, s.answers(), "an ordinary request is not answered after the crowd")
 }
 
+// answers reports whether an ordinary request is answered within the given tries.
 func (s subject) answers() bool {
 	for range tries {
 		if s.ordinary() {
@@ -113,11 +115,13 @@
 	return fields[0]
 }
 
+// files returns the number of open descriptors of the process.
 func (s subject) files() int {
 	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.process.ID()))
 	return len(entries)
 }
 
+// mostFiles samples the descriptors until stop is closed and returns the largest number.
 func (s subject) mostFiles(stop <-chan struct{}) int {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
--- a/e2e/crowd/entry_test.go
+++ b/e2e/crowd/entry_test.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -20,6 +19,7 @@
 // entryBody is just below the largest body that an entry accepts.
 const entryBody = 1_000_000
 
+// entryClasses is the configuration of the classes of an entry.
 const entryClasses = `classes:
   - name: lookup
     lateness: 20s
@@ -28,9 +28,11 @@
 `
 
 const (
+	// classField is the header field that names the class of a request.
 	classField = "X-Class: lookup"
 	// largeValue is a path whose value is entryBody long.
 	largeValue = "/services/register/large"
+	// longPrompt is a completion whose streamed answer is long.
 	longPrompt = `{"model":"permits","prompt":"crowd","max_tokens":4000,"stream":true}`
 )
 
@@ -75,11 +77,8 @@
 	require.NoError(t, err)
 	entry, err := cluster.StartEntry("entry", "fd0", "--shutdown-timeout", "3s")
 	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "classes.yaml")
-	require.NoError(t, os.WriteFile(path, []byte(entryClasses), 0o600))
-	output, err := exec.Command(binaries.Entry, "class", "apply", "-f", path, "--entry", entry.InternalAddress()).CombinedOutput()
-	require.NoError(t, err, "%s", output)
-	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	applyClasses(t, entry)
+	client := &http.Client{Timeout: ordinaryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	send := func(method, path, body string) bool {
 		request, err := http.NewRequest(method, "http://"+entry.CallerAddress()+path, strings.NewReader(body))
 		if err != nil {
@@ -94,3 +93,12 @@
 	s.ordinary = func() bool { return send(http.MethodGet, "/services/register/x", "") }
 	return s
 }
+
+// applyClasses configures entryClasses at an entry.
+func applyClasses(t *testing.T, entry *proctest.Entry) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "classes.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(entryClasses), 0o600))
+	output, err := exec.Command(binaries.Entry, "class", "apply", "-f", path, "--entry", entry.InternalAddress()).CombinedOutput()
+	require.NoError(t, err, "%s", output)
+}
--- a/e2e/crowd/node_test.go
+++ b/e2e/crowd/node_test.go
@@ -16,8 +16,12 @@
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
-// nodeBody is just below the largest body in the configuration.
-const nodeBody = 7_900_000
+const (
+	// nodeBody is just below the largest body in the configuration.
+	nodeBody = 7_900_000
+	// ordinaryTimeout bounds one try of an ordinary request.
+	ordinaryTimeout = 5 * time.Second
+)
 
 // The parts of a crowd before a node.
 var (
@@ -53,22 +57,9 @@
 }
 
 // startNodeWith is startNode with other settings and another configuration.
-func startNodeWith(t *testing.T, number, memoryMB, maxFiles int, configure func(*platformtest.Store)) subject {
+func startNodeWith(t *testing.T, number, memory, files int, configure func(*platformtest.Store)) subject {
 	t.Helper()
-	store := platformtest.NewStore()
-	t.Cleanup(store.Close)
-	hold := make(chan struct{})
-	t.Cleanup(func() { close(hold) })
-	for _, e := range []*platformtest.Endpoint{
-		{ID: "app-0", Service: "app", Zone: "z0"},
-		{ID: "large-0", Service: "large", Zone: "z0", Padding: strings.Repeat("x", 1_000_000)},
-		{ID: "held-0", Service: "held", Zone: "z0", Hold: hold},
-		{ID: "lm-0", Service: "lm", Zone: "z0", Model: "m", Events: 2000, Gap: time.Millisecond, Padding: strings.Repeat("x", 16<<10)},
-	} {
-		e = platformtest.NewEndpoint(e)
-		t.Cleanup(e.Close)
-		store.Write(e.Key(), e.Record("ready"))
-	}
+	store := startPlatform(t)
 	configure(store)
 	host := fmt.Sprintf("127.200.%d.%d", os.Getpid()%250+1, number)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", host, port) }
@@ -78,19 +69,40 @@
 		Args: []string{
 			"node", "--name", "node", "--failure-domain", "z0", "--listen", at(7001), "--ready-listen", at(7002),
 			"--peer-listen", at(7003), "--metrics-listen", at(7004), "--store-address", store.Address(),
-			"--memory", strconv.Itoa(memoryMB), "--max-files", strconv.Itoa(maxFiles),
+			"--memory", strconv.Itoa(memory), "--max-files", strconv.Itoa(files),
 		},
 	})
 	require.NoError(t, err)
 	t.Cleanup(process.Kill)
 	t.Cleanup(func() { logTail(t, log) })
-	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	return subject{process: process, address: at(7001), maxFiles: maxFiles, ordinary: func() bool {
+	client := &http.Client{Timeout: ordinaryTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return subject{process: process, address: at(7001), maxFiles: files, ordinary: func() bool {
 		request, err := platformtest.Request(http.MethodGet, at(7001), "/lookup/x", "ordinary", nil)
 		return err == nil && answered(client, request)
 	}}
 }
 
+// startPlatform starts a store with the records of the endpoints, which it starts too.
+func startPlatform(t *testing.T) *platformtest.Store {
+	t.Helper()
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	for _, e := range []*platformtest.Endpoint{
+		{ID: "app-0", Service: "app", Zone: "z0"},
+		{ID: "large-0", Service: "large", Zone: "z0", Padding: strings.Repeat("x", 1_000_000)},
+		{ID: "held-0", Service: "held", Zone: "z0", Hold: hold},
+		{ID: "lm-0", Service: "lm", Zone: "z0", Model: "m", Events: 2000, Gap: time.Millisecond, Padding: strings.Repeat("x", 16<<10)},
+	} {
+		e = platformtest.NewEndpoint(e)
+		t.Cleanup(e.Close)
+		store.Write(e.Key(), e.Record("ready"))
+	}
+	return store
+}
+
+// answered sends a request and reports whether its answer has status 200.
 func answered(client *http.Client, request *http.Request) bool {
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -23,10 +23,13 @@
 	sendLimit = 20 * time.Second
 	// holdLimit bounds how long a connection is held open afterwards.
 	holdLimit = 60 * time.Second
+	// sendBuffer is the size of a client's write buffer, in bytes.
+	sendBuffer = 64 << 10
 )
 
 // Behavior is what each client of a part of a crowd does.
 type Behavior struct {
+	// Name describes the behavior.
 	Name    string
 	Clients int
 	// Send writes to a new connection. It returns an error if the connection was closed.
@@ -64,6 +67,8 @@
 	c.ended.Wait()
 }
 
+// run opens the connections of one client, one after another. It calls sent after the first one has
+// sent or failed.
 func (b Behavior) run(ctx context.Context, address string, sent func()) {
 	defer sent()
 	for range connections {
@@ -91,7 +96,7 @@
 		}()
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(sendLimit))
-	w := bufio.NewWriterSize(conn, 64<<10)
+	w := bufio.NewWriterSize(conn, sendBuffer)
 	err := b.Send(w)
 	if err == nil {
 		err = w.Flush()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,10 +65,12 @@
 	return serve(ctx, cfg, parts, bound, logger)
 }
 
-// Parameters of the runtime of an entry whose memory is known, as of a node.
+// Parameters of the Go runtime if the memory of the instance is known; a node uses the same values.
 const (
+	// memoryFraction is the fraction of the memory that is set as the soft limit of the runtime.
 	memoryFraction = 0.6
-	gcPercent      = 60
+	// gcPercent makes the garbage collector run more often than by default.
+	gcPercent = 60
 )
 
 // limitMemory keeps the heap small if the memory of the instance is known.
--- a/internal/forward/began.go
+++ b/internal/forward/began.go
@@ -28,6 +28,7 @@
 	}
 }
 
+// reportBegin reports a request that began to run that long ago.
 func (s *Service) reportBegin(request *call.Request, ago time.Duration) {
 	if s.Began != nil {
 		s.Began(request, ago)
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -28,9 +28,9 @@
 	// OnBlock is called when this node starts to block a request because of its own
 	// observations; it may be nil.
 	OnBlock func(fingerprint uint64, life time.Duration)
-	// OnBroken is called when a run broke of a request that may run only once; it may be nil.
-	// Such a request breaks one run at a node and then comes to another one, so that only the
-	// runs of all nodes together show it.
+	// OnBroken is called when the connection broke while a request ran that may run only once;
+	// it may be nil. Such a request is not retried by the node, and its caller may repeat it at
+	// another one, so that only the counts of all nodes together reveal it.
 	OnBroken func(fingerprint uint64)
 
 	mu            sync.Mutex
@@ -63,8 +63,8 @@
 type crashRecord struct {
 	crashes     *Crashes
 	fingerprint uint64
-	// once means that the request may run only once and can be told from others by its body.
-	once bool
+	// runsOnce means that the request may run only once and can be told from others by its body.
+	runsOnce bool
 }
 
 // recordOf returns the record of a request on a route.
@@ -72,7 +72,7 @@
 	if request.Owed {
 		return crashRecord{}
 	}
-	return crashRecord{crashes: c, fingerprint: Fingerprint(request), once: !r.Repeatable() && len(request.Body) > 0}
+	return crashRecord{crashes: c, fingerprint: Fingerprint(request), runsOnce: !r.Repeatable() && len(request.Body) > 0}
 }
 
 // blocked reports whether the request must not be sent.
@@ -84,7 +84,7 @@
 		return
 	}
 	r.crashes.CountBroken(r.fingerprint)
-	if r.once && r.crashes.OnBroken != nil {
+	if r.runsOnce && r.crashes.OnBroken != nil {
 		r.crashes.OnBroken(r.fingerprint)
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -196,7 +196,7 @@
 		x.first = e
 	}
 	go func() {
-		m := x.service.begin(e, x.kind(service))
+		m := x.service.measure(e, x.kind(service))
 		answer, err := x.service.Caller.Call(ctx, e, x.request)
 		m.end(answer, err)
 		x.results <- attemptResult{attempt: a, answer: answer, err: err}
--- a/internal/forward/late.go
+++ b/internal/forward/late.go
@@ -16,8 +16,12 @@
 	// lateHedge is when a request is hedged whose first endpoint is expected to miss the
 	// target latency, as a multiple of the usual time.
 	lateHedge = 1.25
+	// noHedge is the delay of a hedge on a route without a target latency; no request is waited
+	// for that long.
+	noHedge = time.Hour
 )
 
+// kind returns the kind under which the service's usual times are kept.
 func (x *requestRun) kind(service string) concurrency.Kind {
 	return concurrency.Kind{Service: service, Route: x.route.Name}
 }
@@ -43,7 +47,7 @@
 // target and another one to meet it.
 func (x *requestRun) hedgeAfter() time.Duration {
 	if x.route.Target <= 0 {
-		return time.Hour
+		return noHedge
 	}
 	after := time.Duration(hedgeFraction * float64(x.route.Target))
 	if x.first == nil || !x.hedges() {
@@ -72,12 +76,14 @@
 	endpoint *fleet.Endpoint
 	kind     concurrency.Kind
 	began    time.Time
+	// inFlight is the number of calls in flight at the endpoint when this one began.
 	inFlight int64
-	done     func()
+	// done ends the count of this call as one in flight.
+	done func()
 }
 
-// begin counts a call in flight and starts its measurement.
-func (s *Service) begin(e *fleet.Endpoint, kind concurrency.Kind) measurement {
+// measure counts a call in flight and starts its measurement.
+func (s *Service) measure(e *fleet.Endpoint, kind concurrency.Kind) measurement {
 	now := time.Now()
 	m := measurement{service: s, endpoint: e, kind: kind, began: now, done: e.Live.Begin()}
 	m.inFlight = e.Live.TotalInFlight(now)
@@ -89,6 +95,7 @@
 func (m measurement) end(answer *call.Answer, err error) {
 	now := time.Now()
 	live := m.endpoint.Live
+	// The load during the call is taken as the mean of the loads at its ends.
 	inFlight := float64(m.inFlight+live.TotalInFlight(now)) / 2
 	m.done()
 	slots := m.endpoint.SlotCount()
--- a/internal/forward/late_test.go
+++ b/internal/forward/late_test.go
@@ -28,6 +28,8 @@
 	}
 }
 
+// runOf returns a run of a request with a target of 200 ms; first is its first endpoint, or nil if it
+// has not been sent.
 func runOf(s *Service, r *route.Route, first *fleet.Endpoint) *requestRun {
 	r.Target = 200 * time.Millisecond
 	x := &requestRun{service: s, route: r, request: &call.Request{ID: "x"}, first: first}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return false, err
 	}
-	receiver = s.withBegin(request, after, receiver)
+	receiver = s.reportFirstEvent(request, after, receiver)
 	var tried []string
 	sent, refused := 0, 0
 	service := r.ServiceFor(request.ID)
@@ -61,16 +61,16 @@
 	}
 }
 
-// withBegin returns a receiver that reports the request at its first event. A stream that the
+// reportFirstEvent returns a receiver that reports the request at its first event. A stream that the
 // caller resumes was reported before.
-func (s *Service) withBegin(request *call.Request, after int, receiver call.Receiver) call.Receiver {
+func (s *Service) reportFirstEvent(request *call.Request, after int, receiver call.Receiver) call.Receiver {
 	reported := after > 0
-	return call.Receiver{Start: receiver.Start, Event: func(event call.Event) error {
+	return call.Receiver{Start: receiver.Start, Event: func(e call.Event) error {
 		if !reported {
 			reported = true
 			s.reportBegin(request, 0)
 		}
-		return receiver.Event(event)
+		return receiver.Event(e)
 	}}
 }
 
--- a/internal/intake/backlog.go
+++ b/internal/intake/backlog.go
@@ -28,15 +28,15 @@
 	size  int
 	ended bool
 	err   error
-	// finish lists what has to be done on the connection when everything was written.
-	finish []func() error
+	// atEnd lists what has to be done on the connection when the backlog has ended.
+	atEnd []func() error
 }
 
 // KeepReading makes the answer to the request that ctx belongs to be kept, as far as there is
 // memory, when its caller reads slowly.
 func KeepReading(ctx context.Context) {
 	if conn := connOf(ctx); conn != nil {
-		conn.keeps.Store(true)
+		conn.keepsBacklog.Store(true)
 	}
 }
 
@@ -52,14 +52,14 @@
 	return true
 }
 
-// after registers what has to be done at the end. It returns false if the backlog has ended.
-func (l *backlog) after(finish func() error) bool {
+// onEnd registers what has to be done at the end. It returns false if the backlog has ended.
+func (l *backlog) onEnd(finish func() error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
 		return false
 	}
-	l.finish = append(l.finish, finish)
+	l.atEnd = append(l.atEnd, finish)
 	return true
 }
 
@@ -91,8 +91,9 @@
 	l.ended, l.err, l.parts = true, err, nil
 }
 
-// keep keeps the rest of a write that blocks, if there is room, and writes it in the background.
-func (c *Conn) keep(rest []byte) bool {
+// startBacklog keeps the rest of a write that blocks, if there is room, and writes it in the
+// background.
+func (c *Conn) startBacklog(rest []byte) bool {
 	l := &backlog{hold: newHold(c), done: make(chan struct{})}
 	if !l.add(rest) {
 		l.hold.Release()
@@ -121,7 +122,7 @@
 		l.written()
 	}
 	c.backlog.CompareAndSwap(l, nil)
-	for _, finish := range l.finish {
+	for _, finish := range l.atEnd {
 		_ = finish() // the connection ends in any case
 	}
 }
@@ -132,9 +133,9 @@
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.intake.limits.WriteStall)); err != nil {
 			return err
 		}
-		n, err := c.Conn.Write(b[:min(len(b), writePart)])
+		n, err := c.Conn.Write(b[:min(len(b), maxWritePart)])
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.intake.turnedAway(BoundWriteStall)
+			c.intake.countTurnedAway(BoundWriteStall)
 		}
 		if err != nil {
 			return err
--- a/internal/intake/backlog_test.go
+++ b/internal/intake/backlog_test.go
@@ -18,7 +18,7 @@
 func TestStreamOfASlowCallerIsKept(t *testing.T) {
 	in := New(Limits{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 	conn, client, _ := active(t, in)
-	conn.keeps.Store(true)
+	conn.keepsBacklog.Store(true)
 	var sent []byte
 	for i := range 50 {
 		event := bytes.Repeat([]byte{byte('a' + i%26)}, 1000)
@@ -29,7 +29,7 @@
 	}
 	require.EqualValues(t, len(sent), in.Used())
 	require.NoError(t, conn.Close())
-	conn.changed(http.StateClosed)
+	conn.onState(http.StateClosed)
 	require.Equal(t, 1, in.Connections(), "the caller has not read everything")
 	received, err := io.ReadAll(client)
 	require.NoError(t, err)
@@ -42,13 +42,13 @@
 func TestStreamOfACallerThatNeverReadsEnds(t *testing.T) {
 	in := New(Limits{WriteStall: 300 * time.Millisecond}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 	conn, _, _ := active(t, in)
-	conn.keeps.Store(true)
+	conn.keepsBacklog.Store(true)
 	event := make([]byte, 100_000)
 	var err error
 	for written := 0; err == nil; written += len(event) {
 		require.LessOrEqual(t, written, maxBacklog+len(event))
 		_, err = conn.Write(event)
 	}
-	conn.changed(http.StateClosed)
+	conn.onState(http.StateClosed)
 	require.Eventually(t, func() bool { return in.Used() == 0 && in.Connections() == 0 }, 10*time.Second, time.Millisecond)
 }
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// Sizes of the buffer of a body.
+// Parameters of the reading of a body.
 const (
+	// firstBuffer is the first capacity of the buffer, in bytes.
 	firstBuffer = 16 << 10
 	// growth is the factor by which the buffer grows, so that little is copied and at most
 	// growth times what has arrived is occupied.
@@ -92,9 +93,10 @@
 	return buffer, nil
 }
 
-// nextSize returns the next size of a full buffer that may have to hold size bytes.
-func nextSize(present, size int64) int64 {
-	next := max(firstBuffer, growth*present)
+// nextSize returns the next capacity of a full buffer whose capacity is current and that may have to
+// hold size bytes.
+func nextSize(current, size int64) int64 {
+	next := max(firstBuffer, growth*current)
 	if 2*next > size {
 		return size
 	}
@@ -134,8 +136,8 @@
 	now     func() time.Time
 
 	began    time.Time
-	received int64 // by the connection when the body began
-	arrived  int64 // of the body
+	received int64 // bytes that the connection had received when the body began
+	arrived  int64 // bytes of the body so far
 }
 
 // NewPacedBody returns a reader of the body of a request. pause is the longest time in which
@@ -176,11 +178,11 @@
 		p.conn.bodyRead.Store(true)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		p.met(BoundBodyTime)
+		p.countTurnedAway(BoundBodyTime)
 		return n, ErrSlow.Wrap(err, "%d bytes in %s", p.arrived, p.now().Sub(p.began).Round(time.Millisecond))
 	}
 	if err == nil && p.thin() {
-		p.met(BoundChunks)
+		p.countTurnedAway(BoundChunks)
 		return n, ErrThin.New("%d bytes arrived for a body of %d so far", p.conn.received.Load()-p.received, p.arrived)
 	}
 	return n, err
@@ -195,9 +197,10 @@
 	return received-p.arrived > freeOverhead && received > overheadFactor*p.arrived
 }
 
-func (p *PacedBody) met(bound Bound) {
+// countTurnedAway counts the caller if its connection is one of this package.
+func (p *PacedBody) countTurnedAway(bound Bound) {
 	if p.conn != nil {
-		p.conn.intake.turnedAway(bound)
+		p.conn.intake.countTurnedAway(bound)
 	}
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -13,9 +13,9 @@
 type phase int32
 
 const (
-	// awaiting means that no complete request head has arrived, and idle the same after an
+	// awaitingHead means that no complete request head has arrived, and idle the same after an
 	// earlier request.
-	awaiting phase = iota
+	awaitingHead phase = iota
 	idle
 	// serving means that the process itself has work on the request.
 	serving
@@ -33,8 +33,8 @@
 	idleDivisor = 8
 	// minLateness is how late a caller must be to lose its connection to a new one.
 	minLateness = 100 * time.Millisecond
-	// writePart bounds what is written at once, so that progress shows.
-	writePart = 64 << 10
+	// maxWritePart bounds what is written at once, so that progress shows.
+	maxWritePart = 64 << 10
 )
 
 // Conn is a caller's connection.
@@ -43,19 +43,19 @@
 	intake *Intake
 	client string
 
-	phase atomic.Int32
-	since atomic.Int64 // when the phase began, in Unix nanoseconds
-	// received counts all bytes, bodyBytes those of the present body.
+	phase      atomic.Int32
+	phaseSince atomic.Int64 // when the phase began, in Unix nanoseconds
+	// received counts all bytes, bodyBytes those of the current body.
 	received, bodyBytes atomic.Int64
-	// bodyRead is set when the body of the present request was read to its end.
+	// bodyRead is set when the body of the current request was read to its end.
 	bodyRead atomic.Bool
-	// stalled is the time that the writes of the present answer took so far, in nanoseconds, and
+	// writeTime is the time that the writes of the current answer took so far, in nanoseconds, and
 	// sent counts its bytes.
-	stalled, sent atomic.Int64
-	hold          atomic.Pointer[Hold]
-	// keeps is set if what a slow caller does not read of the present answer is kept; backlog is
-	// what is kept, and backlogSince when the caller last read some of it, in Unix nanoseconds.
-	keeps        atomic.Bool
+	writeTime, sent atomic.Int64
+	hold            atomic.Pointer[Hold]
+	// keepsBacklog is set if what a slow caller does not read of the current answer is kept; backlog
+	// is what is kept, and backlogSince when the caller last read some of it, in Unix nanoseconds.
+	keepsBacklog atomic.Bool
 	backlog      atomic.Pointer[backlog]
 	backlogSince atomic.Int64
 }
@@ -65,7 +65,7 @@
 // false.
 func (in *Intake) Admit(accepted net.Conn) (*Conn, bool) {
 	conn := &Conn{Conn: accepted, intake: in}
-	conn.begin(awaiting)
+	conn.begin(awaitingHead)
 	if in.limits.ClientConnections > 0 {
 		conn.client = clientOf(accepted)
 	}
@@ -74,7 +74,7 @@
 		victim.abort()
 	}
 	if bound != "" {
-		in.turnedAway(bound)
+		in.countTurnedAway(bound)
 	}
 	if bound != "" && victim == nil {
 		reset(accepted)
@@ -137,6 +137,7 @@
 	}
 }
 
+// clientOf returns the address of a client without its port.
 func clientOf(conn net.Conn) string {
 	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
 	if err != nil {
@@ -145,8 +146,9 @@
 	return host
 }
 
+// begin starts a phase.
 func (c *Conn) begin(p phase) {
-	c.since.Store(c.intake.now().UnixNano())
+	c.phaseSince.Store(c.intake.now().UnixNano())
 	c.phase.Store(int32(p))
 }
 
@@ -156,16 +158,16 @@
 	if c.backlog.Load() != nil {
 		return time.Duration(now - c.backlogSince.Load()), true
 	}
-	elapsed := time.Duration(now - c.since.Load())
+	elapsed := time.Duration(now - c.phaseSince.Load())
 	switch phase(c.phase.Load()) {
-	case awaiting:
+	case awaitingHead:
 		return elapsed, true
 	case idle:
 		return elapsed / idleDivisor, true
 	case receiving:
 		return elapsed - timeFor(c.bodyBytes.Load(), referenceRate), true
 	case sending:
-		return elapsed + time.Duration(c.stalled.Load()) - timeFor(c.sent.Load(), referenceRate), true
+		return elapsed + time.Duration(c.writeTime.Load()) - timeFor(c.sent.Load(), referenceRate), true
 	}
 	return 0, false
 }
@@ -175,35 +177,37 @@
 	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
 }
 
-// changed follows the states of an HTTP connection.
-func (c *Conn) changed(state http.ConnState) {
+// onState follows the states of an HTTP connection.
+func (c *Conn) onState(state http.ConnState) {
 	switch state {
 	case http.StateNew:
 	case http.StateIdle:
 		c.begin(idle)
 		c.endHold()
 	case http.StateActive:
-		c.stalled.Store(0)
+		c.writeTime.Store(0)
 		c.sent.Store(0)
 		c.bodyBytes.Store(0)
 		c.bodyRead.Store(false)
-		c.keeps.Store(false)
+		c.keepsBacklog.Store(false)
 		c.hold.Store(newHold(c))
 		c.begin(serving)
 	case http.StateHijacked, http.StateClosed:
 		c.endHold()
-		if l := c.backlog.Load(); l == nil || !l.after(func() error { c.forget(); return nil }) {
+		if l := c.backlog.Load(); l == nil || !l.onEnd(func() error { c.forget(); return nil }) {
 			c.forget()
 		}
 	}
 }
 
+// endHold releases the memory of the current request.
 func (c *Conn) endHold() {
 	if hold := c.hold.Swap(nil); hold != nil {
 		hold.Release()
 	}
 }
 
+// forget makes the connection no longer count towards the bounds.
 func (c *Conn) forget() {
 	c.intake.mu.Lock()
 	defer c.intake.mu.Unlock()
@@ -224,35 +228,28 @@
 			return len(b), err
 		}
 	}
-	before, since := phase(c.phase.Load()), c.since.Load()
+	before, since := phase(c.phase.Load()), c.phaseSince.Load()
 	defer func() {
-		c.since.Store(since)
+		c.phaseSince.Store(since)
 		c.phase.Store(int32(before))
 	}()
-	tried := false // to keep the rest
+	triedBacklog := false
 	for {
-		part := b[written:min(len(b), written+writePart)]
-		began := c.intake.now()
+		part := b[written:min(len(b), written+maxWritePart)]
 		limit := c.intake.limits.WriteStall
-		if c.keeps.Load() && !tried {
+		if c.keepsBacklog.Load() && !triedBacklog {
 			limit = min(limit, backlogAfter)
 		}
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
-			return written, err
-		}
-		c.begin(sending)
-		n, err := c.Conn.Write(part)
+		n, err := c.writeWithin(part, limit)
 		written += n
-		c.sent.Add(int64(n))
-		c.stalled.Add(int64(c.intake.now().Sub(began)))
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.keeps.Load() && !tried {
-			if c.keep(b[written:]) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.keepsBacklog.Load() && !triedBacklog {
+			if c.startBacklog(b[written:]) {
 				return len(b), nil
 			}
-			tried, err = true, nil
+			triedBacklog, err = true, nil
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.intake.turnedAway(BoundWriteStall)
+			c.intake.countTurnedAway(BoundWriteStall)
 			c.abort()
 		}
 		if err != nil || written == len(b) {
@@ -261,14 +258,28 @@
 	}
 }
 
+// writeWithin writes a part of an answer within a time limit and counts it for lateness.
+func (c *Conn) writeWithin(part []byte, limit time.Duration) (int, error) {
+	began := c.intake.now()
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	c.begin(sending)
+	n, err := c.Conn.Write(part)
+	c.sent.Add(int64(n))
+	c.writeTime.Add(int64(c.intake.now().Sub(began)))
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	if l := c.backlog.Load(); l != nil && l.after(c.closeNow) {
+	if l := c.backlog.Load(); l != nil && l.onEnd(c.closeNow) {
 		return nil
 	}
 	return c.closeNow()
 }
 
+// closeNow closes the connection without waiting for a backlog.
 func (c *Conn) closeNow() error {
 	c.forget()
 	return c.Conn.Close()
@@ -276,12 +287,13 @@
 
 // CloseWrite closes the sending direction.
 func (c *Conn) CloseWrite() error {
-	if l := c.backlog.Load(); l != nil && l.after(c.closeWriteNow) {
+	if l := c.backlog.Load(); l != nil && l.onEnd(c.closeWriteNow) {
 		return nil
 	}
 	return c.closeWriteNow()
 }
 
+// closeWriteNow closes the sending direction without waiting for a backlog.
 func (c *Conn) closeWriteNow() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
--- a/internal/intake/hold.go
+++ b/internal/intake/hold.go
@@ -17,8 +17,8 @@
 	// loneFactor is how far a request may exceed the memory if all others together need no more
 	// than the reserve, so that a single request is never refused.
 	loneFactor = 2
-	// shortWait bounds the wait for memory.
-	shortWait = time.Second
+	// memoryWait bounds the wait for memory.
+	memoryWait = time.Second
 )
 
 // ExchangeBytes is what a request needs beyond its body and its answer while an endpoint has it: the
@@ -31,13 +31,15 @@
 	intake *Intake
 	conn   *Conn
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// holders is the number of Release calls that are still due.
 	holders int
 	bytes   int64
-	// leaving is set to the bytes when the caller is turned away.
-	leaving int64
+	// evicting is set to the bytes when the caller is disconnected to make room.
+	evicting int64
 }
 
+// newHold returns the memory of a request on a connection, which is to be released once.
 func newHold(c *Conn) *Hold { return &Hold{intake: c.intake, conn: c, holders: 1} }
 
 // HoldOf returns the memory of the request that a context belongs to, or nil.
@@ -70,15 +72,15 @@
 		h.mu.Unlock()
 		return
 	}
-	bytes, leaving := h.bytes, h.leaving
-	h.bytes, h.leaving = 0, 0
+	bytes, evicting := h.bytes, h.evicting
+	h.bytes, h.evicting = 0, 0
 	h.mu.Unlock()
-	h.intake.leaving.Add(-leaving)
+	h.intake.evicting.Add(-evicting)
 	h.intake.giveBack(bytes)
 }
 
 // Take counts n more bytes. If there is no room, callers that are later than this one are turned
-// away. It returns ErrShort if there is still no room after shortWait, or when the request ends.
+// away. It returns ErrShort if there is still no room after memoryWait, or when the request ends.
 func (h *Hold) Take(ctx context.Context, n int64) error {
 	if h == nil || n <= 0 || h.tryTake(n) {
 		return nil
@@ -127,6 +129,7 @@
 	return in.limits.Memory
 }
 
+// giveBack counts n bytes less and wakes the requests that wait for memory.
 func (in *Intake) giveBack(n int64) {
 	if n == 0 {
 		return
@@ -140,8 +143,9 @@
 	}
 }
 
+// waitForRoom counts n more bytes for h as soon as there is room, and evicts later callers to get it.
 func (in *Intake) waitForRoom(ctx context.Context, h *Hold, n int64) error {
-	timer := time.NewTimer(shortWait)
+	timer := time.NewTimer(memoryWait)
 	defer timer.Stop()
 	in.mu.Lock()
 	in.waiting++
@@ -158,16 +162,16 @@
 		if h.tryTake(n) {
 			return nil
 		}
-		if h.isLeaving() {
+		if h.isEvicting() {
 			return ErrShort.New("a request that was later than others made room for them")
 		}
-		in.turnAway(h, n)
+		in.evictLatest(h, n)
 		select {
 		case <-freed:
 		case <-ctx.Done():
 			return ErrShort.Wrap(ctx.Err(), "the request ended while it waited for memory")
 		case <-timer.C:
-			in.turnedAway(BoundMemory)
+			in.countTurnedAway(BoundMemory)
 			return ErrShort.New("no memory for %d bytes", n)
 		}
 	}
@@ -179,10 +183,10 @@
 	late time.Duration
 }
 
-// turnAway closes the connections of the latest callers, as far as they are later than h's, until
+// evictLatest closes the connections of the latest callers, as far as they are later than h's, until
 // they will give back n bytes.
-func (in *Intake) turnAway(h *Hold, n int64) {
-	if in.leaving.Load() >= n {
+func (in *Intake) evictLatest(h *Hold, n int64) {
+	if in.evicting.Load() >= n {
 		return
 	}
 	now := in.now().UnixNano()
@@ -204,32 +208,32 @@
 	in.mu.Unlock()
 	slices.SortFunc(others, func(a, b lateHold) int { return cmp.Compare(b.late, a.late) })
 	for _, other := range others {
-		if in.leaving.Load() >= n {
+		if in.evicting.Load() >= n {
 			return
 		}
-		if other.leave() {
-			in.turnedAway(BoundMemory)
+		if other.startEviction() {
+			in.countTurnedAway(BoundMemory)
 			other.conn.abort()
 		}
 	}
 }
 
-// isLeaving reports whether the caller was turned away.
-func (h *Hold) isLeaving() bool {
+// isEvicting reports whether the caller was disconnected to make room.
+func (h *Hold) isEvicting() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leaving > 0
+	return h.evicting > 0
 }
 
-// leave counts the memory as about to be given back. It returns false if there is none, or if it is
-// counted already.
-func (h *Hold) leave() bool {
+// startEviction counts the memory as about to be given back. It returns false if there is none, or
+// if it is counted already.
+func (h *Hold) startEviction() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.bytes == 0 || h.leaving > 0 {
+	if h.bytes == 0 || h.evicting > 0 {
 		return false
 	}
-	h.leaving = h.bytes
-	h.intake.leaving.Add(h.leaving)
+	h.evicting = h.bytes
+	h.intake.evicting.Add(h.evicting)
 	return true
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,7 +1,8 @@
 // Package intake bounds what callers may occupy in a process, however many they are and whatever
 // they send: the memory of bodies and of answers that wait for their callers, the connections and
-// the time. Memory is counted as bytes arrive and given back when the request ends. When a bound is
-// reached, the caller goes first that has been unfinished longest for what it has sent or read.
+// the time. Memory is counted as bytes arrive and given back when the request ends. When a bound on
+// memory or connections is reached, the caller is disconnected first that is furthest behind one that
+// sends and reads at a reference rate.
 package intake
 
 import (
@@ -36,7 +37,7 @@
 // Bound is a bound that a caller met.
 type Bound string
 
-// Bounds.
+// The bounds; the values are labels of metrics.
 const (
 	BoundMemory            Bound = "memory"
 	BoundConnections       Bound = "connections"
@@ -51,15 +52,15 @@
 
 // Intake holds the bounds of a process and what is in use. It is safe for concurrent use.
 type Intake struct {
-	limits Limits
-	logger *slog.Logger
-	now    func() time.Time
-	met    map[Bound]*meeting
+	limits  Limits
+	logger  *slog.Logger
+	now     func() time.Time
+	metrics map[Bound]*boundMetric
 
 	used atomic.Int64 // bytes
-	// leaving is the part of used that belongs to callers that were turned away and have not
-	// ended yet.
-	leaving atomic.Int64
+	// evicting is the part of used that belongs to requests whose callers were disconnected to
+	// make room, and which have not ended yet.
+	evicting atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -73,14 +74,14 @@
 // New returns an intake in which nothing is in use. It registers its metrics.
 func New(limits Limits, logger *slog.Logger, registerer prometheus.Registerer) *Intake {
 	in := &Intake{
-		limits: limits.orDefaults(), logger: logger, now: time.Now, met: map[Bound]*meeting{},
+		limits: limits.orDefaults(), logger: logger, now: time.Now, metrics: map[Bound]*boundMetric{},
 		conns: map[*Conn]struct{}{}, clients: map[string]int{}, freed: make(chan struct{}),
 	}
 	turnedAway := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "comfreyfront", Name: "intake_turned_away_total", Help: "Callers that were refused or disconnected, by the bound that was met.",
 	}, []string{"bound"})
 	for _, bound := range bounds {
-		in.met[bound] = &meeting{counter: turnedAway.WithLabelValues(string(bound))}
+		in.metrics[bound] = &boundMetric{counter: turnedAway.WithLabelValues(string(bound))}
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "comfreyfront", Name: name, Help: help}, value)
@@ -109,17 +110,17 @@
 // logInterval is the shortest time between two log lines about one bound.
 const logInterval = time.Second
 
-// meeting counts how often callers met a bound.
-type meeting struct {
+// boundMetric counts how often callers met a bound, and limits the log lines about it.
+type boundMetric struct {
 	counter  prometheus.Counter
 	unlogged atomic.Int64
 	loggedAt atomic.Int64 // Unix nanoseconds
 }
 
-// turnedAway counts a caller that met a bound, and logs the number of them at most once per
+// countTurnedAway counts a caller that met a bound, and logs the number of them at most once per
 // logInterval.
-func (in *Intake) turnedAway(bound Bound) {
-	m := in.met[bound]
+func (in *Intake) countTurnedAway(bound Bound) {
+	m := in.metrics[bound]
 	m.counter.Inc()
 	m.unlogged.Add(1)
 	now, last := in.now().UnixNano(), m.loggedAt.Load()
@@ -164,7 +165,7 @@
 	next := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if tracked := conn(c); tracked != nil {
-			tracked.changed(state)
+			tracked.onState(state)
 		}
 		if next != nil {
 			next(c, state)
@@ -183,6 +184,7 @@
 	return &boundedListener{Listener: listener, intake: in}
 }
 
+// boundedListener closes new connections that exceed the bounds.
 type boundedListener struct {
 	net.Listener
 	intake *Intake
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	conn, client, ok := admit(t, in, "10.0.0.1:1")
 	require.True(t, ok)
-	conn.changed(http.StateActive)
+	conn.onState(http.StateActive)
 	return conn, client, conn.hold.Load()
 }
 
@@ -118,16 +118,16 @@
 	_, _, hold := active(t, in)
 	taken := make(chan error)
 	go func() { taken <- hold.Take(ctx, memory/4) }()
-	require.Eventually(t, func() bool { return slowHold.isLeaving() }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return slowHold.isEvicting() }, 10*time.Second, time.Millisecond)
 	require.True(t, isClosed(slowClient), "the caller that sent least")
-	slow.changed(http.StateClosed)
+	slow.onState(http.StateClosed)
 	require.NoError(t, <-taken)
 	require.False(t, isClosed(fastClient))
 	require.EqualValues(t, memory*3/4, in.Used())
-	fast.changed(http.StateClosed)
+	fast.onState(http.StateClosed)
 	hold.Release()
 	require.Zero(t, in.Used())
-	require.Zero(t, in.leaving.Load())
+	require.Zero(t, in.evicting.Load())
 }
 
 func TestMemoryOfServedRequestsIsNotTaken(t *testing.T) {
@@ -157,7 +157,7 @@
 	conn, _, hold := active(t, in)
 	require.NoError(t, hold.Take(context.Background(), 100))
 	hold.Retain()
-	conn.changed(http.StateClosed)
+	conn.onState(http.StateClosed)
 	require.EqualValues(t, 100, in.Used())
 	hold.Release()
 	require.Zero(t, in.Used())
@@ -282,11 +282,11 @@
 	defer conn.Close()
 	b.ReportAllocs()
 	for b.Loop() {
-		conn.changed(http.StateActive)
+		conn.onState(http.StateActive)
 		if err := conn.hold.Load().Take(context.Background(), firstBuffer); err != nil {
 			b.Fatal(err)
 		}
-		conn.changed(http.StateIdle)
+		conn.onState(http.StateIdle)
 	}
 }
 
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -32,7 +32,7 @@
 	defaultConnections = 20_000
 )
 
-// Shares of a machine.
+// Shares of the memory and descriptors of a process.
 const (
 	// memoryShare is the fraction of the memory for bodies and answers.
 	memoryShare = 0.25
@@ -67,6 +67,7 @@
 	return limits.orDefaults()
 }
 
+// orDefaults returns the limits with defaults in place of those that are not set.
 func (l Limits) orDefaults() Limits {
 	if l.Memory <= 0 {
 		l.Memory = defaultMemory
--- a/internal/settings/intake.go
+++ b/internal/settings/intake.go
@@ -6,8 +6,8 @@
 	"github.com/comfreyfront/comfreyfront/internal/intake"
 )
 
-// Intake holds the settings of the bounds on callers. Zero leaves a bound as it follows from the
-// memory and the descriptors.
+// Intake holds the settings of the bounds on callers. Zero leaves a bound at its default, which for
+// MemoryMB and Connections follows from the memory and the descriptors.
 type Intake struct {
 	MemoryMB          int
 	Connections       int
@@ -17,6 +17,7 @@
 	WriteStall        time.Duration
 }
 
+// defaultIntake returns the default bounds on callers.
 func defaultIntake() Intake {
 	return Intake{BodyRateKB: intake.DefaultBodyRate >> 10, BodyGrace: intake.DefaultBodyGrace, WriteStall: intake.DefaultWriteStall}
 }
@@ -36,6 +37,7 @@
 	return limits
 }
 
+// settings lists the settings of the bounds for a node.
 func (i *Intake) settings() []Setting {
 	return []Setting{
 		integerSetting("intake-memory", "memory for the bodies of all callers and for answers that wait for them, in MB; 0: a quarter of the memory", &i.MemoryMB),
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -69,7 +69,8 @@
 	return &Node{
 		Grace: defaultGrace, LeaseTTL: defaultLeaseTTL, StatusLife: defaultStatusLife,
 		MemoryMB: defaultMemoryMB, Capacity: defaultCapacity,
-		HolderChange: defaultHolderChange, ManagementRate: defaultManagementRate, UsageDue: defaultUsageDue, Intake: defaultIntake(), LogLevel: slog.LevelInfo.String(),
+		HolderChange: defaultHolderChange, ManagementRate: defaultManagementRate, UsageDue: defaultUsageDue,
+		Intake: defaultIntake(), LogLevel: slog.LevelInfo.String(),
 	}
 }
 
--- a/internal/soak/crowd.go
+++ b/internal/soak/crowd.go
@@ -13,7 +13,7 @@
 	crowdBody = 990_000
 )
 
-// outsiders is the crowd of one fault.
+// outsiders are the clients that one fault starts, each of them outside the limits.
 var outsiders = []crowd.Behavior{
 	{Name: "stops short of the end", Clients: 60, Send: crowd.Chunked(crowd.Head("POST", "/lookup/x"), crowdBody, 33_000, false)},
 	{Name: "chunks of one byte", Clients: 10, Send: crowd.Chunked(crowd.Head("POST", "/lookup/x"), crowdBody/10, 1, false)},
@@ -39,7 +39,7 @@
 			return nil
 		default:
 		}
-		// A process that is just ended by another fault has no figure.
+		// PeakMemory fails if another fault is just ending the process.
 		if peak, err := process.PeakMemory(); err == nil && peak > memoryMB {
 			env.report.recordViolation("%s used %.0f MB of %d MB", n.name, peak, memoryMB)
 		}
--- a/internal/step/router.go
+++ b/internal/step/router.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2"
-
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/control"
