--- a/internal/scaling/controller.go
+++ b/internal/scaling/controller.go
@@ -144,7 +144,7 @@
 		called = true
 		return c.options.Orderer.OrderEndpoints(ctx, credentials, c.options.Service, order)
 	})
-	in.Now = c.now() // the call took a while
+	in.Now = c.now() // the call may have taken seconds
 	attrs := append(c.attributes(order.Group), slog.Int("count", order.Count), slog.Int("there", in.There[order.Group].Ready),
 		slog.Int("wanted", plan.Wanted), slog.Int("urgent", plan.Urgent), slog.String("reason", string(order.Reason)))
 	switch {
@@ -154,7 +154,7 @@
 		c.report(order, OutcomeConfirmed)
 		event.EndpointsOrdered.Log(ctx, c.options.Logger, attrs...)
 		return true
-	case !called || isNothingDone(err):
+	case !called || hadNoEffect(err):
 		if called {
 			c.report(order, OutcomeDelayed)
 			event.EndpointsOrderDelayed.Log(ctx, c.options.Logger, append(attrs, slog.String("cause", err.Error()))...)
@@ -174,18 +174,20 @@
 	return false
 }
 
-// isNothingDone reports whether the error shows that a call had no effect and may be made
+// hadNoEffect reports whether the error shows that a call had no effect and may be made
 // later.
-func isNothingDone(err error) bool {
+func hadNoEffect(err error) bool {
 	return errorx.IsOfType(err, duty.ErrNotHeld) || errorx.IsOfType(err, duty.ErrOverRate) || errorx.IsOfType(err, duty.ErrUnavailable) || errorx.IsOfType(err, duty.ErrSuperseded)
 }
 
+// report passes the outcome of an order to the configured callback.
 func (c *Controller) report(order Order, outcome string) {
 	if c.options.Ordered != nil {
 		c.options.Ordered(order, outcome)
 	}
 }
 
+// attributes returns the log attributes that identify a group.
 func (c *Controller) attributes(group Group) []slog.Attr {
 	return []slog.Attr{slog.String("service", c.options.Service), slog.String("failure_domain", group.Domain), slog.String("kind", group.Kind.String())}
 }
--- a/internal/scaling/need.go
+++ b/internal/scaling/need.go
@@ -9,8 +9,8 @@
 
 // Parameters of the need.
 const (
-	// aimShare is the fraction of the time left until a step is due in which it is to be
-	// whole. The rest is for disturbances and for the scoring of its texts.
+	// aimShare is the fraction of the time left until a step is due in which the plan completes
+	// it. The rest is a reserve for disturbances and for the scoring of its texts.
 	aimShare = 0.5
 	// minSpan is the shortest time for which slots are planned.
 	minSpan = 500 * time.Millisecond
@@ -20,11 +20,12 @@
 	// minPerStream is the smallest number of endpoints of a stream that is asked for: one may
 	// load weights or fail.
 	minPerStream = 2
-	// maxLoadingShare bounds the share of time for which endpoints are expected to load.
+	// maxLoadingShare bounds the fraction of time that endpoints are assumed to spend loading
+	// weights.
 	maxLoadingShare = 0.5
-	// plainTarget is the fraction of the slots that the requests of a plain service may
-	// occupy.
-	plainTarget = 0.6
+	// targetUtilization is the fraction of the slots that the requests of a plain service
+	// should occupy.
+	targetUtilization = 0.6
 )
 
 // need is a number of endpoints.
@@ -61,13 +62,13 @@
 	if due := slotsDue(s.Steps, now); due > slots {
 		slots, reason = due, ReasonDue
 	}
-	if open := float64(s.Open) / plainTarget; open > slots {
+	if open := float64(s.Open) / targetUtilization; open > slots {
 		slots, reason = open, ReasonOpen
 	}
 	return slots, reason
 }
 
-// slotsDue returns the slots with which each step is whole within the fraction aimShare of
+// slotsDue returns the slots with which each step is complete within the fraction aimShare of
 // the time left, if the step that is due first goes first.
 func slotsDue(steps []Step, now time.Time) float64 {
 	steps = slices.Clone(steps)
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -11,7 +11,7 @@
 // Parameters of a planner, as multiples of the time that an endpoint takes to start.
 const (
 	// windowStarts is the length of the stabilization window: the wanted number is the highest
-	// of the window, so that endpoints are given quickly and taken away slowly.
+	// of the window, so that scaling up is fast and scaling down is slow.
 	windowStarts = 3
 	// windowIntervals is the same as a multiple of the time between the steps of a model.
 	windowIntervals = 1.5
@@ -29,42 +29,43 @@
 	minStart = time.Second
 	// maxWindow bounds the stabilization window.
 	maxWindow = 10 * time.Minute
-	// descentShare is the largest fraction of the endpoints that is taken away at once.
-	descentShare = 0.2
+	// maxScaleDownShare is the largest fraction of the endpoints that is removed at once.
+	maxScaleDownShare = 0.2
 	// tolerance is the fraction of the wanted endpoints by which what is there may differ
 	// without a change.
 	tolerance = 0.1
 	// loadingWeight is the weight of the newest value in the average share of loading
 	// endpoints.
 	loadingWeight = 0.05
-	// busyAfter is the largest fraction of a group's slots that may be occupied after
-	// endpoints were taken away.
-	busyAfter = 0.75
+	// maxUtilizationAfter is the largest fraction of a group's slots that may be occupied after
+	// scaling down.
+	maxUtilizationAfter = 0.75
 )
 
-// sample is a need at a time.
+// sample is the need that was observed at a point in time.
 type sample struct {
 	at   time.Time
 	need need
 }
 
-// ordered is the last order of a group: when it was made, and when its endpoints were last
-// all there, at first the same.
+// ordered is the last order of a group: when it was made, and when all its endpoints were last
+// ready (at first the time of the order).
 type ordered struct {
-	count     int
-	at, metAt time.Time
+	count           int
+	at, fulfilledAt time.Time
 }
 
 // Planner decides the targets of one service. The caller must not use it concurrently. A
-// planner that starts anew takes what is there for what was ordered.
+// new planner assumes that the present endpoints are those that were ordered.
 type Planner struct {
 	samples []sample
 	// firstAt is when demand was first seen.
-	firstAt  time.Time
-	loading  float64
-	orders   map[Group]ordered
-	refused  map[Group]time.Time // until when
-	lastDown time.Time
+	firstAt time.Time
+	// loading is the moving average of the fraction of ready endpoints that load weights.
+	loading       float64
+	orders        map[Group]ordered
+	refused       map[Group]time.Time // when each refusal expires
+	lastScaleDown time.Time
 	// shortSince is since when fewer endpoints are ready than wanted; zero if there are enough.
 	shortSince time.Time
 }
@@ -91,12 +92,12 @@
 // Placed or Refused.
 func (p *Planner) Plan(in *Input) Plan {
 	givenUp := p.observe(in)
-	n := p.stable(in)
+	n := p.stabilized(in)
 	if n.reason == ReasonNone {
 		return Plan{Reason: ReasonNone, Targets: map[Group]int{}, GivenUp: givenUp}
 	}
-	expected := func(group Group) int { return p.expected(in, group) }
-	targets, replaced := newSpread(in, n, p.blocked(in), expected).run(n)
+	present := func(group Group) int { return p.presentOrOrdered(in, group) }
+	targets, replaced := newSpread(in, n, p.blocked(in), present).run(n)
 	total := 0
 	for _, count := range targets {
 		total += count
@@ -108,7 +109,7 @@
 		n.reason = ReasonRefused
 	}
 	plan := Plan{Urgent: n.urgent, Wanted: total, Reason: n.reason, Targets: targets, GivenUp: givenUp}
-	plan.Orders = append(p.ups(in, plan), p.downs(in, plan)...)
+	plan.Orders = append(p.scaleUpOrders(in, plan), p.scaleDownOrders(in, plan)...)
 	return plan
 }
 
@@ -125,7 +126,7 @@
 	if p.firstAt.IsZero() && now.reason != ReasonNone {
 		p.firstAt = in.Now
 	}
-	start := in.Now.Add(-window(in))
+	start := in.Now.Add(-stabilizationWindow(in))
 	p.samples = slices.DeleteFunc(p.samples, func(s sample) bool { return s.at.Before(start) || s.need.wanted <= now.wanted })
 	p.samples = append(p.samples, sample{in.Now, now})
 	maps.DeleteFunc(p.refused, func(_ Group, until time.Time) bool { return !in.Now.Before(until) })
@@ -139,34 +140,35 @@
 	for _, group := range sortedGroups(p.orders) {
 		order, count := p.orders[group], in.There[group]
 		if count.Ready >= order.count {
-			order.metAt = in.Now
+			order.fulfilledAt = in.Now
 			p.orders[group] = order
 			continue
 		}
 		reclaimed := group.Kind == Reclaimable && count.Draining > 0
-		if reclaimed || in.Now.Sub(order.metAt) > giveUpStarts*startTime(in) {
+		if reclaimed || in.Now.Sub(order.fulfilledAt) > giveUpStarts*startTime(in) {
 			p.Refused(group, in)
 			givenUp = append(givenUp, group)
 		}
 	}
 	for group, count := range in.There {
-		if group.Kind == Reclaimable && count.Draining > 0 && count.Ready == 0 && p.orders[group].count == 0 && !p.wentByOrder(group) {
+		if group.Kind == Reclaimable && count.Draining > 0 && count.Ready == 0 && p.orders[group].count == 0 && !p.emptiedByOrder(group) {
 			p.Refused(group, in) // reclaimed before this planner began
 		}
 	}
 	return givenUp
 }
 
-// wentByOrder reports whether the last order took all endpoints of a group away.
-func (p *Planner) wentByOrder(group Group) bool {
+// emptiedByOrder reports whether the last order was to remove all endpoints of a group.
+func (p *Planner) emptiedByOrder(group Group) bool {
 	order, known := p.orders[group]
 	return known && order.count == 0
 }
 
+// startTime returns the time that an endpoint takes to start.
 func startTime(in *Input) time.Duration { return max(in.Limits.StartTime, minStart) }
 
-// window returns the length of the stabilization window.
-func window(in *Input) time.Duration {
+// stabilizationWindow returns the length of the stabilization window.
+func stabilizationWindow(in *Input) time.Duration {
 	length := windowStarts * startTime(in)
 	for _, s := range in.Streams {
 		length = max(length, time.Duration(windowIntervals*float64(s.Interval)))
@@ -174,8 +176,8 @@
 	return min(length, maxWindow)
 }
 
-// stable returns the highest need of the window. The samples are in descending order.
-func (p *Planner) stable(in *Input) need {
+// stabilized returns the highest need of the window. The samples are in descending order.
+func (p *Planner) stabilized(in *Input) need {
 	n := p.samples[0].need
 	if newest := p.samples[len(p.samples)-1].need; newest.wanted < n.wanted {
 		n.reason = ReasonRecent
@@ -203,26 +205,26 @@
 	return in.There[group].Ready
 }
 
-// ups returns the orders that add endpoints, if those that are there or expected are not
-// enough in number or in kind.
-func (p *Planner) ups(in *Input, plan Plan) []Order {
+// scaleUpOrders returns the orders that add endpoints, if those that are there or expected are
+// not enough in number or in kind.
+func (p *Planner) scaleUpOrders(in *Input, plan Plan) []Order {
 	var orders []Order
 	for _, group := range sortedGroups(plan.Targets) {
-		count := min(plan.Targets[group], in.Limits.Max-p.most(in, group.other()))
-		if count > p.most(in, group) || p.lost(in, group, count) {
+		count := min(plan.Targets[group], in.Limits.Max-p.presentOrOrdered(in, group.other()))
+		if count > p.presentOrOrdered(in, group) || p.mustRepeat(in, group, count) {
 			orders = append(orders, Order{group, count, plan.Reason})
 		}
 	}
-	if p.short(in, plan) || p.worthwhile(in, plan) {
+	if p.shortage(in, plan) || p.mayReplace(in, plan) {
 		return orders
 	}
 	return nil
 }
 
-// short reports whether endpoints are missing that must be replaced now: urgent ones at once,
-// and those of the headroom after the time that they take to start. Endpoints that failed may
-// be back by then.
-func (p *Planner) short(in *Input, plan Plan) bool {
+// shortage reports whether endpoints are missing that must be replaced now: urgent ones at
+// once, and those of the headroom only after the time that an endpoint takes to start, since
+// endpoints that failed may have recovered by then.
+func (p *Planner) shortage(in *Input, plan Plan) bool {
 	present := 0
 	for group, count := range in.There {
 		present += min(count.Ready, p.expected(in, group))
@@ -237,25 +239,26 @@
 	return present < plan.Urgent || in.Now.Sub(p.shortSince) >= startTime(in)
 }
 
-// lost reports whether a group has fewer endpoints than ordered for longer than they take to
-// start. The order is repeated, which is harmless if they are on their way.
-func (p *Planner) lost(in *Input, group Group, count int) bool {
+// mustRepeat reports whether a group has had fewer endpoints than ordered for too long since
+// the order. Orders are absolute counts, so repeating one is idempotent.
+func (p *Planner) mustRepeat(in *Input, group Group, count int) bool {
 	order, known := p.orders[group]
 	return known && count == order.count && count > 0 && in.There[group].Ready < count && in.Now.Sub(order.at) > time.Duration(repeatStarts*float64(startTime(in)))
 }
 
-// most returns the largest number of endpoints that a group may have now.
-func (p *Planner) most(in *Input, group Group) int {
+// presentOrOrdered returns the largest number of endpoints that a group may have without a
+// further order.
+func (p *Planner) presentOrOrdered(in *Input, group Group) int {
 	return max(in.There[group].Ready, p.expected(in, group))
 }
 
-// worthwhile reports whether the plan replaces endpoints by cheaper ones: only if there is a
-// surplus to be taken away anyhow, and after a whole window was seen.
-func (p *Planner) worthwhile(in *Input, plan Plan) bool {
-	return p.settled(in) && surplus(in, plan) > 0
+// mayReplace reports whether endpoints may be replaced by cheaper ones: only if there is a
+// surplus to remove anyway, and after a whole stabilization window.
+func (p *Planner) mayReplace(in *Input, plan Plan) bool {
+	return p.windowElapsed(in) && surplus(in, plan) > 0
 }
 
-// surplus returns how many ready endpoints exceed the plan; a small part counts as none.
+// surplus returns by how many the ready endpoints exceed the plan; zero within the tolerance.
 func surplus(in *Input, plan Plan) int {
 	over := in.ready() - plan.Wanted
 	if float64(over) < max(tolerance*float64(plan.Wanted), 1) {
@@ -264,18 +267,18 @@
 	return over
 }
 
-// settled reports whether the demand was observed for a whole window.
-func (p *Planner) settled(in *Input) bool {
-	return !p.firstAt.IsZero() && in.Now.Sub(p.firstAt) >= window(in)
+// windowElapsed reports whether the demand was observed for a whole window.
+func (p *Planner) windowElapsed(in *Input) bool {
+	return !p.firstAt.IsZero() && in.Now.Sub(p.firstAt) >= stabilizationWindow(in)
 }
 
-// downs returns the orders that take endpoints away: after a whole window, a few at a time,
-// and only while what is ready beyond the plan is more than a small surplus.
-func (p *Planner) downs(in *Input, plan Plan) []Order {
-	if !p.settled(in) || in.Now.Sub(p.lastDown) < startTime(in) {
+// scaleDownOrders returns the orders that remove endpoints: after a whole stabilization window,
+// a few at a time, and only while the surplus exceeds the tolerance.
+func (p *Planner) scaleDownOrders(in *Input, plan Plan) []Order {
+	if !p.windowElapsed(in) || in.Now.Sub(p.lastScaleDown) < startTime(in) {
 		return nil
 	}
-	budget := min(surplus(in, plan), max(int(descentShare*float64(in.ready())), 1))
+	budget := min(surplus(in, plan), max(int(maxScaleDownShare*float64(in.ready())), 1))
 	var orders []Order
 	groups := sortedGroups(in.There)
 	slices.SortStableFunc(groups, func(a, b Group) int {
@@ -283,7 +286,7 @@
 	})
 	for _, group := range groups {
 		leave := max(plan.Targets[group], in.Limits.Min-in.There[group.other()].Ready)
-		down := min(in.There[group].Ready-leave, budget, idle(in, group))
+		down := min(in.There[group].Ready-leave, budget, removable(in, group))
 		if expected := p.expected(in, group); down <= 0 || expected > in.There[group].Ready {
 			continue
 		}
@@ -293,24 +296,25 @@
 	return orders
 }
 
-// idle returns how many endpoints of a group may go without its work being pushed together
-// too much. Which ones go is not for this system to say.
-func idle(in *Input, group Group) int {
+// removable returns how many endpoints of a group may be removed without the utilization of
+// the others exceeding maxUtilizationAfter. An order gives only a count, so which ones are
+// removed is not known.
+func removable(in *Input, group Group) int {
 	count := in.There[group]
-	keep := int(math.Ceil(float64(count.Busy) / (busyAfter * float64(max(in.Slots, 1)))))
+	keep := int(math.Ceil(float64(count.Busy) / (maxUtilizationAfter * float64(max(in.Slots, 1)))))
 	return count.Ready - keep
 }
 
 // Placed records that an order was made: it was confirmed, or may take effect.
 func (p *Planner) Placed(order Order, in *Input) {
 	if order.Count < in.There[order.Group].Ready {
-		p.lastDown = in.Now
+		p.lastScaleDown = in.Now
 	}
-	metAt := in.Now
+	fulfilledAt := in.Now
 	if last, known := p.orders[order.Group]; known && last.count == order.Count {
-		metAt = last.metAt
+		fulfilledAt = last.fulfilledAt
 	}
-	p.orders[order.Group] = ordered{order.Count, in.Now, metAt}
+	p.orders[order.Group] = ordered{order.Count, in.Now, fulfilledAt}
 }
 
 // Refused records that the group has no more endpoints now, or did not bring those ordered.
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -56,7 +56,7 @@
 			require.Less(t, round, 100, "orders stop")
 			for _, order := range plan.Orders {
 				up := order.Count > in.There[order.Group].Ready
-				sum := order.Count + p.most(in, order.other())
+				sum := order.Count + p.presentOrOrdered(in, order.other())
 				require.False(t, up && sum > limits.Max || !up && sum < limits.Min, "%v of %v", order, in.There)
 				p.Placed(order, in)
 			}
@@ -103,7 +103,7 @@
 		}
 	}
 	require.Positive(t, gone)
-	require.LessOrEqual(t, gone, int(descentShare*40))
+	require.LessOrEqual(t, gone, int(maxScaleDownShare*40))
 }
 
 // TestShortFailuresAreCarriedByTheHeadroom checks that lost endpoints of the headroom are
--- a/internal/scaling/spread.go
+++ b/internal/scaling/spread.go
@@ -3,11 +3,11 @@
 // Costs of an endpoint beside its price, as fractions of an ordinary endpoint's price in an
 // average failure domain.
 const (
-	// crossingCost is what the answers of an endpoint in another failure domain cost on the
-	// way.
-	crossingCost = 0.15
-	// changeCost is the start of an endpoint and the load of its weights: a group whose
-	// endpoints are there is preferred by that much.
+	// crossDomainCost is the cost of the network traffic from an endpoint in another failure
+	// domain.
+	crossDomainCost = 0.15
+	// changeCost is the cost of starting an endpoint and loading its weights: groups that have
+	// endpoints already are preferred by that much.
 	changeCost = 0.12
 )
 
@@ -18,9 +18,9 @@
 	in *Input
 	// blocked are the groups that get no more than they have.
 	blocked map[Group]bool
-	// expected returns the endpoints of a group that are there or were ordered.
-	expected func(Group) int
-	targets  map[Group]int
+	// present returns the number of endpoints of a group that are there or were ordered.
+	present func(Group) int
+	targets map[Group]int
 	// domains are the failure domains in ascending order.
 	domains []string
 	// domainCap is the largest number of endpoints in one failure domain that the loss of the
@@ -28,8 +28,9 @@
 	domainCap int
 }
 
-func newSpread(in *Input, n need, blocked map[Group]bool, expected func(Group) int) *spread {
-	s := &spread{in: in, blocked: blocked, expected: expected, targets: map[Group]int{}, domains: in.domains()}
+// newSpread returns a spread that has distributed nothing yet.
+func newSpread(in *Input, n need, blocked map[Group]bool, present func(Group) int) *spread {
+	s := &spread{in: in, blocked: blocked, present: present, targets: map[Group]int{}, domains: in.domains()}
 	even := (n.wanted + len(s.domains) - 1) / max(len(s.domains), 1)
 	s.domainCap = max(n.wanted-n.urgent, even)
 	return s
@@ -81,8 +82,8 @@
 	return max(wanted, 0) - max(left, 0)
 }
 
-// tieShare is the fraction of what is left that a group gets at once, divided by the number
-// of groups, if others cost the same.
+// tieShare is the fraction of the remaining endpoints that is assigned at once, divided by the
+// number of groups, while several groups cost the same: they fill up evenly.
 const tieShare = 0.25
 
 // cheapest returns the cheapest group that may take more endpoints and how many it gets now,
@@ -125,9 +126,6 @@
 	return room
 }
 
-// present returns the endpoints of a group that are there or were ordered.
-func (s *spread) present(g Group) int { return max(s.in.There[g].Ready, s.expected(g)) }
-
 // cost returns the cost of one more endpoint of the group.
 func (s *spread) cost(g Group) float64 {
 	price, known := s.in.Limits.DomainPrices[g.Domain]
@@ -138,7 +136,7 @@
 		price *= s.in.Limits.ReclaimablePrice
 	}
 	if s.in.Home != "" && g.Domain != s.in.Home {
-		price += crossingCost
+		price += crossDomainCost
 	}
 	if s.targets[g] >= s.present(g) {
 		price += changeCost
@@ -146,6 +144,7 @@
 	return price
 }
 
+// count returns the number of endpoints that the groups have got.
 func (s *spread) count(groups []Group) int {
 	count := 0
 	for _, g := range groups {
--- a/internal/share/gate.go
+++ b/internal/share/gate.go
@@ -19,16 +19,18 @@
 	propRetryAfter = errorx.RegisterProperty("share_retry_after")
 )
 
-// Bounds of what a gate holds and says.
+// Limits of a gate's queue and of its retry delays.
 const (
 	// maxWaiting is the largest number of requests that wait at a gate.
 	maxWaiting = 4096
 	// minRetryAfter and maxRetryAfter bound the delay after which a caller may retry.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// holdFraction is the fraction of the time that a request may wait up to which its
-	// expected wait is accepted: estimates are not exact.
+	// holdFraction is the largest expected wait with which a request is queued, as a fraction
+	// of its Hold: estimates are not exact.
 	holdFraction = 0.7
+	// minRetryFactor is the factor of the retry delay for a request with Spread 0.
+	minRetryFactor = 0.5
 )
 
 // Work is a request that wants room.
@@ -37,7 +39,7 @@
 	Priority int
 	// Hold is how long the request may wait for room.
 	Hold time.Duration
-	// Spread is between 0 and 1 and differs between requests: it spreads their retries.
+	// Spread is the retry jitter of the request, between 0 and 1.
 	Spread float64
 }
 
@@ -89,7 +91,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.free = free
-	g.scheduler.Oldest(func(t *Ticket) bool {
+	g.scheduler.DropOldest(func(t *Ticket) bool {
 		late := !now.Before(t.until)
 		if late {
 			t.decision <- g.refuse(t.work, now)
@@ -139,22 +141,22 @@
 // refusal returns the error of a request that cannot get room in time, else nil. The caller
 // holds g.mu.
 func (g *Gate) refusal(w Work, now time.Time) error {
-	wait, _ := g.scheduler.Wait(w.Account, w.Priority, now)
+	wait, _ := g.scheduler.EstimateWait(w.Account, w.Priority, now)
 	if g.scheduler.Waiting() < maxWaiting && float64(wait) <= holdFraction*float64(w.Hold) {
 		return nil
 	}
 	return g.refuse(w, now)
 }
 
-// refuse returns the error of a refused request. The caller may retry once what waits and
-// what its account got beyond others is served, and not all callers at once.
+// refuse returns the error of a refused request. Its retry delay covers the expected wait and
+// the time until the account has no more than its share, with jitter.
 func (g *Gate) refuse(w Work, now time.Time) error {
-	wait, debt := g.scheduler.Wait(w.Account, w.Priority, now)
+	wait, debt := g.scheduler.EstimateWait(w.Account, w.Priority, now)
 	kind, text := ErrNoRoom, "no room in the time that the request has"
 	if debt > 0 {
 		kind, text = ErrExceeded, "the account has used its share and others wait"
 	}
-	delay := time.Duration(float64(max(wait, w.Hold)+debt) * (0.5 + w.Spread))
+	delay := time.Duration(float64(max(wait, w.Hold)+debt) * (minRetryFactor + w.Spread))
 	return kind.New("%s", text).WithProperty(propRetryAfter, min(max(delay, minRetryAfter), maxRetryAfter))
 }
 
--- a/internal/share/pace.go
+++ b/internal/share/pace.go
@@ -10,14 +10,17 @@
 	minPaceTime = 50 * time.Millisecond
 )
 
-// pace is how fast work is served while some of it waits all the time.
+// pace measures the service rate of a queue during a busy period: since its queue was last
+// empty.
 type pace struct {
 	since  time.Time
 	served float64
 }
 
+// begin starts a busy period.
 func (p *pace) begin(now time.Time) { *p = pace{since: now} }
 
+// count records one piece of work that was served.
 func (p *pace) count(now time.Time) {
 	p.served++
 	if now.Sub(p.since) > paceWindow {
--- a/internal/share/room.go
+++ b/internal/share/room.go
@@ -2,8 +2,8 @@
 
 // Pool is what one node knows of the slots of a service.
 type Pool struct {
-	// Slots is the number of slots of the endpoints, and InFlight that of the requests which
-	// all nodes have at them, as far as this node knows.
+	// Slots is the number of slots of the endpoints. InFlight is the number of requests that
+	// all nodes together have in flight at them, as far as this node knows.
 	Slots, InFlight float64
 	// Own is the number of requests that this node has at the endpoints.
 	Own float64
@@ -15,14 +15,14 @@
 // until so much is in flight, the next reports show that less is free.
 const plenty = 0.85
 
-// Plenty reports whether there is room for all, however many nodes there are.
+// Plenty reports whether slots are so abundant that the nodes need not divide them.
 func (p Pool) Plenty() bool { return p.InFlight < plenty*p.Slots }
 
-// Free returns for how many requests this node has room. Under shortage a node may always use an equal
-// share of the slots. Beyond it, the nodes share what is free, and while too much is in
-// flight, the nodes that use more than an equal share give up what is in excess. No node
-// needs to know what another one wants: room that one does not use appears as free in the
-// reports of the endpoints.
+// Free returns how many more requests this node may send; it is negative if the node uses too
+// many slots. Under shortage a node may always use an equal share of the slots. Beyond it, the
+// nodes share the free slots equally, and while more is in flight than there are slots, those
+// above their equal share give up the excess in proportion to their use. Nodes do not exchange
+// their demand: slots that one does not use appear as free in the reports of the endpoints.
 func (p Pool) Free() float64 {
 	if p.Plenty() {
 		return max(p.Slots-p.InFlight, 1)
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -10,12 +10,12 @@
 
 // Limits of what a scheduler remembers.
 const (
-	// memory is the time after which what was wanted and got counts 1/e.
-	memory = 20 * time.Second
-	// idleLife is how long an account without waiting work is remembered.
-	idleLife = time.Minute
-	// maxGrowth bounds the weight of new work against old work, before both are scaled down.
-	maxGrowth = 1e9
+	// decayTime is the time constant of the exponential decay of what was wanted and got.
+	decayTime = 20 * time.Second
+	// idleTimeout is how long an account without waiting work is remembered.
+	idleTimeout = time.Minute
+	// maxDecayWeight is the decay weight of new work at which all tallies are scaled down.
+	maxDecayWeight = 1e9
 )
 
 // Scheduler orders waiting work of client accounts. Among accounts of the same priority it
@@ -23,11 +23,11 @@
 // first, so that accounts with waiting work get equal shares and an account that was idle
 // cannot save up. It is not safe for concurrent use.
 type Scheduler[T any] struct {
-	levels  []*level[T] // by ascending priority
-	flows   map[flowKey]*flow[T]
-	needy   flowHeap[T] // flows with waiting work; the one furthest behind first
-	all     tally
-	waiting int
+	levels      []*level[T] // by ascending priority
+	flows       map[flowKey]*flow[T]
+	leastServed flowHeap[T] // flows with waiting work; the lowest served ratio first
+	all         tally
+	waiting     int
 	// scaledAt and sweptAt are when the tallies were last scaled and idle accounts forgotten.
 	scaledAt, sweptAt time.Time
 }
@@ -37,10 +37,10 @@
 	priority int
 	tally    tally
 	fair     flowHeap[T] // flows with waiting work; the lowest start tag first
-	// virtual is the start tag of the work that was served last.
-	virtual float64
-	waiting int
-	pace    pace
+	// virtualTime is the start tag of the work that was served last.
+	virtualTime float64
+	waiting     int
+	pace        pace
 }
 
 type flowKey struct {
@@ -48,6 +48,13 @@
 	priority int
 }
 
+// Indices of flow.position.
+const (
+	inFair        = iota // in level.fair
+	inLeastServed        // in Scheduler.leastServed
+	heaps                // number of heaps that contain a flow
+)
+
 // flow is the work of one account at one priority.
 type flow[T any] struct {
 	key           flowKey
@@ -56,9 +63,9 @@
 	first, last   *Entry[T]
 	waiting       int
 	pace          pace
-	start, finish float64 // tags
-	need          float64
-	position      [2]int // in the heaps
+	start, finish float64 // tags of start-time fair queueing
+	servedRatio   float64
+	position      [heaps]int // in each heap
 	usedAt        time.Time
 }
 
@@ -73,8 +80,8 @@
 // NewScheduler returns an empty scheduler.
 func NewScheduler[T any]() *Scheduler[T] {
 	return &Scheduler[T]{
-		flows: map[flowKey]*flow[T]{},
-		needy: flowHeap[T]{index: 1, less: func(a, b *flow[T]) bool { return a.need < b.need }},
+		flows:       map[flowKey]*flow[T]{},
+		leastServed: flowHeap[T]{index: inLeastServed, less: func(a, b *flow[T]) bool { return a.servedRatio < b.servedRatio }},
 	}
 }
 
@@ -88,20 +95,20 @@
 // an account gets then is not held against it later.
 func (s *Scheduler[T]) Pass(account string, priority int, cost float64, now time.Time) {
 	f := s.flow(account, priority, now)
-	s.want(f, cost, now)
-	s.serve(f, f.level.virtual, cost, now)
-	f.level.virtual = max(f.level.virtual, f.finish)
+	s.recordDemand(f, cost, now)
+	s.recordService(f, f.level.virtualTime, cost, now)
+	f.level.virtualTime = max(f.level.virtualTime, f.finish)
 }
 
 // Refuse counts work that is wanted and gets no room.
 func (s *Scheduler[T]) Refuse(account string, priority int, cost float64, now time.Time) {
-	s.want(s.flow(account, priority, now), cost, now)
+	s.recordDemand(s.flow(account, priority, now), cost, now)
 }
 
 // Push adds waiting work.
 func (s *Scheduler[T]) Push(account string, priority int, cost float64, value T, now time.Time) *Entry[T] {
 	f := s.flow(account, priority, now)
-	s.want(f, cost, now)
+	s.recordDemand(f, cost, now)
 	e := &Entry[T]{Value: value, cost: cost, flow: f, prev: f.last}
 	if f.last != nil {
 		f.last.next = e
@@ -117,10 +124,10 @@
 	}
 	if f.waiting == 1 {
 		f.pace.begin(now)
-		f.start = max(f.level.virtual, f.finish)
-		f.need = f.tally.need(s.growth(now) * cost)
+		f.start = max(f.level.virtualTime, f.finish)
+		f.servedRatio = f.tally.servedRatio(s.decayWeight(now) * cost)
 		heap.Push(&f.level.fair, f)
-		heap.Push(&s.needy, f)
+		heap.Push(&s.leastServed, f)
 	}
 	return e
 }
@@ -146,55 +153,55 @@
 	f.level.waiting--
 	s.waiting--
 	if f.waiting == 0 {
-		heap.Remove(&f.level.fair, f.position[0])
-		heap.Remove(&s.needy, f.position[1])
+		heap.Remove(&f.level.fair, f.position[inFair])
+		heap.Remove(&s.leastServed, f.position[inLeastServed])
 	}
 }
 
 // Next removes and returns the work that gets the next room, or nil if none waits.
 func (s *Scheduler[T]) Next(now time.Time) *Entry[T] {
-	f, owed := s.pick(now)
+	f, belowFloor := s.pick(now)
 	if f == nil {
 		return nil
 	}
-	if !owed { // what lies below the floor must not advance the tags of all others
-		f.level.virtual = max(f.level.virtual, f.start)
+	if !belowFloor { // flows below the floor must not advance the virtual time
+		f.level.virtualTime = max(f.level.virtualTime, f.start)
 	}
 	e := f.first
 	f.pace.count(now)
 	f.level.pace.count(now)
 	s.Remove(e)
-	s.serve(f, f.start, e.cost, now)
+	s.recordService(f, f.start, e.cost, now)
 	if f.waiting > 0 {
 		f.start = f.finish
-		f.need = f.tally.need(s.growth(now) * f.first.cost)
-		heap.Fix(&f.level.fair, f.position[0])
-		heap.Fix(&s.needy, f.position[1])
+		f.servedRatio = f.tally.servedRatio(s.decayWeight(now) * f.first.cost)
+		heap.Fix(&f.level.fair, f.position[inFair])
+		heap.Fix(&s.leastServed, f.position[inLeastServed])
 	}
 	return e
 }
 
-// Oldest calls drop for the oldest work of each account until drop returns false for it;
+// DropOldest calls drop for the oldest work of each account until drop returns false for it;
 // dropped work gets no room.
-func (s *Scheduler[T]) Oldest(drop func(T) bool) {
-	for _, f := range slices.Clone(s.needy.flows) {
+func (s *Scheduler[T]) DropOldest(drop func(T) bool) {
+	for _, f := range slices.Clone(s.leastServed.flows) {
 		for f.first != nil && drop(f.first.Value) {
 			s.Remove(f.first)
 		}
 	}
 }
 
-// Wait estimates how long new work of an account would wait, and debt how long it takes to
+// EstimateWait estimates how long new work of an account would wait, and debt how long it takes to
 // serve others until the account has got no more than they. Both are zero if nothing waits
 // or the pace is not known.
-func (s *Scheduler[T]) Wait(account string, priority int, now time.Time) (wait, debt time.Duration) {
+func (s *Scheduler[T]) EstimateWait(account string, priority int, now time.Time) (wait, debt time.Duration) {
 	at, found := slices.BinarySearchFunc(s.levels, priority, comparePriority[T])
 	if !found || s.levels[at].waiting == 0 {
 		return 0, 0
 	}
 	l, turns := s.levels[at], 1
 	if own := s.flows[flowKey{account, priority}]; own != nil {
-		debt = l.pace.timeFor(max(own.finish-l.virtual, 0)*float64(len(l.fair.flows)), now)
+		debt = l.pace.timeFor(max(own.finish-l.virtualTime, 0)*float64(len(l.fair.flows)), now)
 		if own.waiting > 0 {
 			turns += own.waiting
 			wait = own.pace.timeFor(float64(own.waiting+1), now)
@@ -204,19 +211,19 @@
 	return max(wait, l.pace.timeFor(float64(ahead+1), now)), debt
 }
 
-// pick returns the flow that goes next. owed means that it does so because its account is
-// below the floor.
-func (s *Scheduler[T]) pick(now time.Time) (next *flow[T], owed bool) {
+// pick returns the flow that goes next. belowFloor means that it does so
+// because its account is below the floor.
+func (s *Scheduler[T]) pick(now time.Time) (next *flow[T], belowFloor bool) {
 	if s.waiting == 0 {
 		return nil, false
 	}
-	unit := s.growth(now)
+	unit := s.decayWeight(now)
 	for _, l := range s.levels {
-		if l.waiting > 0 && l.tally.behind(s.all, unit*l.fair.flows[0].first.cost) {
+		if l.waiting > 0 && l.tally.belowFloor(s.all, unit*l.fair.flows[0].first.cost) {
 			return l.fair.flows[0], false
 		}
 	}
-	if f := s.needy.flows[0]; f.tally.behind(s.all, unit*f.first.cost) {
+	if f := s.leastServed.flows[0]; f.tally.belowFloor(s.all, unit*f.first.cost) {
 		return f, true
 	}
 	for _, l := range s.levels {
@@ -227,21 +234,22 @@
 	return nil, false
 }
 
-func (s *Scheduler[T]) want(f *flow[T], cost float64, now time.Time) {
-	amount := cost * s.growth(now)
+// recordDemand counts work that an account wants.
+func (s *Scheduler[T]) recordDemand(f *flow[T], cost float64, now time.Time) {
+	amount := cost * s.decayWeight(now)
 	f.usedAt = now
 	f.tally.wanted += amount
 	f.level.tally.wanted += amount
 	s.all.wanted += amount
 	if f.waiting > 0 {
-		f.need = f.tally.need(s.growth(now) * f.first.cost)
-		heap.Fix(&s.needy, f.position[1])
+		f.servedRatio = f.tally.servedRatio(s.decayWeight(now) * f.first.cost)
+		heap.Fix(&s.leastServed, f.position[inLeastServed])
 	}
 }
 
-// serve counts work of a flow that gets room, with the given start tag.
-func (s *Scheduler[T]) serve(f *flow[T], start, cost float64, now time.Time) {
-	amount := cost * s.growth(now)
+// recordService counts work of a flow that gets room, with the given start tag.
+func (s *Scheduler[T]) recordService(f *flow[T], start, cost float64, now time.Time) {
+	amount := cost * s.decayWeight(now)
 	f.tally.got += amount
 	f.level.tally.got += amount
 	s.all.got += amount
@@ -260,45 +268,46 @@
 	return f
 }
 
+// level returns the level of a priority, which it creates if it does not exist.
 func (s *Scheduler[T]) level(priority int) *level[T] {
 	at, found := slices.BinarySearchFunc(s.levels, priority, comparePriority[T])
 	if !found {
-		s.levels = slices.Insert(s.levels, at, &level[T]{priority: priority, fair: flowHeap[T]{less: func(a, b *flow[T]) bool { return a.start < b.start }}})
+		s.levels = slices.Insert(s.levels, at, &level[T]{priority: priority, fair: flowHeap[T]{index: inFair, less: func(a, b *flow[T]) bool { return a.start < b.start }}})
 	}
 	return s.levels[at]
 }
 
 func comparePriority[T any](l *level[T], priority int) int { return cmp.Compare(l.priority, priority) }
 
-// growth is the weight of work that is counted now. Old work counts less because the weight
-// grows, so that the tallies need not be changed as time passes.
-func (s *Scheduler[T]) growth(now time.Time) float64 {
+// decayWeight returns the weight of work that is counted now. The weight grows exponentially
+// with time (forward decay), so that old work counts less without a change of the tallies.
+func (s *Scheduler[T]) decayWeight(now time.Time) float64 {
 	if s.scaledAt.IsZero() {
 		s.scaledAt = now
 	}
-	growth := math.Exp(float64(now.Sub(s.scaledAt)) / float64(memory))
-	if growth < maxGrowth {
-		return growth
+	weight := math.Exp(float64(now.Sub(s.scaledAt)) / float64(decayTime))
+	if weight < maxDecayWeight {
+		return weight
 	}
-	s.all.scale(1 / growth)
+	s.all.scale(1 / weight)
 	for _, l := range s.levels {
-		l.tally.scale(1 / growth)
+		l.tally.scale(1 / weight)
 	}
 	for _, f := range s.flows {
-		f.tally.scale(1 / growth)
+		f.tally.scale(1 / weight)
 	}
 	s.scaledAt = now
 	return 1
 }
 
-// forget drops the accounts without waiting work that were not used for idleLife.
+// forget drops the accounts without waiting work that were not used for idleTimeout.
 func (s *Scheduler[T]) forget(now time.Time) {
-	if now.Sub(s.sweptAt) < idleLife {
+	if now.Sub(s.sweptAt) < idleTimeout {
 		return
 	}
 	s.sweptAt = now
 	for key, f := range s.flows {
-		if f.waiting == 0 && now.Sub(f.usedAt) >= idleLife {
+		if f.waiting == 0 && now.Sub(f.usedAt) >= idleTimeout {
 			delete(s.flows, key)
 		}
 	}
--- a/internal/share/scheduler_test.go
+++ b/internal/share/scheduler_test.go
@@ -177,6 +177,6 @@
 		s.Pass(fmt.Sprint(i), 0, 1, testStart)
 	}
 	require.Equal(t, 10_000, s.Accounts())
-	s.Pass("a", 0, 1, testStart.Add(2*idleLife))
+	s.Pass("a", 0, 1, testStart.Add(2*idleTimeout))
 	require.Equal(t, 1, s.Accounts())
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,6 +1,6 @@
-// Package share decides who goes first while there is not enough room for all: the more
-// urgent first, then equal shares for the client accounts, and a floor below which nobody
-// falls. It measures nothing itself and does no I/O.
+// Package share schedules the work of client accounts while capacity is short: by priority
+// (the lower number first), with equal shares for the accounts of a priority and a minimum
+// share (FloorShare) for each account and each priority. It does no I/O.
 package share
 
 import "math"
@@ -15,20 +15,22 @@
 	wanted, got float64
 }
 
-// behind reports whether the part of all work stays below FloorShare even if it gets one
+// belowFloor reports whether the part of all work stays below FloorShare even if it gets one
 // more piece of work of the given cost.
-func (t tally) behind(all tally, cost float64) bool {
+func (t tally) belowFloor(all tally, cost float64) bool {
 	return (t.got+cost)*all.wanted <= FloorShare*all.got*t.wanted
 }
 
-// need orders the parts of all work: the lowest is the one that is furthest behind.
-func (t tally) need(cost float64) float64 {
+// servedRatio is the fraction of the wanted work that is served if one more piece of work of
+// the given cost is. It is infinite if nothing was wanted.
+func (t tally) servedRatio(cost float64) float64 {
 	if t.wanted <= 0 {
 		return math.Inf(1)
 	}
 	return (t.got + cost) / t.wanted
 }
 
+// scale reduces the weight of what was counted so far.
 func (t *tally) scale(factor float64) {
 	t.wanted *= factor
 	t.got *= factor
--- a/internal/share/steps.go
+++ b/internal/share/steps.go
@@ -20,12 +20,12 @@
 	Least time.Duration
 }
 
-// late reports whether the step can no longer be whole in time.
-func (s Step) late(now time.Time) bool { return !s.Due.IsZero() && s.Due.Sub(now) < s.Least }
+// missesDeadline reports whether the step can no longer be complete by its due time.
+func (s Step) missesDeadline(now time.Time) bool { return !s.Due.IsZero() && s.Due.Sub(now) < s.Least }
 
-// Feasible reports whether all steps that can still be in time are whole in time if the one
-// that is due first goes first: slots run at once, and each needs gap for a token. Steps that
-// are late or have no due time need slots too.
+// Feasible reports whether earliest-due-first scheduling completes every step that can still
+// be in time by its due time. The slots run concurrently and each needs gap for a token. Steps
+// that miss their due time need slots too. If a step has no due time, the answer is false.
 func Feasible(steps []Step, slots int, gap time.Duration, now time.Time) bool {
 	steps = slices.Clone(steps)
 	slices.SortFunc(steps, func(a, b Step) int { return a.Due.Compare(b.Due) })
@@ -35,7 +35,7 @@
 			return false
 		}
 		tokens += s.Tokens
-		if s.late(now) {
+		if s.missesDeadline(now) {
 			continue
 		}
 		if time.Duration(tokens/float64(max(slots, 1))*float64(gap)) > s.Due.Sub(now) {
@@ -45,12 +45,12 @@
 	return true
 }
 
-// Steps orders the steps of accounts while the engines are short. Each step is kept whole:
-// it gets its place when it comes, by start-time fair queueing over the tokens that the
-// accounts' steps need, and keeps it until it ends. It is not safe for concurrent use; the
-// zero value is ready to use.
+// Steps orders the steps of accounts while there are too few engines. A step is scheduled as a
+// unit: it gets its start tag when it is first seen, by start-time fair queueing over the
+// tokens that the accounts' steps need, and keeps it until it ends.
+// It is not safe for concurrent use; the zero value is ready to use.
 type Steps struct {
-	places map[string]*place
+	states map[string]*stepState
 	// finish is the tag at which the last step of an account ends.
 	finish map[flowKey]float64
 	// accounts, levels and all count the tokens that were wanted and got.
@@ -60,115 +60,113 @@
 	agedAt   time.Time
 }
 
-// place is the place of a step in the order of its priority.
-type place struct {
+// stepState is the scheduling state of one step.
+type stepState struct {
 	key           flowKey
 	start, tokens float64
-	// granted means that an item was started, owed that the step goes first, and late that it
-	// can no longer be whole in time.
-	granted, owed, late bool
+	// charged means that the step's tokens were counted as served to its account, boosted that
+	// the step goes before those of other priorities because of the floor, and unmeetable that
+	// it was found to miss its due time.
+	charged, boosted, unmeetable bool
 }
 
 // Order sorts steps: those that the floor of their priority or account calls for first, then
 // by priority, then by fair shares of the accounts. A step that can no longer be in time keeps
-// its place, since its trainer waits for it before it goes on, but it does not count as served
-// to its account. Order must be given all steps that lack items.
+// its start tag, since its trainer waits for it before it goes on, but it does not count as
+// served to its account. Order must be given all steps that lack items.
 func (o *Steps) Order(steps []Step, now time.Time) {
 	o.age(now)
 	slices.SortFunc(steps, func(a, b Step) int { return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID)) })
 	o.placeAll(steps)
-	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(o.places[a.ID].start, o.places[b.ID].start) })
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(o.states[a.ID].start, o.states[b.ID].start) })
 	for _, s := range steps {
-		if s.late(now) {
-			o.revoke(o.places[s.ID])
+		if s.missesDeadline(now) {
+			o.refund(o.states[s.ID])
 		} else {
-			o.raise(o.places[s.ID])
+			o.boostBelowFloor(o.states[s.ID])
 		}
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int {
-		return cmp.Or(
-			compareBool(!o.places[a.ID].owed, !o.places[b.ID].owed),
-			cmp.Compare(a.Priority, b.Priority))
+		if boosted := o.states[a.ID].boosted; boosted != o.states[b.ID].boosted {
+			if boosted {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Priority, b.Priority)
 	})
 }
 
 // Started tells that an item of a step was started: the step now gets all its tokens.
 func (o *Steps) Started(id string) {
-	if p := o.places[id]; p != nil {
-		o.grant(p)
+	if p := o.states[id]; p != nil {
+		o.charge(p)
 	}
 }
 
-func (o *Steps) grant(p *place) {
-	if p.granted || p.late {
+// charge counts the tokens of a step as served to its account.
+func (o *Steps) charge(p *stepState) {
+	if p.charged || p.unmeetable {
 		return
 	}
-	p.granted = true
-	o.count(p, p.tokens)
+	p.charged = true
+	o.recordService(p, p.tokens)
 }
 
-// revoke takes back what was counted for a step that is not whole in time.
-func (o *Steps) revoke(p *place) {
-	if p.granted {
-		o.count(p, -p.tokens)
+// refund takes back what was charged for a step that misses its due time.
+func (o *Steps) refund(p *stepState) {
+	if p.charged {
+		o.recordService(p, -p.tokens)
 	}
-	p.granted, p.owed, p.late = false, false, true
+	p.charged, p.boosted, p.unmeetable = false, false, true
 }
 
-func (o *Steps) count(p *place, tokens float64) {
+// recordService adds tokens to what the step's account and priority got.
+func (o *Steps) recordService(p *stepState, tokens float64) {
 	o.tally(p.key).got += tokens
 	o.level(p.key.priority).got += tokens
 	o.all.got += tokens
 }
 
-// raise lets a step go first if its priority or its account would stay below the floor even
-// with it.
-func (o *Steps) raise(p *place) {
-	if !p.granted && (o.level(p.key.priority).behind(o.all, p.tokens) || o.tally(p.key).behind(o.all, p.tokens)) {
-		o.grant(p)
-		p.owed = true
-	}
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+// boostBelowFloor lets a step go first if its priority or its account would stay below the
+// floor even with it.
+func (o *Steps) boostBelowFloor(p *stepState) {
+	if !p.charged && (o.level(p.key.priority).belowFloor(o.all, p.tokens) || o.tally(p.key).belowFloor(o.all, p.tokens)) {
+		o.charge(p)
+		p.boosted = true
 	}
-	return -1
 }
 
-// placeAll gives each new step its place and forgets the steps that ended.
+// placeAll gives each new step its start tag and forgets the steps that ended.
 func (o *Steps) placeAll(steps []Step) {
-	if o.places == nil {
-		o.places, o.finish = map[string]*place{}, map[flowKey]float64{}
+	if o.states == nil {
+		o.states, o.finish = map[string]*stepState{}, map[flowKey]float64{}
 		o.accounts, o.levels = map[flowKey]*tally{}, map[int]*tally{}
 	}
-	virtual := o.virtual(steps)
-	o.forget(virtual)
-	places := make(map[string]*place, len(steps))
+	virtualTimes := o.virtualTimes(steps)
+	o.forgetIdle(virtualTimes)
+	states := make(map[string]*stepState, len(steps))
 	for _, s := range steps {
-		p, known := o.places[s.ID]
+		p, known := o.states[s.ID]
 		if !known {
 			key := flowKey{s.Account, s.Priority}
-			p = &place{key: key, start: max(virtual[s.Priority], o.finish[key]), tokens: s.Tokens}
+			p = &stepState{key: key, start: max(virtualTimes[s.Priority], o.finish[key]), tokens: s.Tokens}
 			o.finish[key] = p.start + s.Tokens
 			o.tally(key).wanted += s.Tokens
 			o.level(s.Priority).wanted += s.Tokens
 			o.all.wanted += s.Tokens
 		}
-		places[s.ID] = p
+		states[s.ID] = p
 	}
-	o.places = places
+	o.states = states
 }
 
-// virtual returns the lowest start tag of the steps that have a place, by priority.
-func (o *Steps) virtual(steps []Step) map[int]float64 {
+// virtualTimes returns the virtual time of each priority: the lowest start tag of its steps
+// that were seen before.
+func (o *Steps) virtualTimes(steps []Step) map[int]float64 {
 	lowest := map[int]float64{}
 	for _, s := range steps {
-		p, known := o.places[s.ID]
+		p, known := o.states[s.ID]
 		if least, has := lowest[s.Priority]; known && (!has || p.start < least) {
 			lowest[s.Priority] = p.start
 		}
@@ -176,24 +174,25 @@
 	return lowest
 }
 
-// forget drops the tags of the accounts of a priority of which no step waited before: what
+// forgetIdle drops the tags of the accounts of a priority of which no step waited before: what
 // an account got while nobody waited is not held against it.
-func (o *Steps) forget(virtual map[int]float64) {
+func (o *Steps) forgetIdle(virtualTimes map[int]float64) {
 	for key := range o.finish {
-		if _, waited := virtual[key.priority]; !waited {
+		if _, waited := virtualTimes[key.priority]; !waited {
 			delete(o.finish, key)
 		}
 	}
 }
 
-// agePeriod is the time after which what was wanted and got counts half.
-const agePeriod = 30 * time.Second
+// halvingPeriod is the time after which what was wanted and got counts half.
+const halvingPeriod = 30 * time.Second
 
+// age halves the tallies once in each halvingPeriod and forgets accounts without recent work.
 func (o *Steps) age(now time.Time) {
 	if o.agedAt.IsZero() {
 		o.agedAt = now
 	}
-	if now.Sub(o.agedAt) < agePeriod {
+	if now.Sub(o.agedAt) < halvingPeriod {
 		return
 	}
 	o.agedAt = now
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -182,6 +182,11 @@
 	}
 }
 
+// isOpen reports whether the item belongs to a submission and its text is not finished.
+func (i *item) isOpen() bool {
+	return i.submission != nil && (i.state == waiting || i.state == running)
+}
+
 // ownedSubmission is the state of one submission at its owner. The owner's mutex guards it.
 type ownedSubmission struct {
 	id     string
--- a/internal/submission/leaving_test.go
+++ b/internal/submission/leaving_test.go
@@ -32,7 +32,7 @@
 	}
 	short, older, newer := candidateOf(1, 10), candidateOf(2, 100), candidateOf(3, 100)
 	running := []candidate{newer, short, older}
-	sortByPriority(running)
+	sortOldestFirst(running)
 	moved := map[int64]string{}
 	for _, c := range running {
 		cause, _ := o.moveCause(c, engines, now)
--- a/internal/submission/memory.go
+++ b/internal/submission/memory.go
@@ -5,9 +5,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
-// engineMemory counts the tokens of the items on each engine. All items of a service run through
-// one owner, so the sum over an engine is what all nodes together send it as items. An engine whose
-// memory is exceeded preempts runs or crashes.
+// engineMemory counts the tokens of the items on each engine. All items of a service run
+// through one owner, so that it sees all items of an engine. An engine whose memory is exceeded
+// preempts runs or crashes.
 type engineMemory struct {
 	// limit is the number of tokens that an engine's memory holds; zero means unknown.
 	limit int64
@@ -28,17 +28,17 @@
 	}
 }
 
-// memoryEstimates is how many times the estimated length of a text is set aside for it. Texts
+// reservedEstimates is how many times the estimated length of a text is set aside for it. Texts
 // are often longer than estimated, yet seldom as long as their requests allow; an engine whose
 // texts outgrow its memory preempts the newest.
-const memoryEstimates = 2
+const reservedEstimates = 2
 
 // memoryTokens returns how much of an engine's memory an item is expected to occupy at most.
 func memoryTokens(record *recordpb.Item) int64 {
 	if record.GetPromptTokens() <= 0 || record.GetExpectedTokens() <= 0 {
 		return record.GetTokens()
 	}
-	return min(record.GetPromptTokens()+memoryEstimates*record.GetExpectedTokens(), record.GetTokens())
+	return min(record.GetPromptTokens()+reservedEstimates*record.GetExpectedTokens(), record.GetTokens())
 }
 
 // engineMemory returns the tokens of the running items on each engine. The caller holds o.mu.
--- a/internal/submission/move.go
+++ b/internal/submission/move.go
@@ -25,7 +25,7 @@
 			running = append(running, o.candidateOf(i))
 		}
 	}
-	sortByPriority(running)
+	sortOldestFirst(running)
 	for _, c := range running {
 		if cause, to := o.moveCause(c, engines, now); cause != "" {
 			o.moveRun(c.item, cause, to, now)
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -56,12 +56,12 @@
 	items map[string]*item
 	// scoresOpen counts the scoring calls in flight.
 	scoresOpen int
-	// lengths, demands (the tokens that a model's submissions ask for), rhythms (how often
+	// lengths, demands (the tokens that a model's submissions ask for), arrivals (how often
 	// they arrive), loadSlope, fastestGap and usualGap (the lowest and the median usual time
 	// per event of an engine) are learned from the texts and engines of the unit.
 	lengths    lengths
 	demands    map[string]float64
-	rhythms    map[string]*rhythm
+	arrivals   map[string]*arrivalStats
 	loadSlope  *fleet.LoadSlope
 	fastestGap time.Duration
 	usualGap   time.Duration
@@ -84,7 +84,7 @@
 		submissions: map[string]*ownedSubmission{},
 		items:       map[string]*item{},
 		demands:     map[string]float64{},
-		rhythms:     map[string]*rhythm{},
+		arrivals:    map[string]*arrivalStats{},
 		loadSlope:   fleet.NewLoadSlope(),
 		usualGap:    initialGap,
 		saved:       checkpoints{items: map[int][]string{}},
@@ -153,7 +153,7 @@
 	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{}), openedAt: time.Now()}
 	o.submissions[id] = s
 	o.observeDemand(record)
-	o.observeRhythm(record, h.acceptedAt())
+	o.observeArrival(record, h.acceptedAt())
 	listedIDs := make(map[string]struct{}, len(listed))
 	for _, result := range listed {
 		listedIDs[result.GetId()] = struct{}{}
--- a/internal/submission/pace.go
+++ b/internal/submission/pace.go
@@ -6,10 +6,9 @@
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 )
 
-// observeGap records the time between two events of a run on an engine; usual is the usual
-// time of the service's engines. What the engine
-// slows down beyond the influence of the load that all engines of the service show is part
-// of its own estimate.
+// observeGap records the time between two events of a run on an engine; usual is the median
+// of that time over the service's engines. The common influence of the load goes into slope, and
+// what this engine slows down beyond it into the engine's own estimate.
 func observeGap(e *fleet.Endpoint, gap, usual time.Duration, slope *fleet.LoadSlope, now time.Time) {
 	live := e.Live
 	runs, slots := int(live.InFlight()), slotsOf(e)
--- a/internal/submission/place.go
+++ b/internal/submission/place.go
@@ -33,7 +33,7 @@
 	// leaves is when those endpoints leave that have announced it, by ID. The directory's
 	// newest records say so: a run keeps the record with which it began.
 	leaves map[string]time.Time
-	// estimates are how much concurrency each endpoint takes well, by ID.
+	// estimates are the states of the endpoints' concurrency estimates, by ID.
 	estimates map[string]concurrency.State
 	// usual is the median of the engines' usual times per event, and least the lowest.
 	usual, least time.Duration
@@ -183,8 +183,8 @@
 	return best, true
 }
 
-// leaveMargin is how much before its announced time an engine that leaves is expected to be
-// gone: the announcement takes a while to arrive.
+// leaveMargin is how long before the announced time an engine is assumed to be gone: the
+// announcement takes a while to arrive.
 const leaveMargin = 500 * time.Millisecond
 
 // leavesTooSoon reports whether an engine is known to leave before it is expected to finish
@@ -261,10 +261,10 @@
 	remaining float64
 }
 
-// sortByPriority sorts items: older submissions first; within a submission carried-over
+// sortOldestFirst sorts items: older submissions first; within a submission carried-over
 // items first, then those that lack most, so that no long item is left for the end of the
 // step.
-func sortByPriority(items []candidate) {
+func sortOldestFirst(items []candidate) {
 	slices.SortFunc(items, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.submission.head.AcceptedMillis, b.submission.head.AcceptedMillis),
@@ -275,6 +275,7 @@
 	})
 }
 
+// compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -51,7 +51,7 @@
 		o.restartUnlessServed(i, engines)
 		items = append(items, o.candidateOf(i))
 	}
-	o.sort(items, engines, now)
+	o.sortForPlacing(items, engines, now)
 	for _, c := range items {
 		n := o.needOf(c.item)
 		engines.release(c.reserved, now)
--- a/internal/submission/shares.go
+++ b/internal/submission/shares.go
@@ -8,18 +8,18 @@
 	"github.com/comfreyfront/comfreyfront/internal/share"
 )
 
-// sort sorts items into the order in which they get slots. While the open steps cannot all be
-// whole in time and the configuration has accounts, submissions are ordered by priority and by
+// sortForPlacing sorts items into the order in which they get slots. While the open steps cannot all be
+// complete in time and the configuration has accounts, submissions are ordered by priority and by
 // the shares of their accounts, and groups that no trainer waits for come last. The caller
 // holds o.mu.
-func (o *Owner) sort(items []candidate, engines *engines, now time.Time) {
-	if !o.sharing() || !o.waiting(items, engines) {
-		sortByPriority(items)
+func (o *Owner) sortForPlacing(items []candidate, engines *engines, now time.Time) {
+	if !o.sharing() || !o.exceedsFreeSlots(items, engines) {
+		sortOldestFirst(items)
 		return
 	}
 	steps := o.openSteps(engines, now)
-	if share.Feasible(steps, engines.slots(), engines.usual, now) {
-		sortByPriority(items)
+	if share.Feasible(steps, engines.totalSlots(), engines.usual, now) {
+		sortOldestFirst(items)
 		return
 	}
 	o.steps.Order(steps, now)
@@ -33,7 +33,7 @@
 			wanted[c.submission] = o.wantedGroups(c.submission)
 		}
 	}
-	sortByPriority(items)
+	sortOldestFirst(items)
 	slices.SortStableFunc(items, func(a, b candidate) int {
 		return cmp.Or(
 			compareBool(wanted[b.submission][groupOf(b.record)], wanted[a.submission][groupOf(a.record)]),
@@ -47,8 +47,8 @@
 	return configuration != nil && configuration.Accounts != nil
 }
 
-// waiting reports whether more items of a kind wait than engines have free slots for them.
-func (o *Owner) waiting(items []candidate, engines *engines) bool {
+// exceedsFreeSlots reports whether more items of a kind wait than engines have free slots for them.
+func (o *Owner) exceedsFreeSlots(items []candidate, engines *engines) bool {
 	counts := map[need]int{}
 	for _, c := range items {
 		n := o.needOf(c.item)
@@ -56,15 +56,15 @@
 		counts[n]++
 	}
 	for n, count := range counts {
-		if count > engines.free(n) {
+		if count > engines.freeSlots(n) {
 			return true
 		}
 	}
 	return false
 }
 
-// free returns the number of runs that engines can accept now.
-func (p *engines) free(n need) int {
+// freeSlots returns the number of runs that engines can accept now.
+func (p *engines) freeSlots(n need) int {
 	free := 0
 	for _, e := range p.endpoints {
 		if p.accepts(e, n) {
@@ -74,8 +74,8 @@
 	return free
 }
 
-// slots returns the slots of all engines that may get work.
-func (p *engines) slots() int {
+// totalSlots returns the slots of all engines that may get work.
+func (p *engines) totalSlots() int {
 	slots := 0
 	for _, e := range p.endpoints {
 		if !e.Leaving() {
@@ -89,7 +89,7 @@
 func (o *Owner) openSteps(engines *engines, now time.Time) []share.Step {
 	bySubmission := map[*ownedSubmission]*share.Step{}
 	for _, i := range o.items {
-		if i.submission == nil || i.state != waiting && i.state != running {
+		if !i.isOpen() {
 			continue
 		}
 		step := bySubmission[i.submission]
--- a/internal/submission/shares_test.go
+++ b/internal/submission/shares_test.go
@@ -65,7 +65,7 @@
 	} {
 		o, items := shortOwner(t, row.accounts, now)
 		e := newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now)
-		o.sort(items, e, now)
+		o.sortForPlacing(items, e, now)
 		require.Equal(t, row.want, orderOf(items), "%s: each step is kept whole, what no trainer waits for is last", row.name)
 	}
 	o, items := shortOwner(t, accounts, now)
@@ -73,11 +73,11 @@
 		o.options.Directory.Set(&fleet.Endpoint{ID: fmt.Sprint("more", i), Service: "s", Slots: 4, Versions: map[string]int64{"m": 1}})
 	}
 	o.options.Directory.Publish()
-	o.sort(items, newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now), now)
+	o.sortForPlacing(items, newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now), now)
 	require.Equal(t, []string{"large-1", "large-2", "urgent", "small"}, orderOf(items), "with room for all the order stays")
 	o, items = shortOwner(t, accounts, now)
 	o.options.Routes.Load().Routes[0].RunDeadline = time.Hour
-	o.sort(items, newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now), now)
+	o.sortForPlacing(items, newEngines(o.options.Directory.Of("s"), fleet.NewLoadSlope(), "z", now), now)
 	require.Equal(t, []string{"large-1", "large-2", "urgent", "small"}, orderOf(items), "a burst that can be done in time is no shortage")
 }
 
--- a/internal/submission/workload.go
+++ b/internal/submission/workload.go
@@ -39,27 +39,28 @@
 	// stoppedAfter is the number of intervals without a submission after which a model's
 	// submissions count as stopped.
 	stoppedAfter = 3
-	// halfBusySlots is the number of runs on an engine for which paces are assumed.
-	halfBusySlots = 4
+	// assumedRuns is the number of runs on an engine that estimates of the run time assume.
+	assumedRuns = 4
 )
 
-// rhythm is how often submissions of a model arrive and how large they are.
-type rhythm struct {
+// arrivalStats are moving averages of how often submissions of a model arrive and how large
+// they are.
+type arrivalStats struct {
 	lastAt        time.Time
 	interval      float64 // in seconds
 	items, tokens float64
 }
 
-// observeRhythm updates the rhythm of a submission's model. The caller holds o.mu.
-func (o *Owner) observeRhythm(record *recordpb.Submission, arrivedAt time.Time) {
+// observeArrival updates the statistics of a submission's model. The caller holds o.mu.
+func (o *Owner) observeArrival(record *recordpb.Submission, arrivedAt time.Time) {
 	items, tokens := float64(len(record.GetItems())), 0.0
 	for _, i := range record.GetItems() {
 		tokens += float64(expectedTokens(i))
 	}
-	r, known := o.rhythms[record.GetModel()]
+	r, known := o.arrivals[record.GetModel()]
 	if !known {
-		r = &rhythm{items: items, tokens: tokens}
-		o.rhythms[record.GetModel()] = r
+		r = &arrivalStats{items: items, tokens: tokens}
+		o.arrivals[record.GetModel()] = r
 	}
 	r.items += demandWeight * (items - r.items)
 	r.tokens += demandWeight * (tokens - r.tokens)
@@ -88,7 +89,7 @@
 				w.Open = append(w.Open, *work)
 			}
 		}
-		if r := o.rhythms[model]; r != nil {
+		if r := o.arrivals[model]; r != nil {
 			w.Interval = time.Duration(r.interval * float64(time.Second))
 			if r.interval > 0 && now.Sub(r.lastAt).Seconds() < stoppedAfter*r.interval {
 				each := o.runTime(o.lengths.remaining(int64(r.tokens/max(r.items, 1)), 0))
@@ -104,7 +105,7 @@
 func (o *Owner) openWork() map[*ownedSubmission]*OpenWork {
 	open := map[*ownedSubmission]*OpenWork{}
 	for _, i := range o.items {
-		if i.submission == nil || i.state != waiting && i.state != running {
+		if !i.isOpen() {
 			continue
 		}
 		work := open[i.submission]
@@ -124,7 +125,7 @@
 	if gap <= 0 {
 		gap = initialGap
 	}
-	return runOverhead + time.Duration(events*float64(gap)*o.loadSlope.Factor(halfBusySlots))
+	return runOverhead + time.Duration(events*float64(gap)*o.loadSlope.Factor(assumedRuns))
 }
 
 // dueAt returns when a submission is due by this node's clock. Its time of acceptance is from
