A step that misses its due time takes back what is left of its charge

Cause: found by reading: a refund after the tallies had been halved took back twice what they held, and a step whose estimate recovered stayed unmeetable.

--- a/internal/share/steps.go
+++ b/internal/share/steps.go
@@ -64,9 +64,11 @@
 type stepState struct {
 	key           flowKey
 	start, tokens float64
+	// service is what the tallies still hold of the step's charge.
+	service float64
 	// charged means that the step's tokens were counted as served to its account, boosted that
 	// the step goes before those of other priorities because of the floor, and unmeetable that
-	// it was found to miss its due time.
+	// it misses its due time by the last estimate.
 	charged, boosted, unmeetable bool
 }
 
@@ -83,6 +85,7 @@
 		if s.missesDeadline(now) {
 			o.refund(o.states[s.ID])
 		} else {
+			o.states[s.ID].unmeetable = false
 			o.boostBelowFloor(o.states[s.ID])
 		}
 	}
@@ -109,14 +112,14 @@
 	if p.charged || p.unmeetable {
 		return
 	}
-	p.charged = true
-	o.recordService(p, p.tokens)
+	p.charged, p.service = true, p.tokens
+	o.recordService(p, p.service)
 }
 
 // refund takes back what was charged for a step that misses its due time.
 func (o *Steps) refund(p *stepState) {
 	if p.charged {
-		o.recordService(p, -p.tokens)
+		o.recordService(p, -p.service)
 	}
 	p.charged, p.boosted, p.unmeetable = false, false, true
 }
@@ -197,6 +200,9 @@
 	}
 	o.agedAt = now
 	o.all.scale(0.5)
+	for _, p := range o.states {
+		p.service *= 0.5
+	}
 	for _, t := range o.levels {
 		t.scale(0.5)
 	}
--- a/internal/share/steps_test.go
+++ b/internal/share/steps_test.go
@@ -172,3 +172,23 @@
 	require.True(t, Feasible([]Step{late, step(4*time.Second, 300)}, 10, gap, testStart))
 	require.False(t, Feasible([]Step{late, step(4*time.Second, 301)}, 10, gap, testStart))
 }
+
+// TestRefundOfAnOldCharge checks that a step that misses its due time takes back no more than
+// the tallies still hold of it, and that it is charged again if it recovers.
+func TestRefundOfAnOldCharge(t *testing.T) {
+	var o Steps
+	step := Step{ID: "a", Account: "x", Due: testStart.Add(time.Hour), Tokens: 100, Least: time.Minute}
+	o.Order([]Step{step}, testStart)
+	o.Started("a")
+	require.InDelta(t, 100, o.all.got, 1e-9)
+	later := testStart.Add(halvingPeriod)
+	slow := step
+	slow.Least = 2 * time.Hour
+	o.Order([]Step{slow}, later)
+	require.Zero(t, o.all.got)
+	o.Started("a")
+	require.Zero(t, o.all.got, "a step that is late is not charged")
+	o.Order([]Step{step}, later)
+	o.Started("a")
+	require.InDelta(t, 100, o.all.got, 1e-9)
+}
