Reading of the accounts, usage and duty code for newcomers; one boot-time clock

Change: freshness reads its clock through boottime.Read, which also builds off Linux, and still returns None if that fails. Removed: account.Directory.Lookup and Names. Joined: dropBefore of usage's collector and counter, countLine of the account report. Comments: duties are described as leases with fencing tokens; missing ones added. In tests only the renamed identifiers change.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -3,8 +3,6 @@
 package account
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"unicode"
 
@@ -43,7 +41,7 @@
 	Keys []string
 }
 
-// Directory finds the account of a key. It is immutable and safe for concurrent use.
+// Directory finds accounts by key and by name. It is immutable and safe for concurrent use.
 type Directory struct {
 	byKey  map[string]*Account
 	byName map[string]*Account
@@ -86,12 +84,6 @@
 	return nil
 }
 
-// Lookup returns the account that has the key.
-func (d *Directory) Lookup(key string) (*Account, bool) {
-	a, ok := d.byKey[key]
-	return a, ok
-}
-
 // Find returns the account with the given name. A nil directory has none.
 func (d *Directory) Find(name string) (*Account, bool) {
 	if d == nil {
@@ -100,13 +92,3 @@
 	a, ok := d.byName[name]
 	return a, ok
 }
-
-// Names returns the names of all accounts in ascending order.
-func (d *Directory) Names() []string {
-	names := make([]string, 0, len(d.byName))
-	for name := range d.byName {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, cmp.Compare[string])
-	return names
-}
--- a/internal/account/admission.go
+++ b/internal/account/admission.go
@@ -41,7 +41,7 @@
 // Form is the form in which a request presents a key.
 type Form int
 
-// Forms of credentials.
+// Forms in which a request presents a key.
 const (
 	// Absent means that the request has no key.
 	Absent Form = iota
@@ -110,8 +110,8 @@
 	if err == nil {
 		return 0, false
 	}
-	for reason, of := range refusalErrors {
-		if errorx.IsOfType(err, of) {
+	for reason, errorType := range refusalErrors {
+		if errorx.IsOfType(err, errorType) {
 			return Refusal(reason), true
 		}
 	}
--- a/internal/accountreport/collector.go
+++ b/internal/accountreport/collector.go
@@ -61,6 +61,7 @@
 	return prometheus.MustNewConstHistogram(secondsMetric, count, t.seconds, cumulative, label)
 }
 
+// send sends a counter unless it is zero.
 func send(metrics chan<- prometheus.Metric, description *prometheus.Desc, n int64, labels ...string) {
 	if n > 0 {
 		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(n), labels...)
--- a/internal/accountreport/recorder.go
+++ b/internal/accountreport/recorder.go
@@ -19,6 +19,8 @@
 const NoAccount = ""
 
 const (
+	// slots is the number of slots into which the window of the report is divided, and slotTime
+	// the length of each.
 	slots    = 6
 	slotTime = routereport.Window / slots
 	// maxAccounts bounds the accounts that a node counts. Requests of further ones are not
@@ -83,10 +85,11 @@
 // Refused returns the number of requests that were refused for their key.
 func (f *Figure) Refused() int64 { return sum(f.Refusals[:]) }
 
-// Wanted returns the number of requests that wanted room, and Got of those that got it.
+// Wanted returns the number of requests that were not refused for their key and so asked for
+// a share of the endpoints.
 func (f *Figure) Wanted() int64 { return f.Requests() - f.Refused() }
 
-// Got returns the number of requests that got room.
+// Got returns the number of requests among Wanted that were not refused for their share.
 func (f *Figure) Got() int64 { return f.Wanted() - sum(f.Shares[:]) }
 
 func sum(counts []int64) int64 {
@@ -126,12 +129,15 @@
 	seconds float64
 }
 
+// add counts a request that took the given time.
 func (t *times) add(elapsed time.Duration) {
 	bucket, _ := slices.BinarySearch(boundsSeconds[:], elapsed.Seconds())
 	t.buckets[bucket]++
 	t.seconds += elapsed.Seconds()
 }
 
+// slot holds the counts of one account in one slot of the window. number is that of the slot
+// since the start of 1970.
 type slot struct {
 	number   int64
 	outcomes [routereport.OutcomeCount]uint32
@@ -149,7 +155,7 @@
 	if c == nil {
 		return
 	}
-	number := r.number()
+	number := r.slotNumber()
 	s := &c.recent[number%slots]
 	if s.number != number {
 		*s = slot{number: number}
@@ -161,7 +167,7 @@
 		c.total.Refusals[refusal]++
 		s.refusals[refusal]++
 	}
-	if cause, short := shareOf(err); short {
+	if cause, ok := shareOf(err); ok {
 		c.total.Shares[cause]++
 		s.shares[cause]++
 	}
@@ -184,7 +190,8 @@
 	return c
 }
 
-func (r *Recorder) number() int64 {
+// slotNumber returns the number of the current slot.
+func (r *Recorder) slotNumber() int64 {
 	now := r.Now
 	if now == nil {
 		now = time.Now
@@ -198,7 +205,7 @@
 	defer r.mu.Unlock()
 	var f Figure
 	if c := r.accounts[name]; c != nil {
-		f = c.window(r.number() - slots)
+		f = c.window(r.slotNumber() - slots)
 	}
 	return f
 }
@@ -208,7 +215,7 @@
 func (r *Recorder) Refusals() [account.RefusalCount]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	oldest := r.number() - slots
+	oldest := r.slotNumber() - slots
 	var all Figure
 	for _, c := range r.accounts {
 		all.Add(c.window(oldest))
--- a/internal/accountreport/text.go
+++ b/internal/accountreport/text.go
@@ -53,7 +53,7 @@
 	}
 	lines = append(lines, fmt.Sprintf("%d requests ended", r.Figure.Requests()))
 	for outcome, n := range r.Figure.Outcomes {
-		lines = append(lines, fmt.Sprintf("  %-13s %d", routereport.Outcome(outcome), n))
+		lines = append(lines, countLine(routereport.Outcome(outcome), n))
 	}
 	if r.Usage != nil {
 		lines = append(lines, r.Usage.text())
@@ -71,12 +71,15 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
+// countLine renders one count of a list.
+func countLine(name fmt.Stringer, n int64) string { return fmt.Sprintf("  %-13s %d", name, n) }
+
 // shares renders how many requests wanted room and got it.
 func shares(f Figure) []string {
 	lines := []string{fmt.Sprintf("wanted room: %d, got it: %d", f.Wanted(), f.Got())}
 	for cause, n := range f.Shares {
 		if n > 0 {
-			lines = append(lines, fmt.Sprintf("  %-13s %d", Share(cause), n))
+			lines = append(lines, countLine(Share(cause), n))
 		}
 	}
 	return lines
@@ -87,7 +90,7 @@
 	var lines []string
 	for refusal, n := range refusals {
 		if n > 0 {
-			lines = append(lines, fmt.Sprintf("  %-13s %d", account.Refusal(refusal), n))
+			lines = append(lines, countLine(account.Refusal(refusal), n))
 		}
 	}
 	return lines
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -2,20 +2,16 @@
 // which the instance was suspended.
 package boottime
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // started is the fallback for systems without the clock.
 var started = time.Now()
 
-// Now returns the time since the instance was booted.
+// Now returns the time since the instance was booted. If the clock cannot be read, it returns
+// the time since the start of the process, which may leave out suspensions.
 func Now() time.Duration {
-	var reading unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &reading); err != nil {
-		return time.Since(started)
+	if now, ok := Read(); ok {
+		return now
 	}
-	return time.Duration(reading.Nano())
+	return time.Since(started)
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,6 +1,7 @@
 // Package duty makes the calls that one node at a time may make to the platform's
 // management interface on a subject. The node that owns the unit of the subject holds the
-// duty; the epoch of its ownership is the generation number that its calls carry.
+// duty, which is a lease; the epoch of its ownership is the generation number that its calls
+// carry as a fencing token.
 package duty
 
 import (
@@ -13,7 +14,7 @@
 type Credentials struct {
 	// Holder is the name of the node that holds the duty.
 	Holder string
-	// Generation increases whenever the holder changes.
+	// Generation is the fencing token: it increases whenever the holder changes.
 	Generation int64
 }
 
@@ -38,7 +39,7 @@
 	ErrUnknown = Errors.NewType("unknown", errorx.Temporary())
 )
 
-// Tenure is the time for which one node holds a duty.
+// Tenure is the lease of one node on a duty.
 type Tenure interface {
 	// Do makes one call with the holder's credentials. It returns ErrNotHeld without a call
 	// if this node may not make one now.
--- a/internal/duty/pace.go
+++ b/internal/duty/pace.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// holderFraction is the fraction of the rate of all nodes that one node uses. More nodes
-// than its inverse seldom hold duties at the same time.
-const holderFraction = 10
+// holderDivisor divides the rate of all nodes to give the part that one node uses. More nodes
+// than this seldom hold duties at the same time.
+const holderDivisor = 10
 
 // Limits of the pause after calls that were refused because of the rate limit.
 const (
@@ -29,7 +29,7 @@
 // NewPace returns the pace of a node, where perSecond is the rate that the management
 // interface accepts from all nodes together and now is a clock that never jumps.
 func NewPace(perSecond float64, now func() time.Duration) *Pace {
-	return &Pace{spacing: time.Duration(holderFraction * float64(time.Second) / perSecond), now: now}
+	return &Pace{spacing: time.Duration(holderDivisor * float64(time.Second) / perSecond), now: now}
 }
 
 // reserve returns how long the caller must wait before its call.
@@ -47,7 +47,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pause = min(max(2*p.pause, minRefusalPause), maxRefusalPause)
-	p.next = max(p.next, p.now()+p.pause/2+rand.N(p.pause))
+	jittered := p.pause/2 + rand.N(p.pause)
+	p.next = max(p.next, p.now()+jittered)
 }
 
 // accepted ends the growth of the pause after refusals.
--- a/internal/duty/rule.go
+++ b/internal/duty/rule.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// validityFraction is the fraction of the time between the calls of two holders for which a
-// confirmation permits calls. A longer one saves calls to the metadata store, a shorter one
-// lets the next holder begin earlier.
-const validityFraction = 3
+// validityDivisor divides the shortest time between the calls of two holders to give the time
+// for which a confirmation permits calls. A longer time saves calls to the metadata store, a
+// shorter one lets the next holder begin earlier.
+const validityDivisor = 3
 
 // minCallTime is the shortest time that a call is given. With less of a confirmation left,
 // the ownership is confirmed again first.
@@ -26,7 +26,7 @@
 }
 
 // validity is how long after it was sent a confirmation permits calls.
-func (r rule) validity() time.Duration { return r.holderChange / validityFraction }
+func (r rule) validity() time.Duration { return r.holderChange / validityDivisor }
 
 // firstCall returns when a holder that acquired the duty at the given time may begin.
 func (r rule) firstCall(acquired time.Duration) time.Duration {
--- a/internal/duty/tenure_test.go
+++ b/internal/duty/tenure_test.go
@@ -273,7 +273,7 @@
 	now := time.Duration(0)
 	pace := NewPace(50, func() time.Duration { return now })
 	require.Zero(t, pace.reserve())
-	require.Equal(t, time.Second*holderFraction/50, pace.reserve())
+	require.Equal(t, time.Second*holderDivisor/50, pace.reserve())
 	now = time.Minute
 	previous := time.Duration(0)
 	for range 4 {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -7,6 +7,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/comfreyfront/comfreyfront/internal/boottime"
 )
 
 // Instant is an instant of this instance's boot-time clock, in nanoseconds since the
@@ -16,6 +18,17 @@
 // None is the instant of something that has never happened. It is before all others.
 const None Instant = 0
 
+// Now returns the current instant. Unlike time.Now, which stands still or jumps, it
+// includes the time for which the instance was suspended. It returns None, which makes
+// nothing certain, if the clock cannot be read.
+func Now() Instant {
+	now, ok := boottime.Read()
+	if !ok {
+		return None
+	}
+	return Instant(now)
+}
+
 // Since returns the time from earlier to i.
 func (i Instant) Since(earlier Instant) time.Duration { return time.Duration(i - earlier) }
 
--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -52,6 +52,7 @@
 	}
 }
 
+// sample reads the time of day and updates the median.
 func (c *Clock) sample() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -44,7 +44,7 @@
 	kept, latest := oldestKept(now, c.length), WindowAt(now, c.length)+1
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forget(kept)
+	dropBefore(c.windows, kept)
 	for _, batch := range batches {
 		for w, counts := range batch.Windows {
 			if w >= max(kept, c.oldest) && w <= latest {
@@ -54,6 +54,7 @@
 	}
 }
 
+// merge takes in the counts of one process in one window. The caller holds c.mu.
 func (c *Collector) merge(w Window, process Process, counts Counts) {
 	window := c.windows[w]
 	if window == nil {
@@ -140,14 +141,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.oldest = max(c.oldest, w+1)
-	c.forget(c.oldest)
-}
-
-// forget drops the windows before the given one. The caller holds c.mu.
-func (c *Collector) forget(before Window) {
-	for w := range c.windows {
-		if w < before {
-			delete(c.windows, w)
-		}
-	}
+	dropBefore(c.windows, c.oldest)
 }
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -43,7 +43,7 @@
 	c.mu.Lock()
 	t := c.windows[w]
 	if t == nil {
-		c.forget(oldestKept(now, c.length))
+		dropBefore(c.windows, oldestKept(now, c.length))
 		t = &tallies{accounts: map[string]tally{}}
 		c.windows[w] = t
 	}
@@ -92,14 +92,5 @@
 func (c *Counter) Forget(before Window) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forget(before)
-}
-
-// forget drops the windows before the given one. The caller holds c.mu.
-func (c *Counter) forget(before Window) {
-	for w := range c.windows {
-		if w < before {
-			delete(c.windows, w)
-		}
-	}
+	dropBefore(c.windows, before)
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -97,13 +97,14 @@
 	}
 }
 
-// retry repeats a step until it succeeds or ctx ends.
+// retry repeats a step, with exponential backoff and jitter, until it succeeds or ctx ends.
 func (r *Reporter) retry(ctx context.Context, step func(context.Context) bool) {
 	for pause := minRetryPause; ctx.Err() == nil && !step(ctx); pause = min(2*pause, maxRetryPause) {
 		wait.For(ctx, pause/2+rand.N(pause))
 	}
 }
 
+// next returns the window to report next and how many windows are omitted before it.
 func (r *Reporter) next() (Window, int64) {
 	first := r.options.First
 	if earliest, found := r.options.Collector.Earliest(); found {
@@ -199,6 +200,7 @@
 	return true
 }
 
+// log records the outcome of sending a report.
 func (r *Reporter) log(ctx context.Context, record *Record, err error) {
 	attrs := []slog.Attr{slog.Int64("window", int64(record.Window)), slog.Int64("requests", record.Requests())}
 	if err == nil {
--- a/internal/usage/schedule.go
+++ b/internal/usage/schedule.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// settleFraction is the fraction of the time until a report is due after which the counts of
-// a window are taken as complete. The rest is for a holder that takes over.
-const settleFraction = 4
+// settleDivisor divides the time until a report is due to give the time after which the counts
+// of a window are taken as complete. The rest is for a holder that takes over.
+const settleDivisor = 4
 
 // maxOverdue is the number of windows that are reported late, after a time in which no node
 // reported anything.
@@ -18,7 +18,7 @@
 
 // ready returns when the counts of a window are taken as complete.
 func (s schedule) ready(w Window) time.Duration {
-	return w.End(s.length) + s.due/settleFraction
+	return w.End(s.length) + s.due/settleDivisor
 }
 
 // next returns the window to report after the newest report, and how many windows it omits
--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -21,6 +21,9 @@
 	sendTimeout            = 500 * time.Millisecond
 )
 
+// neverSent stands for the number of changes of a receiver to which nothing was sent.
+const neverSent = -1
+
 // Receiver is a process to which counts are passed.
 type Receiver struct {
 	Process Process
@@ -81,6 +84,7 @@
 	}
 }
 
+// interval returns the time between two sends of this process.
 func (s *Sender) interval() time.Duration {
 	return max(minSendInterval, time.Duration(s.options.Processes())*sendIntervalPerProcess)
 }
@@ -113,7 +117,7 @@
 			continue
 		}
 		if !known {
-			received[i] = unknown
+			received[i] = neverSent
 		}
 		sent = true
 		group.Go(func() { received[i] = s.sendTo(ctx, receiver, received[i]) })
@@ -121,16 +125,13 @@
 	group.Wait()
 	clear(s.received)
 	for i, receiver := range receivers {
-		if received[i] != unknown {
+		if received[i] != neverSent {
 			s.received[receiver.Process] = received[i]
 		}
 	}
 	return sent
 }
 
-// unknown is the number of changes of a receiver that nothing was sent to.
-const unknown = -1
-
 // sendTo sends a receiver the changes after the given number and returns the number of
 // changes that it has then.
 func (s *Sender) sendTo(ctx context.Context, receiver Receiver, received int64) int64 {
@@ -138,7 +139,7 @@
 	defer cancel()
 	windows, changes := s.options.Counter.Since(max(received, 0))
 	batches := []Batch{{Process: s.options.Self, Windows: windows}}
-	if received == unknown {
+	if received == neverSent {
 		batches = append(batches, s.options.Collector.Batches(s.options.Self)...)
 	}
 	if len(windows) == 0 && len(batches) == 1 {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -3,7 +3,10 @@
 // holder of the usage reports, which adds them up and reports each window once.
 package usage
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Window is the number of a window: window k begins k times the length of a window after
 // the start of 1970.
@@ -32,9 +35,14 @@
 	Windows map[Window]Counts
 }
 
-// keptTime is how long at most the counts of a window are kept after its end. It covers an outage
-// of the metadata store, during which nothing is reported.
-const keptTime = time.Minute
+// retention is how long at most the counts of a window are kept after its end. It covers an
+// outage of the metadata store, during which nothing is reported.
+const retention = time.Minute
 
 // oldestKept returns the oldest window whose counts are kept.
-func oldestKept(now, length time.Duration) Window { return WindowAt(now-keptTime, length) }
+func oldestKept(now, length time.Duration) Window { return WindowAt(now-retention, length) }
+
+// dropBefore deletes the windows before the given one.
+func dropBefore[T any](windows map[Window]T, before Window) {
+	maps.DeleteFunc(windows, func(w Window, _ T) bool { return w < before })
+}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -78,7 +78,7 @@
 		c.Count("a", 0)
 	}
 	windows, changes := c.Since(0)
-	require.LessOrEqual(t, len(windows), int(keptTime/testLength)+1)
+	require.LessOrEqual(t, len(windows), int(retention/testLength)+1)
 	require.Equal(t, int64(1000), changes)
 	windows, _ = c.Since(changes)
 	require.Empty(t, windows)
--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -149,8 +149,8 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	changes, wake, err := c.since(prefix, after)
-	for began := changes.UpTo; err == nil && len(changes.Events) == 0; {
-		if c.promptly && changes.UpTo > began {
+	for initial := changes.UpTo; err == nil && len(changes.Events) == 0; {
+		if c.promptly && changes.UpTo > initial {
 			return changes, nil
 		}
 		select {
