Names, doc comments and long functions of the node, fleet and concurrency packages

No change of behaviour.

- node: two things were named pace.
The watch bounds of a prefix are now watchTiming, and the rate limit of the management interface is managementPace. scalers.any, which hid the built-in, is active; certainty.report is logChange.
KeysCertain and keysAreCertain were one function twice; the tests call KeysCertain.
- node, fleet: three constants for an endpoint without a number of slots become fleet.DefaultSlots; shares.go uses Endpoint.SlotCount.
All moves to directory.go.
- node: a scaling kind is compared with scaling.Reclaimable instead of 0.
- concurrency: noticeableFactor, certainFactor, minMultiple, kneeFits; the weighted median is a function of its own.
One test follows the rename.
- Doc comments where they were missing.

--- a/internal/concurrency/estimate.go
+++ b/internal/concurrency/estimate.go
@@ -29,10 +29,12 @@
 	// answer changes little.
 	recentWeight = 0.25
 	maxDeviation = 1.1
-	// noticeable is the factor below which a difference in time counts as none, and certain
-	// the one from which it counts in full.
-	noticeable = 1.2
-	certain    = 1.4
+	// noticeableFactor is the factor below which a difference in time counts as none, and
+	// certainFactor the one from which it counts in full.
+	noticeableFactor = 1.2
+	certainFactor    = 1.4
+	// minMultiple bounds observed times from below, so that a time of zero has a logarithm.
+	minMultiple = 0.01
 	// tolerance is the factor by which requests may take longer at the limit than alone.
 	tolerance = 1.25
 	// staleAfter is how long an estimate that keeps work away is trusted without new
@@ -73,13 +75,14 @@
 	// knee is the number of requests from which times grow in proportion to the number;
 	// zero means that none is known.
 	knee float64
-	// seen is the number of fits in a row that showed a knee.
-	seen int
+	// kneeFits is the number of fits in a row that showed a knee.
+	kneeFits int
 	// refusedAt is when the endpoint last refused a request, and refusedWith the number in
 	// flight then.
 	refusedAt   time.Time
 	refusedWith float64
-	probedAt    time.Time
+	// probedAt is when Probe last returned true.
+	probedAt time.Time
 }
 
 // Observe records a request that took the given multiple of the usual time while the
@@ -100,8 +103,8 @@
 	}
 }
 
-// logarithm bounds the multiple so that a time of zero has a logarithm.
-func logarithm(multiple float64) float64 { return math.Log(max(multiple, 0.01)) }
+// logarithm returns the logarithm of an observed multiple.
+func logarithm(multiple float64) float64 { return math.Log(max(multiple, minMultiple)) }
 
 // observe records one observation. The caller holds e.mu.
 func (e *Estimate) observe(t, inFlight float64, slots int, now time.Time) {
--- a/internal/concurrency/fit.go
+++ b/internal/concurrency/fit.go
@@ -1,6 +1,7 @@
 package concurrency
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -60,8 +61,8 @@
 // that an endpoint that takes more again is found. The caller holds e.mu.
 func (e *Estimate) updateKnee(groups []bin, slots int, highest float64) {
 	best, bestCost := 0.0, math.Inf(1)
-	for k := 1; k <= bins; k++ {
-		knee := max(float64(slots*k)/bins, 1)
+	for i := 1; i <= bins; i++ {
+		knee := max(float64(slots*i)/bins, 1)
 		if knee >= highest {
 			break
 		}
@@ -71,14 +72,14 @@
 	}
 	_, flat := baseOf(groups, 0, slots)
 	if best > 0 && flat-bestCost >= minGain {
-		e.seen++
+		e.kneeFits++
 	} else {
-		e.seen = 0
+		e.kneeFits = 0
 	}
 	switch {
-	case e.seen > 0 && e.knee > 0:
+	case e.kneeFits > 0 && e.knee > 0:
 		e.knee = math.Sqrt(e.knee * best)
-	case e.seen >= confirmations:
+	case e.kneeFits >= confirmations:
 		e.knee = best
 	case e.knee > 0:
 		e.relax(groups, slots, highest, flat)
@@ -87,7 +88,7 @@
 
 // relax raises the knee, at once if the present load contradicts it. The caller holds e.mu.
 func (e *Estimate) relax(groups []bin, slots int, highest, flat float64) {
-	if _, cost := baseOf(groups, e.knee, slots); highest > noticeable*e.knee && cost-flat >= minGain {
+	if _, cost := baseOf(groups, e.knee, slots); highest > noticeableFactor*e.knee && cost-flat >= minGain {
 		e.knee = highest
 	}
 	e.knee *= relaxation
@@ -103,28 +104,25 @@
 	for i, g := range groups {
 		rest[i] = bin{time: g.time - math.Log(timeFactor(g.inFlight, knee, slots)), weight: g.weight}
 	}
-	sorted := rest[:len(groups)]
-	slices.SortFunc(sorted, func(a, b bin) int {
-		switch {
-		case a.time < b.time:
-			return -1
-		case a.time > b.time:
-			return 1
-		}
-		return 0
-	})
+	base = weightedMedian(rest[:len(groups)])
+	for _, g := range rest[:len(groups)] {
+		cost += g.weight * math.Abs(g.time-base)
+	}
+	return base, cost
+}
+
+// weightedMedian sorts the groups by time and returns their median. The weights add up to 1.
+func weightedMedian(groups []bin) (median float64) {
+	slices.SortFunc(groups, func(a, b bin) int { return cmp.Compare(a.time, b.time) })
 	weight := 0.0
-	for _, g := range sorted {
+	for _, g := range groups {
 		weight += g.weight
-		base = g.time
+		median = g.time
 		if weight >= 0.5 {
 			break
 		}
 	}
-	for _, g := range sorted {
-		cost += g.weight * math.Abs(g.time-base)
-	}
-	return base, cost
+	return median
 }
 
 // median sorts the values and returns the middle one.
@@ -133,6 +131,7 @@
 	return values[len(values)/2]
 }
 
+// medianTime returns the median of the samples' times.
 func medianTime(samples []sample) float64 {
 	var times [windowSize]float64
 	for i, s := range samples {
--- a/internal/concurrency/state.go
+++ b/internal/concurrency/state.go
@@ -76,10 +76,10 @@
 }
 
 // Bad reports whether requests are believed to take noticeably longer than usual.
-func (s State) Bad() bool { return s.Base*s.Slowdown >= noticeable }
+func (s State) Bad() bool { return s.Base*s.Slowdown >= noticeableFactor }
 
 // noticed returns the factor of a logarithm. Small differences count as none, and those
-// between noticeable and certain in part, so that equal endpoints stay equal.
+// between noticeableFactor and certainFactor in part, so that equal endpoints stay equal.
 func noticed(logarithm float64) float64 {
 	distance := math.Abs(logarithm)
 	if distance < logNoticeable {
@@ -88,7 +88,7 @@
 	return math.Exp(logarithm * min((distance-logNoticeable)/(logCertain-logNoticeable), 1))
 }
 
-var logNoticeable, logCertain = math.Log(noticeable), math.Log(certain)
+var logNoticeable, logCertain = math.Log(noticeableFactor), math.Log(certainFactor)
 
 // refusalLimit returns the number of requests with which the endpoint refused one; it rises
 // to the number of slots as the refusal becomes old. The caller holds e.mu.
@@ -103,7 +103,7 @@
 // Factor returns how much longer requests take with the given number in flight than alone,
 // because the endpoint slows down; waiting for a slot is not included.
 func (s State) Factor(inFlight float64) float64 {
-	if s.Knee <= 0 || inFlight < noticeable*s.Knee {
+	if s.Knee <= 0 || inFlight < noticeableFactor*s.Knee {
 		return 1
 	}
 	return inFlight / s.Knee
--- a/internal/concurrency/state_test.go
+++ b/internal/concurrency/state_test.go
@@ -27,7 +27,7 @@
 	now = steady(&e, 1, 3, 50, now)
 	require.Equal(t, 1.0, e.State(testSlots, now).Multiple(3))
 	e.Observe(100, 3, testSlots, now)
-	require.Less(t, e.State(testSlots, now).Multiple(3), certain)
+	require.Less(t, e.State(testSlots, now).Multiple(3), certainFactor)
 }
 
 // TestLastingChangeIsFoundSoon checks that an endpoint that turns slow is known as slow
--- a/internal/concurrency/usual.go
+++ b/internal/concurrency/usual.go
@@ -7,7 +7,7 @@
 
 // Parameters of the usual time.
 const (
-	// usualRise and usualFall are the fractions by which it rises in a second of times that
+	// usualRise and usualFall are the fractions by which the usual time rises in a second of times that
 	// are longer, and falls in a second of times that are shorter. It settles where
 	// usualFall/(usualRise+usualFall) of the times are above it, however long the longest
 	// are.
@@ -30,6 +30,7 @@
 	kinds map[Kind]*usualTime
 }
 
+// usualTime is the estimate of one kind.
 type usualTime struct {
 	seconds  float64
 	observed int
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -23,8 +23,8 @@
 // fraction of the run time of one request.
 const crossZoneCost = 0.3
 
-// defaultSlots is used for an endpoint that does not report its number of slots.
-const defaultSlots = 4
+// DefaultSlots is used for an endpoint that does not report its number of slots.
+const DefaultSlots = 4
 
 // Choose returns the endpoint with the lowest estimated waiting time. Leaving and
 // tried endpoints are skipped. Endpoints that recently refused work are used only if
@@ -32,12 +32,12 @@
 // estimate is based on the number of requests per slot, on the slowdown that the endpoint
 // reports, and on how much concurrency it was observed to take well.
 func Choose(endpoints []*Endpoint, work Work, now time.Time) (*Endpoint, bool) {
-	var best *Endpoint
-	var bestRank int
-	var bestCost float64
 	if e, ok := probe(endpoints, work, now); ok {
 		return e, true
 	}
+	var best *Endpoint
+	var bestRank int
+	var bestCost float64
 	offset := 0
 	if len(endpoints) > 1 {
 		offset = rand.IntN(len(endpoints))
@@ -72,10 +72,10 @@
 func waitCost(e *Endpoint, work Work, now time.Time) float64 {
 	slots := e.SlotCount()
 	state := e.Live.Estimate.State(slots, now)
-	n, capacity := float64(e.Live.TotalInFlight(now)), float64(slots)
-	cost := state.Factor(n+1) + n/capacity + max(n-capacity+1, 0)
+	inFlight, capacity := float64(e.Live.TotalInFlight(now)), float64(slots)
+	cost := state.Factor(inFlight+1) + inFlight/capacity + max(inFlight-capacity+1, 0)
 	if state.Limit < capacity {
-		cost += max(n+1-state.Limit, 0) / state.Limit
+		cost += max(inFlight+1-state.Limit, 0) / state.Limit
 	}
 	cost = cost * slowdownPercent(e, state, now) / 100
 	if e.Zone != work.Zone {
@@ -84,9 +84,9 @@
 	return cost
 }
 
-// reportedSlowdown is the percentage from which a reported slowdown counts although requests
+// minReportedSlowdown is the percentage from which a reported slowdown counts although requests
 // were seen to take less: the report may be newer.
-const reportedSlowdown = 125
+const minReportedSlowdown = 125
 
 // slowdownPercent returns how long work takes at an endpoint without contention, as a
 // percentage of the usual time. The endpoint's report decides unless its requests were seen
@@ -96,7 +96,7 @@
 	switch {
 	case observed == 100:
 		return reported
-	case reported >= reportedSlowdown:
+	case reported >= minReportedSlowdown:
 		return max(observed, reported)
 	}
 	return observed
@@ -105,7 +105,7 @@
 // SlotCount returns the number of slots, or a default if the endpoint does not report it.
 func (e *Endpoint) SlotCount() int {
 	if e.Slots <= 0 {
-		return defaultSlots
+		return DefaultSlots
 	}
 	return e.Slots
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,3 +210,14 @@
 
 // Len returns the number of endpoints.
 func (d *Directory) Len() int { return len(d.view.Load().byID) }
+
+// All returns the endpoints of all services, ordered by service and ID.
+func (d *Directory) All() []*Endpoint {
+	v := d.view.Load()
+	all := make([]*Endpoint, 0, len(v.byID))
+	for _, e := range v.byID {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *Endpoint) int { return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID)) })
+	return all
+}
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // probe returns an endpoint that is believed to be slow, has no request of this node and
 // was not observed for a while, if the work can afford to try it. Other work avoids such an
@@ -59,14 +55,3 @@
 	}
 	return room
 }
-
-// All returns the endpoints of all services, ordered by service and ID.
-func (d *Directory) All() []*Endpoint {
-	v := d.view.Load()
-	all := make([]*Endpoint, 0, len(v.byID))
-	for _, e := range v.byID {
-		all = append(all, e)
-	}
-	slices.SortFunc(all, func(a, b *Endpoint) int { return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID)) })
-	return all
-}
--- a/internal/node/accounts.go
+++ b/internal/node/accounts.go
@@ -7,11 +7,6 @@
 	"github.com/comfreyfront/comfreyfront/internal/account"
 )
 
-// KeysCertain implements platform.Front.
-func (n *Node) KeysCertain() bool {
-	return n.keysAreCertain()
-}
-
 // refusalOfKey returns the status for a request that was refused for its key and the delay
 // after which the caller should retry. It returns false for any other error.
 func refusalOfKey(err error) (status int, after time.Duration, ok bool) {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -16,8 +16,8 @@
 // brokenTimeout bounds a report of a broken run.
 const brokenTimeout = time.Second
 
-// counterOf returns the node that counts the broken runs of a request for all nodes, by rendezvous
-// hashing, so that nodes that see the same others choose the same one.
+// counterOf returns the node that counts the broken runs of a request for all nodes, by
+// rendezvous hashing, so that nodes that see the same others choose the same one.
 func counterOf(fingerprint uint64, nodes []cluster.Node) cluster.Node {
 	var counter cluster.Node
 	var highest uint64
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -15,7 +15,7 @@
 		Credentials:  duty.Credentials{Holder: n.config.Name, Generation: unit.Epoch},
 		Confirm:      func(ctx context.Context) error { return n.cluster.ConfirmUnit(ctx, unit) },
 		HolderChange: n.config.HolderChange,
-		Pace:         n.pace,
+		Pace:         n.managementPace,
 		Now:          boottime.Now,
 	})
 }
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -14,7 +14,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/fleet"
 )
 
-// pathEndpoints returns what this node believes of each endpoint.
+// pathEndpoints is the page of this node's estimates of each endpoint.
 const pathEndpoints = "/endpoints"
 
 // serveEndpoints responds with one line for each endpoint: what it is believed to take and
@@ -68,6 +68,7 @@
 	endpoints, slow, limit, capacity *prometheus.Desc
 }
 
+// newEndpointGauges returns a collector of the endpoints in the directory.
 func newEndpointGauges(directory *fleet.Directory) *endpointGauges {
 	describe := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc("comfreyfront_"+name, help, append([]string{"service"}, labels...), nil)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -38,7 +38,7 @@
 // stores them in this node's cache of the prefix.
 func (n *Node) follower(prefix string, batchDelay time.Duration, changed func(metastore.Event), settled func()) *metastore.Follower {
 	cache := n.caches[prefix]
-	source := &followedStore{Store: n.store, hubs: n.hubs, pace: n.paceOf(prefix)}
+	source := &followedStore{Store: n.store, hubs: n.hubs, timing: n.watchTimingOf(prefix)}
 	f := &metastore.Follower{
 		Store: source, Prefix: prefix, BatchDelay: batchDelay, Logger: n.logger, Settled: settled,
 		Changed: func(e metastore.Event) {
@@ -48,7 +48,7 @@
 		Listed: cache.Listed,
 		Confirmed: func(position int64) {
 			cache.Confirmed(position, source.confirmed(), source.upTo)
-			source.pace.confirmed(source.upTo)
+			source.timing.confirmed(source.upTo)
 		},
 	}
 	if prefix == platform.KeyEndpoints {
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -24,8 +24,8 @@
 	tracker freshness.Tracker
 
 	mu sync.Mutex
-	// reported is the state that was logged last.
-	reported bool
+	// logged is the state that was logged last.
+	logged bool
 }
 
 func newCertainty(limit time.Duration, logger *slog.Logger, registerer prometheus.Registerer) *certainty {
@@ -39,16 +39,19 @@
 	return c
 }
 
-// keysAreCertain reports whether requests with a key may be accepted. It must be called
-// after a request has arrived and before the configuration that decides about its key is
-// read: a process that is suspended in between would otherwise decide by an old
-// configuration and a new confirmation.
-func (n *Node) keysAreCertain() bool { return n.certainty.holds() }
+// KeysCertain implements platform.Front: it reports whether requests with a key may be
+// accepted. It must be called after a request has arrived and before the configuration that
+// decides about its key is read: a process that is suspended in between would otherwise
+// decide by an old configuration and a new confirmation.
+func (n *Node) KeysCertain() bool { return n.certainty.holds() }
 
+// holds reports whether the configuration is recent enough to decide about keys.
 func (c *certainty) holds() bool {
 	return c.limit == 0 || c.tracker.Certain(c.now(), c.limit)
 }
 
+// seconds returns the age of the configuration, which is infinite before the first
+// confirmation.
 func (c *certainty) seconds() float64 {
 	age, confirmed := c.tracker.Age(c.now())
 	if !confirmed {
@@ -57,19 +60,19 @@
 	return age.Seconds()
 }
 
-// report logs when certainty is lost or regained. Before the first confirmation nothing is
+// logChange logs when certainty is lost or regained. Before the first confirmation nothing is
 // logged, since a node that starts has not lost it.
-func (c *certainty) report(ctx context.Context) {
+func (c *certainty) logChange(ctx context.Context) {
 	if c.limit == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	holds := c.holds()
-	if holds == c.reported {
+	if holds == c.logged {
 		return
 	}
-	c.reported = holds
+	c.logged = holds
 	age, _ := c.tracker.Age(c.now())
 	changed := event.KeysUncertain
 	if holds {
@@ -78,52 +81,54 @@
 	changed.Log(ctx, c.logger, slog.Int64("age_ms", age.Milliseconds()), slog.Int64("limit_ms", c.limit.Milliseconds()))
 }
 
-// pace is how closely a prefix is followed. Its zero value follows it without a limit.
-type pace struct {
+// watchTiming bounds the watches of a prefix so that its changes arrive within the limit of
+// certainty. The zero value has no limit.
+type watchTiming struct {
 	certainty *certainty
 }
 
-// paceOf returns the pace of a prefix. Only the operator's records have a limit.
-func (n *Node) paceOf(prefix string) pace {
+// watchTimingOf returns the timing of the watches of a prefix. Only the operator's records
+// have a limit.
+func (n *Node) watchTimingOf(prefix string) watchTiming {
 	if prefix != platform.KeyOperator || n.config.KeyRevocation == 0 {
-		return pace{}
+		return watchTiming{}
 	}
-	return pace{certainty: n.certainty}
+	return watchTiming{certainty: n.certainty}
 }
 
 // confirmed records that all changes of the prefix up to an instant are in force.
-func (p pace) confirmed(upTo freshness.Instant) {
-	if p.certainty != nil {
-		p.certainty.tracker.Confirmed(upTo)
+func (t watchTiming) confirmed(upTo freshness.Instant) {
+	if t.certainty != nil {
+		t.certainty.tracker.Confirmed(upTo)
 	}
 }
 
 // overdue reports whether the next watch of the store must be answered at once.
-func (p pace) overdue(now freshness.Instant) bool {
-	return p.certainty != nil && p.certainty.tracker.Overdue(now, p.certainty.limit)
+func (t watchTiming) overdue(now freshness.Instant) bool {
+	return t.certainty != nil && t.certainty.tracker.Overdue(now, t.certainty.limit)
 }
 
 // wait returns how long a watch of the store may wait for a change.
-func (p pace) wait() time.Duration {
-	if p.certainty == nil {
+func (t watchTiming) wait() time.Duration {
+	if t.certainty == nil {
 		return hubWatchWait
 	}
-	return min(hubWatchWait, freshness.WatchWait(p.certainty.limit))
+	return min(hubWatchWait, freshness.WatchWait(t.certainty.limit))
 }
 
 // hubWait returns how long a watch of a hub with the given wait may wait. Without a limit, a
 // hub that does not answer a short watch is given the time of a long one.
-func (p pace) hubWait(wait time.Duration) time.Duration {
-	if p.certainty == nil {
+func (t watchTiming) hubWait(wait time.Duration) time.Duration {
+	if t.certainty == nil {
 		return hubCallWait
 	}
 	return min(wait, hubCallWait)
 }
 
-// limit bounds a watch of the store with the given wait.
-func (p pace) limit(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
-	if p.certainty == nil {
+// withTimeout returns a context for a watch of the store with the given wait.
+func (t watchTiming) withTimeout(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	if t.certainty == nil {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, wait+freshness.CallSlack(p.certainty.limit))
+	return context.WithTimeout(ctx, wait+freshness.CallSlack(t.certainty.limit))
 }
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -265,7 +265,7 @@
 			f.peerly.set(silent)
 		}
 		lost := time.Now()
-		for cut.keysAreCertain() {
+		for cut.KeysCertain() {
 			time.Sleep(sampleInterval)
 		}
 		require.GreaterOrEqual(t, time.Since(lost), testOwed)
@@ -344,11 +344,11 @@
 	runGroup(t, groupSize, testRevocation, func(t *testing.T, g *followGroup) {
 		for _, f := range []*follow{g.nodes[0], g.nodes[5]} {
 			f.skipped.Add(int64(2 * testRevocation))
-			require.False(t, f.keysAreCertain())
+			require.False(t, f.KeysCertain())
 		}
 		time.Sleep(2 * freshness.WatchWait(testRevocation))
-		require.True(t, g.nodes[5].keysAreCertain())
-		require.True(t, g.nodes[0].keysAreCertain())
+		require.True(t, g.nodes[5].KeysCertain())
+		require.True(t, g.nodes[0].KeysCertain())
 	})
 }
 
@@ -364,7 +364,7 @@
 	all := func(certain bool) {
 		t.Helper()
 		for _, n := range s.nodes {
-			require.Eventually(t, func() bool { return n.node.keysAreCertain() == certain }, waitLimit, pollInterval)
+			require.Eventually(t, func() bool { return n.node.KeysCertain() == certain }, waitLimit, pollInterval)
 		}
 	}
 	follows := func() bool {
--- a/internal/node/hubs.go
+++ b/internal/node/hubs.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/relay"
 	"github.com/comfreyfront/comfreyfront/internal/watchcache"
+	"github.com/comfreyfront/comfreyfront/platform"
 )
 
 // A few nodes, the hubs, watch the store, and the other nodes watch a hub.
@@ -149,8 +150,8 @@
 	stale bool
 	// upTo is the instant up to which the last response contains all changes.
 	upTo freshness.Instant
-	// pace is how closely the prefix is followed.
-	pace pace
+	// timing bounds the watches of the prefix.
+	timing watchTiming
 }
 
 // confirmingWatchWait is how long the watch after a stale read waits. It is short
@@ -217,7 +218,7 @@
 	if hub, ok := f.hubs.choose(); ok {
 		start, sent := time.Now(), f.hubs.instant()
 		store := f.hubs.peers.cacheOf(hub)
-		callCtx, cancel := context.WithTimeout(ctx, f.pace.hubWait(wait)+hubCallSlack)
+		callCtx, cancel := context.WithTimeout(ctx, f.timing.hubWait(wait)+hubCallSlack)
 		events, revision, err := store.Watch(callCtx, prefix, after, min(wait, hubCallWait))
 		timedOut := callCtx.Err() != nil && ctx.Err() == nil
 		cancel()
@@ -230,11 +231,11 @@
 	}
 	f.direct = true
 	sent := f.hubs.instant()
-	if f.stale || f.pace.overdue(sent) {
+	if f.stale || f.timing.overdue(sent) {
 		wait = confirmingWatchWait
 	}
-	wait = min(wait, f.pace.wait())
-	ctx, cancel := f.pace.limit(ctx, wait)
+	wait = min(wait, f.timing.wait())
+	ctx, cancel := f.timing.withTimeout(ctx, wait)
 	defer cancel()
 	events, revision, err := f.Store.Watch(ctx, prefix, after, wait)
 	if err == nil {
@@ -251,6 +252,20 @@
 // caches maps each followed prefix to this node's cache of it.
 type caches map[string]*watchcache.Cache
 
+// newCaches returns the caches of the followed prefixes. If prompt is true, watches of the
+// operator's records return as soon as the store confirms them; see watchcache.Cache.Promptly.
+func newCaches(prompt bool) caches {
+	c := caches{
+		platform.KeyOperator:  watchcache.New(hubMaxAge),
+		platform.KeyEndpoints: watchcache.New(hubMaxAge),
+		cluster.Prefix:        watchcache.New(hubMaxAge),
+	}
+	if prompt {
+		c[platform.KeyOperator].Promptly()
+	}
+	return c
+}
+
 // serve answers a request of another node that arrived at the given instant from the cache
 // of the key's prefix.
 func (c caches) serve(ctx context.Context, request *nodepb.StoreRequest, arrived freshness.Instant) *nodepb.StoreReply {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,6 @@
 	"github.com/comfreyfront/comfreyfront/internal/routereport"
 	"github.com/comfreyfront/comfreyfront/internal/settings"
 	"github.com/comfreyfront/comfreyfront/internal/submission"
-	"github.com/comfreyfront/comfreyfront/internal/watchcache"
 	"github.com/comfreyfront/comfreyfront/internal/weights"
 	"github.com/comfreyfront/comfreyfront/platform"
 )
@@ -75,8 +74,9 @@
 	endpoints   *platform.EndpointClient
 	peers       *peers
 	metrics     *nodeMetrics
-	figures     routereport.Recorder
-	// accountFigures are the figures by client account.
+	// figures are the counts of ended requests by route, and accountFigures those by client
+	// account.
+	figures        routereport.Recorder
 	accountFigures accountreport.Recorder
 	gates          gates
 	registry       *prometheus.Registry
@@ -85,7 +85,8 @@
 	intake         *intake.Intake
 	caches         caches
 	certainty      *certainty
-	pace           *duty.Pace
+	// managementPace limits the rate of calls to the management interface.
+	managementPace *duty.Pace
 	usage          *usageReports // nil if no usage is reported
 
 	scalers        scalers
@@ -123,6 +124,7 @@
 	return build(config, logger).run(ctx, open)
 }
 
+// build creates a node. run starts it.
 func build(config *settings.Node, logger *slog.Logger) *Node {
 	n := &Node{
 		config:    config,
@@ -138,33 +140,15 @@
 	}
 	n.metrics = newNodeMetrics(n.registry)
 	n.scalingMetrics = newScalingMetrics(n.registry)
-	n.pace = duty.NewPace(config.ManagementRate, boottime.Now)
+	n.managementPace = duty.NewPace(config.ManagementRate, boottime.Now)
 	n.registry.MustRegister(&n.accountFigures)
 	n.certainty = newCertainty(config.KeyRevocation, logger, n.registry)
 	n.registry.MustRegister(newEndpointGauges(n.directory))
 	n.intake = intake.New(config.Intake.Limits(int64(config.MemoryMB)<<20, intake.FileLimit(config.MaxFiles)), logger, n.registry)
-	n.peers = newPeers(&http.Transport{
-		DialContext:            platform.Dialer().DialContext,
-		MaxIdleConnsPerHost:    peerConnsPerHost,
-		IdleConnTimeout:        peerIdleTimeout,
-		MaxResponseHeaderBytes: maxPeerHeadBytes,
-		DisableCompression:     true,
-	})
+	n.peers = newPeers(newPeerTransport())
 	n.direct = platform.NewStoreClient(config.StoreAddress)
 	n.store = relay.New(n.direct, n.relays, n.needsStore)
-	n.cluster = cluster.New(cluster.Options{
-		Self: cluster.Node{
-			Name: config.Name, Address: config.PeerListen, Zone: config.FailureDomain, Incarnation: time.Now().UnixNano(),
-			Capacity: config.Capacity,
-		},
-		Store:    n.store,
-		Pinger:   n.peers,
-		TTL:      config.LeaseTTL,
-		Logger:   logger,
-		Open:     func(e metastore.Event) { n.submissions.Changed(e) },
-		Acquired: n.unitAcquired,
-		Lost:     n.unitLost,
-	})
+	n.cluster = cluster.New(n.clusterOptions())
 	n.submissions = submission.NewService(submission.Options{
 		Store: n.store, Cluster: n.cluster, Peers: n.peers, OwnershipConfirmed: n.cluster.Confirmed, Logger: logger,
 	})
@@ -176,14 +160,7 @@
 		n.forward.Began = n.usage.began
 	}
 	n.hubs = &hubs{cluster: n.cluster, peers: n.peers}
-	n.caches = caches{
-		platform.KeyOperator:  watchcache.New(hubMaxAge),
-		platform.KeyEndpoints: watchcache.New(hubMaxAge),
-		cluster.Prefix:        watchcache.New(hubMaxAge),
-	}
-	if config.KeyRevocation > 0 {
-		n.caches[platform.KeyOperator].Promptly()
-	}
+	n.caches = newCaches(config.KeyRevocation > 0)
 	n.crashes.OnBlock = n.broadcastCrash
 	n.crashes.OnBroken = n.reportBroken
 	n.directory.Changed = n.fleetChanged
@@ -192,6 +169,35 @@
 	return n
 }
 
+// newPeerTransport returns the transport of calls to other nodes.
+func newPeerTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            platform.Dialer().DialContext,
+		MaxIdleConnsPerHost:    peerConnsPerHost,
+		IdleConnTimeout:        peerIdleTimeout,
+		MaxResponseHeaderBytes: maxPeerHeadBytes,
+		DisableCompression:     true,
+	}
+}
+
+// clusterOptions returns the options of this node's cluster membership. n.store and n.peers
+// must be set.
+func (n *Node) clusterOptions() cluster.Options {
+	return cluster.Options{
+		Self: cluster.Node{
+			Name: n.config.Name, Address: n.config.PeerListen, Zone: n.config.FailureDomain, Incarnation: time.Now().UnixNano(),
+			Capacity: n.config.Capacity,
+		},
+		Store:    n.store,
+		Pinger:   n.peers,
+		TTL:      n.config.LeaseTTL,
+		Logger:   n.logger,
+		Open:     func(e metastore.Event) { n.submissions.Changed(e) },
+		Acquired: n.unitAcquired,
+		Lost:     n.unitLost,
+	}
+}
+
 // needsStore reports whether callers or other nodes depend on this node reaching
 // the store: it has no configuration yet, it owns a unit, or a caller waits for a
 // submission to be accepted or ended.
@@ -286,6 +292,7 @@
 // still owns units.
 const expireInterval = 200 * time.Millisecond
 
+// expire drops expired endpoints from the directory until ctx ends.
 func (n *Node) expire(ctx context.Context) error {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -295,78 +302,11 @@
 			return nil
 		case <-ticker.C:
 			n.directory.Expire()
-			n.certainty.report(ctx)
+			n.certainty.logChange(ctx)
 		}
 	}
 }
 
-// Phases of a planned stop, as the fractions of the grace period at which they end. The
-// process must have exited by the end of the grace period.
-const (
-	// finishFraction ends the phase in which requests may finish and units are handed over.
-	// The platform expects each request that an endpoint has answered in the first five
-	// sixths of the grace period to be answered.
-	finishFraction = 0.86
-	// answerFraction ends the phase in which the requests that did not finish are answered
-	// with an error.
-	answerFraction = 0.92
-	// leaseFraction ends the phase in which the lease is ended.
-	leaseFraction = 0.96
-)
-
-// leave finishes what is in flight: the readiness check starts to fail, units are
-// handed over to other nodes, and open requests run to completion.
-func (n *Node) leave(front *front) {
-	began := time.Now()
-	phase := func(fraction float64) (context.Context, context.CancelFunc) {
-		return context.WithDeadline(context.Background(), began.Add(time.Duration(fraction*float64(n.config.Grace))))
-	}
-	finish, cancelFinish := phase(finishFraction)
-	defer cancelFinish()
-	answer, cancelAnswer := phase(answerFraction)
-	defer cancelAnswer()
-	lease, cancelLease := phase(leaseFraction)
-	defer cancelLease()
-	event.NodeDraining.Log(finish, n.logger)
-	n.draining.Store(true)
-	var group errgroup.Group
-	group.Go(func() error {
-		n.cluster.Leave(finish)
-		return n.handOver(finish)
-	})
-	group.Go(func() error { return front.Shutdown(finish, answer) })
-	if err := group.Wait(); err != nil {
-		event.NodeWorkAborted.Log(finish, n.logger, slog.String("cause", err.Error()))
-	}
-	if n.usage != nil {
-		n.usage.stop(lease)
-	}
-	n.cluster.EndLease(lease)
-}
-
-// handOver waits until other nodes have taken over the units of this node.
-func (n *Node) handOver(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for n.ownsUnits() && len(n.cluster.Nodes()) > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	return nil
-}
-
-func (n *Node) ownsUnits() bool {
-	if n.usage.holds() {
-		return true
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.units) > 0 || n.scalers.any()
-}
-
 // serveReady answers the readiness check of the load balancer. A node is ready once
 // it knows a configuration and the endpoints, and until it drains.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -377,6 +317,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// peerHandler serves the calls of other nodes.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	server := nodepb.NewNodeServer(&peerServer{node: n})
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -65,6 +65,7 @@
 	keyRefusals [account.RefusalCount]int64
 }
 
+// add adds the figures of another node.
 func (f *figures) add(other figures) {
 	f.routes = append(f.routes, other.routes...)
 	f.account.Add(other.account)
--- a/internal/node/scaling.go
+++ b/internal/node/scaling.go
@@ -21,21 +21,19 @@
 // knows the demand.
 const scalingUnitPrefix = "scaling/"
 
-// defaultSlots is assumed for the endpoints of a service until one of them has told its own.
-const defaultSlots = 4
-
 // scalers are the controllers of the services whose orders this node holds.
 type scalers struct {
 	mu     sync.Mutex
 	byUnit map[string]*scaler
 }
 
+// scaler is the running controller of one service.
 type scaler struct {
 	controller *scaling.Controller
 	stop       func()
 }
 
-// replace sets or, if s is nil, removes the controller of a unit, and stops the previous one.
+// replace sets or, if next is nil, removes the controller of a unit, and stops the previous one.
 func (s *scalers) replace(unit string, next *scaler) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,15 +55,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var statuses []scaling.Status
-	for _, one := range s.byUnit {
-		if status := one.controller.Status(); status.Service != "" {
+	for _, running := range s.byUnit {
+		if status := running.controller.Status(); status.Service != "" {
 			statuses = append(statuses, status)
 		}
 	}
 	return statuses
 }
 
-func (s *scalers) any() bool {
+// active reports whether this node orders endpoints of any service.
+func (s *scalers) active() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.byUnit) > 0
@@ -139,7 +138,7 @@
 	}
 	in.Slots = o.slots
 	if in.Slots == 0 {
-		in.Slots = defaultSlots
+		in.Slots = fleet.DefaultSlots
 	}
 	if o.owner == nil {
 		in.Streams = []scaling.Stream{{Open: open}}
@@ -152,6 +151,7 @@
 	return in, true
 }
 
+// countEndpoint adds an endpoint to the count of its group.
 func countEndpoint(there map[scaling.Group]scaling.Count, e *fleet.Endpoint, busy int, models []string, now time.Time) {
 	group := scaling.Group{Domain: e.Zone}
 	if e.Reclaimable {
@@ -174,6 +174,7 @@
 	there[group] = count
 }
 
+// streamOf converts a workload to the stream that the controller plans for.
 func streamOf(w submission.Workload) scaling.Stream {
 	stream := scaling.Stream{Arriving: w.Arriving, Interval: w.Interval}
 	for _, open := range w.Open {
@@ -202,12 +203,14 @@
 	return m
 }
 
+// ordered returns a function that counts an order for a service.
 func (m *scalingMetrics) ordered(service string) func(scaling.Order, string) {
 	return func(order scaling.Order, outcome string) {
 		m.orders.WithLabelValues(service, order.Kind.String(), outcome).Inc()
 	}
 }
 
+// decided sets the gauges of a service.
 func (m *scalingMetrics) decided(status scaling.Status) {
 	for _, g := range status.Groups {
 		for state, count := range map[string]int{"wanted": g.Wanted, "ordered": g.Ordered, "there": g.There, "draining": g.Draining} {
--- a/internal/node/scalingreport.go
+++ b/internal/node/scalingreport.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/phone"
+	"github.com/comfreyfront/comfreyfront/internal/scaling"
 )
 
 // pathScaling is the page of the endpoints that are wanted, ordered and there.
@@ -77,7 +78,7 @@
 	for _, status := range n.scalers.statuses() {
 		for _, g := range status.Groups {
 			groups = append(groups, &nodepb.ScalingGroup{
-				Service: status.Service, FailureDomain: g.Domain, Reclaimable: g.Kind != 0,
+				Service: status.Service, FailureDomain: g.Domain, Reclaimable: g.Kind == scaling.Reclaimable,
 				Wanted: int32(g.Wanted), Ordered: int32(g.Ordered), There: int32(g.There), Draining: int32(g.Draining),
 				Refused: g.Refused, Urgent: int32(status.Urgent), Reason: string(status.Reason),
 			})
@@ -110,6 +111,7 @@
 	return strings.Join(lines, "\n") + "\n"
 }
 
+// serviceLines renders the sums of a service and the reason of its last decision.
 func serviceLines(service string, groups []*nodepb.ScalingGroup) []string {
 	var wanted, ordered, there, urgent int32
 	reason := ""
@@ -125,6 +127,7 @@
 	}
 }
 
+// groupLine renders the endpoints of one kind in one failure domain.
 func groupLine(g *nodepb.ScalingGroup) string {
 	kind, notes := "ordinary", ""
 	if g.GetReclaimable() {
@@ -139,6 +142,7 @@
 	return fmt.Sprintf("  %s %s %d/%d/%d%s", g.GetFailureDomain(), kind, g.GetWanted(), g.GetOrdered(), g.GetThere(), notes)
 }
 
+// compareBools orders false before true.
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -23,8 +23,6 @@
 	holdTimeout = 0.1
 	// roomLife is how long the room of a service is used before it is computed again.
 	roomLife = 20 * time.Millisecond
-	// unknownSlots is assumed for an endpoint that does not report its number of slots.
-	unknownSlots = 4
 )
 
 // Room tells how many requests for a service this node has room for.
@@ -101,7 +99,7 @@
 			g.refresh(now)
 		}
 		g.watched.Store(false)
-		if g.Waiting() > 0 { // it came after the last look
+		if g.Waiting() > 0 { // one arrived after the last check
 			g.watch()
 		}
 	}()
@@ -159,10 +157,7 @@
 		if e.Leaving() {
 			continue
 		}
-		slots := e.Slots
-		if slots <= 0 {
-			slots = unknownSlots
-		}
+		slots := e.SlotCount()
 		inFlight := e.Live.TotalInFlight(now)
 		if e.Live.IsFull(now) {
 			inFlight = max(inFlight, int64(slots))
--- a/internal/node/units.go
+++ b/internal/node/units.go
@@ -65,7 +65,11 @@
 		n.startScaling(unit, plain, nil)
 		return
 	}
-	service := strings.TrimPrefix(unit.Name, engineUnitPrefix)
+	n.engineUnitAcquired(unit, strings.TrimPrefix(unit.Name, engineUnitPrefix))
+}
+
+// engineUnitAcquired starts the work of the new owner of an engine service.
+func (n *Node) engineUnitAcquired(unit cluster.Unit, service string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	owner := submission.NewOwner(ctx, submission.OwnerOptions{
 		Unit: unit, Service: service, Zone: n.config.FailureDomain,
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -69,6 +69,7 @@
 	return u
 }
 
+// processOf returns the process that a node's record describes.
 func processOf(node cluster.Node) usage.Process {
 	return usage.Process{Node: node.Name, Incarnation: node.Incarnation}
 }
@@ -103,6 +104,7 @@
 	return receivers
 }
 
+// receiver returns a node as a receiver of counts; this node merges them directly.
 func (u *usageReports) receiver(node cluster.Node) usage.Receiver {
 	self := u.node.cluster.Self()
 	return usage.Receiver{Process: processOf(node), Send: func(ctx context.Context, batches []usage.Batch) (usage.Window, error) {
@@ -166,6 +168,7 @@
 	u.lost()
 }
 
+// report sends the report of a window to the management interface.
 func (u *usageReports) report(ctx context.Context, credentials duty.Credentials, record *usage.Record) error {
 	return u.management.ReportUsage(ctx, credentials, platform.UsageReport{Window: int64(record.Window), Counts: record.Counts})
 }
--- a/internal/node/usagereport.go
+++ b/internal/node/usagereport.go
@@ -83,6 +83,7 @@
 // called counts a call that sent a report.
 func (m *usageMetrics) called(err error) { m.reports.WithLabelValues(outcomeOfCall(err)).Inc() }
 
+// outcomeOfCall returns the label of a call's outcome.
 func outcomeOfCall(err error) string {
 	switch {
 	case err == nil:
@@ -146,6 +147,7 @@
 	u.render(w, record, r.URL.Query().Get("account"))
 }
 
+// render writes a report, or only the count of an account if one is given.
 func (u *usageReports) render(w io.Writer, record *usage.Record, account string) {
 	fmt.Fprintf(w, "newest usage report: window %d of %s, ended %s ago, %d requests of %d accounts\n",
 		record.Window, u.node.config.UsageWindow, u.sinceEnd(record).Round(time.Second), record.Requests(), len(record.Counts))
--- a/internal/routereport/recorder.go
+++ b/internal/routereport/recorder.go
@@ -33,7 +33,8 @@
 	Unknown
 	// Rejected means that the request itself was invalid.
 	Rejected
-	OutcomeCount // number of outcomes
+	// OutcomeCount is the number of outcomes.
+	OutcomeCount
 )
 
 // String implements fmt.Stringer.
