--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// CountBroken counts a run during which the connection broke.
+// CountBroken counts a run, at this node or another, during which the connection broke.
 func (c *Crashes) CountBroken(fingerprint uint64) {
 	c.mu.Lock()
 	entry := c.entry(fingerprint)
@@ -109,9 +109,6 @@
 	}
 }
 
-// CountReported counts a run at another node during which the connection broke.
-func (c *Crashes) CountReported(fingerprint uint64) { c.CountBroken(fingerprint) }
-
 // Block blocks a request that another node reported.
 func (c *Crashes) Block(fingerprint uint64, life time.Duration) {
 	c.mu.Lock()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -298,7 +298,7 @@
 			}
 		}
 		if i > 0 { // the first node counts
-			s.Crashes.OnBroken = services[0].Crashes.CountReported
+			s.Crashes.OnBroken = services[0].Crashes.CountBroken
 		}
 	}
 	for i, s := range services {
--- a/internal/node/scalingreport.go
+++ b/internal/node/scalingreport.go
@@ -91,7 +91,7 @@
 // one for each failure domain with ordinary and reclaimable endpoints as wanted/ordered/there.
 func scalingText(groups []*nodepb.ScalingGroup, now time.Time) string {
 	slices.SortStableFunc(groups, func(a, b *nodepb.ScalingGroup) int {
-		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetFailureDomain(), b.GetFailureDomain()), compareBools(a.GetReclaimable(), b.GetReclaimable()))
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetFailureDomain(), b.GetFailureDomain()), cmp.Compare(kindName(a), kindName(b)))
 	})
 	lines := []string{fmt.Sprintf("%s UTC, wanted/ordered/there", now.UTC().Format(time.TimeOnly))}
 	if len(groups) == 0 {
@@ -129,26 +129,20 @@
 
 // groupLine renders the endpoints of one kind in one failure domain.
 func groupLine(g *nodepb.ScalingGroup) string {
-	kind, notes := "ordinary", ""
-	if g.GetReclaimable() {
-		kind = "reclaimable"
-	}
+	notes := ""
 	if g.GetDraining() > 0 {
 		notes += fmt.Sprintf(" %d leave", g.GetDraining())
 	}
 	if g.GetRefused() {
 		notes += " REFUSED"
 	}
-	return fmt.Sprintf("  %s %s %d/%d/%d%s", g.GetFailureDomain(), kind, g.GetWanted(), g.GetOrdered(), g.GetThere(), notes)
+	return fmt.Sprintf("  %s %s %d/%d/%d%s", g.GetFailureDomain(), kindName(g), g.GetWanted(), g.GetOrdered(), g.GetThere(), notes)
 }
 
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
+// kindName returns the name of the kind of the group's endpoints, by which groups are ordered.
+func kindName(g *nodepb.ScalingGroup) string {
+	if g.GetReclaimable() {
+		return "reclaimable"
 	}
-	return -1
+	return "ordinary"
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -78,7 +78,7 @@
 // Crashed implements nodepb.Node.
 func (s *peerServer) Crashed(_ context.Context, request *nodepb.CrashedRequest) (*nodepb.CrashedReply, error) {
 	if request.GetBroken() {
-		s.node.crashes.CountReported(request.GetFingerprint())
+		s.node.crashes.CountBroken(request.GetFingerprint())
 		return &nodepb.CrashedReply{}, nil
 	}
 	s.node.crashes.Block(request.GetFingerprint(), time.Duration(request.GetLifeMs())*time.Millisecond)
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -88,9 +88,6 @@
 // Waiting returns the number of waiting pieces of work.
 func (s *Scheduler[T]) Waiting() int { return s.waiting }
 
-// Accounts returns the number of remembered accounts, counted once for each priority.
-func (s *Scheduler[T]) Accounts() int { return len(s.flows) }
-
 // Pass counts work that gets room at once. It may be called only while nothing waits. What
 // an account gets then is not held against it later.
 func (s *Scheduler[T]) Pass(account string, priority int, cost float64, now time.Time) {
--- a/internal/share/scheduler_test.go
+++ b/internal/share/scheduler_test.go
@@ -176,7 +176,7 @@
 	for i := range 10_000 {
 		s.Pass(fmt.Sprint(i), 0, 1, testStart)
 	}
-	require.Equal(t, 10_000, s.Accounts())
+	require.Equal(t, 10_000, len(s.flows))
 	s.Pass("a", 0, 1, testStart.Add(2*idleTimeout))
-	require.Equal(t, 1, s.Accounts())
+	require.Equal(t, 1, len(s.flows))
 }
