--- a/review/cases2/score.go
+++ b/review/cases2/score.go
@@ -15,6 +15,8 @@
 	longEvents = 400
 	// rewardAttempts is max_attempts of the route of the reward calls.
 	rewardAttempts = 4
+	// rewardTimeout is the timeout of that route in milliseconds.
+	rewardTimeout = 2000
 	// trainTime is how long the trainer trains between two batch submissions.
 	trainTime = 500 * time.Millisecond
 )
@@ -69,7 +71,7 @@
 		w.note("reward call %s at %s: 200", id, r.id)
 		fmt.Fprint(writer, "scored")
 	}
-	if err := w.startRollouts(engine, plain); err != nil {
+	if err := w.startRollouts(rewardTimeout, engine, plain); err != nil {
 		return outcome{}, err
 	}
 	first := append(groups("a", 2), item{"x1", "x", "reward-a-x1"}, item{"x2", "x", "reward-a-x2"})
@@ -97,8 +99,9 @@
 }
 
 // startRollouts starts a deployment with three engines, two plain replicas and three nodes.
-func (w *world) startRollouts(engine, plain func(*replica, http.ResponseWriter, *http.Request)) error {
-	if err := w.store.configure(1, []object{rolloutRoute(), rewardRoute()}, services()); err != nil {
+// rewardTimeoutMS is the timeout of the reward calls' route.
+func (w *world) startRollouts(rewardTimeoutMS int, engine, plain func(*replica, http.ResponseWriter, *http.Request)) error {
+	if err := w.store.configure(1, []object{rolloutRoute(), rewardRoute(rewardTimeoutMS)}, services()); err != nil {
 		return err
 	}
 	for i := range 3 {
--- a/review/cases2/store.go
+++ b/review/cases2/store.go
@@ -126,8 +126,8 @@
 		"run_deadline_ms": 7500, "max_queue_s": 40, "priority": 1, "service": engineService, "max_attempts": 3, "sticky": true}
 }
 
-func rewardRoute() object {
-	return object{"name": "r-reward", "host": host, "prefix": "/reward/", "kind": "idempotent", "timeout_ms": 2000, "target_latency_ms": 400,
+func rewardRoute(timeoutMS int) object {
+	return object{"name": "r-reward", "host": host, "prefix": "/reward/", "kind": "idempotent", "timeout_ms": timeoutMS, "target_latency_ms": 400,
 		"priority": 2, "service": plainService, "max_attempts": 4}
 }
 
