--- a/review/cases2/returns.go
+++ b/review/cases2/bodyless.go
@@ -7,14 +7,14 @@
 	"time"
 )
 
-func init() { cases["memory"] = casePoisonReturns }
+func init() { cases["bodyless"] = casePoisonWithoutBody }
 
-// casePoisonReturns: a request that may run once crashes each replica that begins to run it,
-// and its client sends it again for a minute and a half.
-func casePoisonReturns(w *world, trouble bool) (outcome, error) {
+// casePoisonWithoutBody: a request without a body, which may run once, crashes each replica that
+// begins to run it, and its client sends it again at other nodes.
+func casePoisonWithoutBody(w *world, trouble bool) (outcome, error) {
 	record := &poisonRecord{counted: map[string]bool{}}
 	serve := func(r *replica, writer http.ResponseWriter, request *http.Request) {
-		if trouble && strings.Contains(readBody(request), poisonMark) {
+		if trouble && strings.HasSuffix(request.URL.Path, poisonMark) {
 			record.reached(w, r, request.Header.Get("X-Request-Id"))
 			r.crash(crashPause)
 			<-request.Context().Done()
@@ -31,10 +31,11 @@
 			return outcome{}, err
 		}
 	}
-	if err := w.startNodes("front-1", "front-2", "front-3"); err != nil {
+	if err := w.startNodes("front-1", "front-2", "front-3", "front-4", "front-5", "front-6"); err != nil {
 		return outcome{}, err
 	}
-	ordinary, served := poisonRun{path: "/update/a", interval: time.Second, length: 100 * time.Second}.play(w)
+	run := poisonRun{path: "/update/" + poisonMark, ordinaryPath: "/update/a", interval: 4 * time.Second, length: 36 * time.Second}
+	ordinary, served := run.play(w)
 	if served < ordinary/4 {
 		return outcome{}, fmt.Errorf("only %d of %d ordinary requests were served", served, ordinary)
 	}
--- a/review/cases2/poison.go
+++ b/review/cases2/poison.go
@@ -55,9 +55,13 @@
 
 // poisonRun is the repeated sending of one request that crashes replicas.
 type poisonRun struct {
-	path     string
-	interval time.Duration
-	length   time.Duration
+	path string
+	// body is the body of the request; it is empty if the path tells the request.
+	body string
+	// ordinaryPath is the path of the ordinary requests.
+	ordinaryPath string
+	interval     time.Duration
+	length       time.Duration
 }
 
 // play sends the request again and again, at one node after the other, with ordinary
@@ -68,10 +72,10 @@
 		next := began.Add(time.Duration(n+1) * run.interval)
 		target := w.nodes[n%len(w.nodes)]
 		id := fmt.Sprintf("p%04d", n)
-		got := send(target, http.MethodPost, run.path, id, 2*time.Second, nil, []byte(poisonMark))
+		got := send(target, http.MethodPost, run.path, id, 2*time.Second, nil, []byte(run.body))
 		w.note("client sends %s at %s: status %d, error %v", id, target.name, got.status, got.err != nil)
 		ordinary++
-		if got := send(target, http.MethodPost, run.path, fmt.Sprintf("o%04d", n), 2*time.Second, nil, []byte(fmt.Sprint("ordinary ", n))); got.status == http.StatusOK {
+		if got := send(target, http.MethodPost, run.ordinaryPath, fmt.Sprintf("o%04d", n), 2*time.Second, nil, []byte(fmt.Sprint("ordinary ", n))); got.status == http.StatusOK {
 			served++
 		}
 		time.Sleep(time.Until(next))
@@ -110,7 +114,7 @@
 	if err := w.startNodes("front-1", "front-2", "front-3"); err != nil {
 		return outcome{}, err
 	}
-	ordinary, served := poisonRun{path: "/chat/a", interval: time.Second, length: 25 * time.Second}.play(w)
+	ordinary, served := poisonRun{path: "/chat/a", body: poisonMark, ordinaryPath: "/chat/a", interval: time.Second, length: 25 * time.Second}.play(w)
 	if served < ordinary/4 {
 		return outcome{}, fmt.Errorf("only %d of %d ordinary requests were served", served, ordinary)
 	}
