--- a/review/cases2/main.go
+++ b/review/cases2/platform/main.go
@@ -1,4 +1,4 @@
-// Command cases2 plays the cases of the second independent review. Each case starts nodes
+// Command platform plays the cases of the second independent review. Each case starts nodes
 // as separate processes, with the settings template of the deploy file, and stand-ins for
 // the platform's store, for replicas and for clients on loopback.
 //
