--- a/review/cases2/platform/slow.go
+++ b/review/cases2/platform/slow.go
@@ -18,6 +18,8 @@
 	slowFor        = 8 * time.Second
 	// longRewards is the number of items whose reward call is a long one.
 	longRewards = 8
+	// moreEvents is how many events the text of each of these items has more than the last one's.
+	moreEvents = 3
 	// shortTimeout is the timeout of the reward calls' route in milliseconds.
 	shortTimeout = 1000
 )
@@ -26,9 +28,11 @@
 
 // answeredRewards counts the answers to reward calls by id and status.
 type answeredRewards struct {
-	mu     sync.Mutex
-	byID   map[string]map[int]int
-	slowAt time.Time
+	mu   sync.Mutex
+	byID map[string]map[int]int
+	// trouble means that the replicas turn slow as the first long call arrives, at slowAt.
+	trouble bool
+	slowAt  time.Time
 }
 
 func (a *answeredRewards) count(id string, status int) {
@@ -47,6 +51,9 @@
 	work := rewardWork
 	if strings.HasPrefix(id, "reward-long") {
 		work = longRewardWork
+		if a.trouble && a.slowAt.IsZero() {
+			a.slowAt = time.Now()
+		}
 	}
 	if !a.slowAt.IsZero() && time.Since(a.slowAt) < slowFor {
 		return time.Duration(slowFactor * float64(work))
@@ -54,6 +61,17 @@
 	return work
 }
 
+// rewardedEvents returns the number of events of an item's text. Those with a long reward call have
+// different lengths, so that their reward calls don't all begin and end at the same moment.
+func rewardedEvents(id string) int {
+	number, long := strings.CutPrefix(id, "long")
+	if !long {
+		return textEvents
+	}
+	n, _ := strconv.Atoi(number) // the ids of this case end with a number
+	return textEvents + n*moreEvents
+}
+
 // answer serves a reward call: it stops at the deadline that came with it.
 func (a *answeredRewards) answer(w *world, r *replica, writer http.ResponseWriter, request *http.Request) {
 	began := time.Now()
@@ -79,10 +97,10 @@
 // caseSlowRewards: the plain replicas turn slow for some seconds, so that the longest reward calls
 // miss their deadline there.
 func caseSlowRewards(w *world, trouble bool) (outcome, error) {
-	rewards := &answeredRewards{byID: map[string]map[int]int{}}
+	rewards := &answeredRewards{byID: map[string]map[int]int{}, trouble: trouble}
 	engine := func(r *replica, writer http.ResponseWriter, request *http.Request) {
 		readBody(request)
-		r.streamEvents(writer, request, textEvents, eventGap, nil)
+		r.streamEvents(writer, request, rewardedEvents(request.Header.Get("X-Request-Id")), eventGap, nil)
 	}
 	plain := func(r *replica, writer http.ResponseWriter, request *http.Request) {
 		rewards.answer(w, r, writer, request)
@@ -95,10 +113,7 @@
 		items = append(items, item{fmt.Sprintf("long%d", n), fmt.Sprintf("long-%d", n/4), fmt.Sprintf("reward-long%d", n)})
 	}
 	if trouble {
-		w.note("the plain replicas take %.1f times as long for %s", slowFactor, slowFor)
-		rewards.mu.Lock()
-		rewards.slowAt = time.Now()
-		rewards.mu.Unlock()
+		w.note("the plain replicas take %.1f times as long for %s from the first long reward call on", slowFactor, slowFor)
 	}
 	if err := w.submit("lot-a", submission(0, 1, 6, items)); err != nil {
 		return outcome{}, err
