--- a/review/cases2/platform/store.go
+++ b/review/cases2/platform/store.go
@@ -135,8 +135,3 @@
 	return object{"name": "r-update", "host": host, "prefix": "/update/", "kind": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 400,
 		"priority": 2, "service": plainService, "max_attempts": 2}
 }
-
-func chatRoute() object {
-	return object{"name": "r-chat", "host": host, "prefix": "/chat/", "kind": "stream", "timeout_ms": 10000, "target_latency_ms": 400,
-		"priority": 1, "service": engineService, "max_attempts": 1, "sticky": true}
-}
