An item is not given up by the clock of another node

Cause: Owner.overdue compared the time of day that the accepting node had written with the owner's own.

Evidence: TestItemIsNotGivenUpByTheClockOfAnotherNode, with an acceptance two minutes in the past by another clock and a limit of one minute: the item was overdue at once before this change (expected false, actual true).

Why this works: the time counts from when this owner opened the submission, on its steady clock, which never runs ahead of the time since the acceptance.

--- a/internal/submission/fixture_test.go
+++ b/internal/submission/fixture_test.go
@@ -55,6 +55,8 @@
 	// requests are all requests for items that were sent, in order.
 	requests []*call.Request
 	scored   map[string]int
+	// scoringEnds lists, by item, how its next scoring calls end. Later ones succeed.
+	scoringEnds map[string][]scoringEnd
 	// scoredEarly lists the items whose scoring call came before their last event.
 	scoredEarly []string
 	written     map[string]int
@@ -88,11 +90,17 @@
 	f.directory.Publish()
 }
 
+// limitQueue makes the route limit how long an item may wait.
+func (f *fixture) limitQueue(limit time.Duration) {
+	r := &route.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: route.Batch, MaxAttempts: 3, MaxQueue: limit, Services: []route.Target{{Service: "s", Weight: 1}}}
+	f.routes.Offer(route.New(2, []*route.Route{r}, nil, route.Limits{}))
+}
+
 func newFixture(endpoints int) *fixture {
 	logger := slog.New(slog.DiscardHandler)
 	f := &fixture{
 		store: memory.New(nil), directory: fleet.NewDirectory(logger), routes: &route.Holder{},
-		fails: map[string]error{}, version: map[string]int64{}, runs: map[string]int{}, after: map[string][]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
+		fails: map[string]error{}, version: map[string]int64{}, scoringEnds: map[string][]scoringEnd{}, runs: map[string]int{}, after: map[string][]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
 	}
 	for i := range endpoints {
 		id := fmt.Sprintf("e%d", i)
@@ -151,6 +159,15 @@
 	return nil
 }
 
+// scoringEnd is one way in which a scoring call ends: with an answer of a status, or an error.
+type scoringEnd struct {
+	status int
+	err    error
+}
+
+// scoreAttempts is the number of attempts that the route of the scoring calls allows.
+const scoreAttempts = 3
+
 // score implements Scorer.
 func (f *fixture) score(_ context.Context, reward *recordpb.Reward) (*call.Answer, int, error) {
 	id := strings.TrimPrefix(reward.GetId(), "score-")
@@ -160,7 +177,14 @@
 	if f.written[id] == 0 {
 		f.scoredEarly = append(f.scoredEarly, id)
 	}
-	return &call.Answer{Status: http.StatusOK, Stamp: "stamp-" + id}, 3, nil
+	if ends := f.scoringEnds[id]; len(ends) > 0 {
+		f.scoringEnds[id] = ends[1:]
+		if ends[0].err != nil {
+			return nil, scoreAttempts, ends[0].err
+		}
+		return &call.Answer{Status: ends[0].status, Stamp: "failed-" + id}, scoreAttempts, nil
+	}
+	return &call.Answer{Status: http.StatusOK, Stamp: "stamp-" + id}, scoreAttempts, nil
 }
 
 // owner acquires the unit for a node and returns an Owner for it.
--- a/internal/submission/owner_test.go
+++ b/internal/submission/owner_test.go
@@ -344,6 +344,21 @@
 	require.Equal(t, 3, f.runs["i0-1"])
 }
 
+// TestItemIsNotGivenUpByTheClockOfAnotherNode guards against an item that is given up before its
+// route's limit, because the node that accepted it has a clock that is behind.
+func TestItemIsNotGivenUpByTheClockOfAnotherNode(t *testing.T) {
+	const limit = time.Minute
+	f := newFixture(1)
+	f.limitQueue(limit)
+	o := f.owner(t, "n")
+	h := head{Unit: testUnit, Total: 1, AcceptedMillis: time.Now().Add(-2 * limit).UnixMilli()}
+	o.Open(submissionOf("a", 1, 1, 1), h, nil, 0)
+	i, opened := o.items["i0-0"], o.submissions["a"].openedAt
+	for after, want := range map[time.Duration]bool{0: false, limit: false, limit + 1: true} {
+		require.Equal(t, want, o.overdue(i, opened.Add(after)), after)
+	}
+}
+
 // TestTextWithoutEndIsDiscarded checks that an engine which goes on sending events is left, whether
 // there are too many of them or too many bytes, and that the items' texts are those of the other
 // engines.
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -86,12 +86,15 @@
 	return candidate{item: i, remaining: o.lengths.remaining(i.expected(), len(i.text.events))}
 }
 
+// overdue reports whether the item has waited for longer than its route allows. Only time that
+// passed on this node's steady clock counts: the clock of the node that accepted the submission
+// may differ, and an item must not be given up early.
 func (o *Owner) overdue(i *item, now time.Time) bool {
 	limit := defaultMaxQueue
 	if r, ok := o.routeOf(i.submission); ok && r.MaxQueue > 0 {
 		limit = r.MaxQueue
 	}
-	return now.Sub(i.submission.head.acceptedAt()) > limit
+	return now.Sub(i.submission.openedAt) > limit
 }
 
 func (o *Owner) needOf(i *item) need {
