Only failures of the run itself count against a scoring call

TestOnlyFailuresOfTheScoringCallItselfAbandonAnItem failed before for 502, 503, 504, 404 and 422 of an endpoint; TestScoringCallThatFailsOnEveryAttemptAbandonsItsItem for two failures between answers of 504; TestItemThatCannotBeScoredIsAbandonedAfterTheRoutesLimit since the item was abandoned by the count, not by the limit.

Everything else is made again with a growing pause; the route's limit on waiting bounds it, which held only for items that waited for an engine. Event 8065 tells the status of an answer that does not count, since the log could not distinguish the two before.

Ruled out: that the node's timeout is a little short; a retry after it was never counted, and the endpoint's 504 keeps coming with any timeout.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -54,6 +54,11 @@
 // Success reports whether the answer has a status that means success.
 func (a *Answer) Success() bool { return a.Status >= 200 && a.Status < 300 }
 
+// Failed reports whether the endpoint reports that the run itself failed. Other statuses that
+// mean no success say that it did not end in time, or could not be served there: a retry may
+// succeed.
+func (a *Answer) Failed() bool { return a.Status == http.StatusInternalServerError }
+
 // Event is one event of a stream.
 type Event struct {
 	ID   int
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -39,6 +39,7 @@
 	ReadFailed            = define(8048, "read failed", slog.LevelWarn, "A reader must retry: neither the owner nor the store answered.")
 	ItemWritten           = define(8049, "item written", slog.LevelDebug, "An item's text is complete; it is scored next.")
 	ItemScored            = define(8061, "item scored", slog.LevelDebug, "An item has its result, which is listed next.")
+	ScoringRetried        = define(8065, "scoring retried", slog.LevelDebug, "An endpoint answered a scoring call with a status that does not count as a failure of the item, such as 504 at the deadline; the call is repeated.")
 	OrderSent             = define(8050, "weights ordered", slog.LevelInfo, "An endpoint was ordered to load a version of the weights.")
 	OrderFailed           = define(8051, "weights order failed", slog.LevelWarn, "An endpoint rejected an order or did not answer it.")
 	WeightsLoaded         = define(8052, "weights loaded", slog.LevelInfo, "An endpoint serves the named version.")
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -87,8 +87,9 @@
 	score    string
 	// scoreOpen means that a scoring call is in flight.
 	scoreOpen bool
-	// scoreFailures counts the scoring calls that endpoints answered with a failure.
-	scoreFailures int
+	// scoreFailures counts the attempts of the scoring call that failed at an endpoint, and
+	// scoreRefusals the answers in a row that are neither a success nor such a failure.
+	scoreFailures, scoreRefusals int
 	// failures counts the runs that an endpoint itself reported as failed.
 	failures int
 	// breaks counts consecutive runs whose connection broke before the first event.
--- a/internal/submission/scoring.go
+++ b/internal/submission/scoring.go
@@ -2,15 +2,21 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"time"
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/event"
 	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
-// scorePause is the pause before a scoring call is retried.
-const scorePause = 30 * time.Millisecond
+// scorePause is the pause before a scoring call is retried. It doubles with each answer in a
+// row that is neither a success nor a failure of the run, at most maxScoreDoublings times.
+const (
+	scorePause        = 30 * time.Millisecond
+	maxScoreDoublings = 3
+)
 
 // minScoringCalls is the number of concurrent scoring calls that is always allowed,
 // however few endpoints there are.
@@ -33,13 +39,19 @@
 
 // startScores starts pending scoring calls up to this owner's fraction of the plain
 // endpoints' slots. Older submissions come first, then groups with the fewest unfinished
-// items. The caller holds o.mu.
+// items. An item that could not be scored within its route's limit is abandoned. The caller
+// holds o.mu.
 func (o *Owner) startScores(now time.Time) {
 	var items []*item
 	for _, i := range o.items {
-		if i.submission != nil && i.state == scoring && !i.scoreOpen && !now.Before(i.notBefore) {
-			items = append(items, i)
+		if i.submission == nil || i.state != scoring || i.scoreOpen || now.Before(i.notBefore) {
+			continue
+		}
+		if o.overdue(i, now) {
+			o.abandon(i, "not scored within the route's limit")
+			continue
 		}
+		items = append(items, i)
 	}
 	slices.SortFunc(items, func(a, b *item) int {
 		return cmp.Or(
@@ -72,18 +84,27 @@
 	o.Wake()
 }
 
-// scoringDone handles the outcome of a scoring call. The caller holds o.mu.
+// scoringDone handles the outcome of a scoring call. Only answers that say that the run itself
+// failed count towards the attempts after which the item is abandoned: an endpoint that was too
+// slow, refused the call or was not reached says nothing about the item. The caller holds o.mu.
 func (o *Owner) scoringDone(i *item, answer *call.Answer, attempts int, err error) {
+	pause := scorePause
 	switch {
-	case err == nil && answer.Success():
+	case err != nil:
+	case answer.Success():
 		o.complete(i, answer.Stamp)
 		return
-	case err == nil:
+	case answer.Failed():
 		i.scoreFailures++
+		i.scoreRefusals = 0
 		if i.scoreFailures >= attempts {
 			o.abandon(i, "the scoring call failed on every attempt")
 			return
 		}
+	default:
+		pause <<= min(i.scoreRefusals, maxScoreDoublings)
+		i.scoreRefusals++
+		event.ScoringRetried.Log(o.ctx, o.options.Logger, slog.String("item", i.record.GetId()), slog.String("submission", i.submission.id), slog.Int("status", answer.Status))
 	}
-	i.notBefore = time.Now().Add(scorePause)
+	i.notBefore = time.Now().Add(pause)
 }
