A scoring call's failed attempts count in their own submission only

Cause: attachItem let an item that is carried over keep its count of failed attempts, so the first failure of the new call exceeded the route's attempts.

Evidence: the case failed here on the untouched code. TestCarriedItemIsScoredAnew failed before in all three rows: given up before and scored by another call, by the same call, and carried over while it was still being scored (the third by fewer failures than the route allows).

Why this works: the count starts at zero when a submission takes the item over, on the one path by which this happens. The result of a call that began in the earlier submission was ignored before and still is.

Ruled out: counting by the ID of the call. It would hold here, but a call with the same ID would still be given up after fewer attempts than the submission that gives it up has seen.

--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -216,6 +216,7 @@
 	}
 	old.submission, old.record, old.account, old.carriedOver, old.restored = s, record, s.head.Account, true, false
 	old.timing = newTiming(s.head.acceptedAt(), time.Now())
+	old.scoreFailures, old.scoreRefusals = 0, 0
 	if !old.text.fits(s.record.GetMinVersion(), o.requiresSingleVersion(s)) {
 		o.restart(old)
 		return true
--- a/internal/submission/scoring_test.go
+++ b/internal/submission/scoring_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,49 @@
 	require.Equal(t, finished, i.state)
 	require.True(t, i.result.GetAbandoned())
 }
+
+// TestCarriedItemIsScoredAnew guards against an item that is given up after fewer failures of its
+// scoring call than its route allows, because those of an earlier submission count (review/9).
+func TestCarriedItemIsScoredAnew(t *testing.T) {
+	failed := scoringEnd{status: http.StatusInternalServerError}
+	for _, row := range []struct {
+		name string
+		// earlier is the number of failures in the first submission.
+		earlier int
+		reward  string
+	}{
+		{"given up before", scoreAttempts, "score-other"},
+		{"given up before, same call", scoreAttempts, "score-i0-0"},
+		{"still being scored", scoreAttempts - 1, "score-other"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFixture(1)
+			f.fails["i0-1"] = call.ErrFull.New("full") // keeps the group incomplete
+			f.scoringEnds["i0-0"] = slices.Concat(slices.Repeat([]scoringEnd{failed}, row.earlier), slices.Repeat([]scoringEnd{{status: http.StatusGatewayTimeout}}, 100))
+			s := f.service()
+			o := f.owner(t, "n")
+			s.StartOwner(o)
+			require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("a", 1, 2, 1)))
+			require.Eventually(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.scored["i0-0"] >= row.earlier }, testTimeout, pause)
+			if row.earlier == scoreAttempts {
+				require.True(t, allResults(t, s, "a", 1)[0].GetAbandoned())
+			}
+			require.NoError(t, s.End(context.Background(), "a"))
+			next := submissionOf("b", 1, 2, 1)
+			next.Items[0].Reward.Id = row.reward
+			id := strings.TrimPrefix(row.reward, "score-")
+			f.mu.Lock()
+			delete(f.fails, "i0-1")
+			f.written[id] = 1
+			f.scoringEnds[id] = slices.Repeat([]scoringEnd{failed}, scoreAttempts-1)
+			f.mu.Unlock()
+			require.NoError(t, s.Accept(context.Background(), testUnit, next))
+			for _, result := range allResults(t, s, "b", 2) {
+				require.False(t, result.GetAbandoned(), result.GetId())
+				if result.GetId() == "i0-0" {
+					require.Equal(t, "stamp-"+id, result.GetScore())
+				}
+			}
+		})
+	}
+}
