Failed and rejected runs of an item count over its submissions

What callers would see: an item that is rejected (422) or fails at each run reaches endpoints again in each submission that contains it (BUDGET: after three answers of 422, or three times max_attempts of 500). An item that is carried over while it waits is given up after fewer failed runs than its submission saw.

Cause: one number counted failed runs; a carry-over reset it for items that were finished or being scored and kept it for others. Rejections were not counted.

Why this works: the count of a submission decides when it gives an item up, the count over all of them whether it runs at all; attachItem is the only path on which an item changes its submission. It is one switch now.

--- a/internal/submission/fixture_test.go
+++ b/internal/submission/fixture_test.go
@@ -44,6 +44,8 @@
 	gate chan struct{}
 	// fails maps items to the error with which their runs fail.
 	fails map[string]error
+	// failedRuns maps items to the number of their next runs that fail.
+	failedRuns map[string]int
 	// endless lists the endpoints whose streams have no end, with the size of each event.
 	endless map[string]int
 	// version is the weight version under which each endpoint generates.
@@ -96,11 +98,14 @@
 	f.routes.Offer(route.New(2, []*route.Route{r}, nil, route.Limits{}))
 }
 
+// failRuns lets the next runs of an item fail. The caller holds f.mu, or no owner runs yet.
+func (f *fixture) failRuns(item string, count int) { f.failedRuns[item] = count }
+
 func newFixture(endpoints int) *fixture {
 	logger := slog.New(slog.DiscardHandler)
 	f := &fixture{
 		store: memory.New(nil), directory: fleet.NewDirectory(logger), routes: &route.Holder{},
-		fails: map[string]error{}, version: map[string]int64{}, scoringEnds: map[string][]scoringEnd{}, runs: map[string]int{}, after: map[string][]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
+		fails: map[string]error{}, failedRuns: map[string]int{}, version: map[string]int64{}, scoringEnds: map[string][]scoringEnd{}, runs: map[string]int{}, after: map[string][]int{}, scored: map[string]int{}, written: map[string]int{}, events: 4,
 	}
 	for i := range endpoints {
 		id := fmt.Sprintf("e%d", i)
@@ -122,6 +127,10 @@
 	f.requests = append(f.requests, request)
 	failure, breakAfter, gate, version, events := f.fails[request.ID], f.breakAfter, f.gate, f.version[e.ID], f.events
 	padding, isEndless := f.endless[e.ID]
+	if f.failedRuns[request.ID] > 0 {
+		f.failedRuns[request.ID]--
+		failure = call.ErrFailed.New("status 500")
+	}
 	f.mu.Unlock()
 	if isEndless {
 		events = math.MaxInt
--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -90,8 +90,8 @@
 	// scoreFailures counts the attempts of the scoring call that failed at an endpoint, and
 	// scoreRefusals the answers in a row that are neither a success nor such a failure.
 	scoreFailures, scoreRefusals int
-	// failures counts the runs that an endpoint itself reported as failed.
-	failures int
+	// attempts counts the runs that endpoints reported as failed or rejected.
+	attempts attempts
 	// breaks counts consecutive runs whose connection broke before the first event.
 	breaks    int
 	notBefore time.Time
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -217,20 +217,22 @@
 	old.submission, old.record, old.account, old.carriedOver, old.restored = s, record, s.head.Account, true, false
 	old.timing = newTiming(s.head.acceptedAt(), time.Now())
 	old.scoreFailures, old.scoreRefusals = 0, 0
-	if !old.text.fits(s.record.GetMinVersion(), o.requiresSingleVersion(s)) {
+	old.attempts.carryOver()
+	switch {
+	case !old.text.fits(s.record.GetMinVersion(), o.requiresSingleVersion(s)):
 		o.restart(old)
-		return true
-	}
-	if old.state == finished && !old.result.GetAbandoned() && sameReward {
+	case old.state == finished && !old.result.GetAbandoned() && sameReward:
 		old.setResult(false, time.Now())
 		o.finish(old)
 		return true
+	case old.state == finished || old.state == scoring:
+		old.state, old.result, old.score = waiting, nil, ""
 	}
-	if old.state == finished || old.state == scoring {
-		old.state, old.result, old.score, old.failures = waiting, nil, "", 0
-	}
-	if old.text.complete {
+	switch {
+	case old.text.complete:
 		o.startScoring(old)
+	case old.state == waiting && old.attempts.exhausted(o.allowedAttempts(old)):
+		o.abandon(old, "failed or was rejected too often in earlier submissions")
 	}
 	return true
 }
--- a/internal/submission/running.go
+++ b/internal/submission/running.go
@@ -246,11 +246,11 @@
 	case call.Is(err, call.ErrFull):
 		live.MarkFull(now.Add(fullPause))
 	case call.Is(err, call.ErrFailed):
-		i.failures++
-		if i.submission != nil && i.failures >= o.attempts(i) {
+		if i.attempts.fail(o.allowedAttempts(i)) && i.submission != nil {
 			o.abandon(i, "failed on every attempt")
 		}
 	case call.Is(err, call.ErrRejected):
+		i.attempts.rejected++
 		if i.submission != nil {
 			o.abandon(i, "permanently rejected")
 		}
@@ -282,7 +282,12 @@
 	i.breaks++
 }
 
-func (o *Owner) attempts(i *item) int {
+// allowedAttempts returns the number of attempts that the route of the item's submission
+// allows. It is one if there is no submission or no route.
+func (o *Owner) allowedAttempts(i *item) int {
+	if i.submission == nil {
+		return 1
+	}
 	if r, ok := o.routeOf(i.submission); ok {
 		return r.MaxAttempts
 	}
--- a/internal/submission/scoring_test.go
+++ b/internal/submission/scoring_test.go
@@ -112,6 +112,7 @@
 		{"still being scored", scoreAttempts - 1, "score-other"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFixture(1)
 			f.fails["i0-1"] = call.ErrFull.New("full") // keeps the group incomplete
 			f.scoringEnds["i0-0"] = slices.Concat(slices.Repeat([]scoringEnd{failed}, row.earlier), slices.Repeat([]scoringEnd{{status: http.StatusGatewayTimeout}}, 100))
