A cut watch is no outage of the store

Cause: a follower reported any unanswered watch as an outage. After an outage the directory keeps removed endpoints for 2.2 s, longer than the bound of 2 s, and each cut began that time anew. The relay counted cut watches as failed calls too, so that two of them at once made a node call the store through peers.

So the relay asks by a call that doesn't wait before it believes in an outage, and a follower whose watches are cut twice in a row reads the range, which can't be cut. What follows a real outage is unchanged, as the failed watch and the failed question count as two failed calls.

Ruled out: a shorter time of return (it would drop sound endpoints after an outage); two failed watches in a row as the sign of an outage (cuts close together produce them); an end of the time of return for each endpoint (the first cut would still keep it 2.2 s).

--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -17,6 +17,7 @@
 	EndpointSelectable    = define(8015, "endpoint selectable", slog.LevelInfo, "The endpoint is ready and gets work.")
 	HistoryCompacted      = define(8016, "history compacted", slog.LevelInfo, "The store no longer has the changes that a watch requested; all keys of the prefix are read again.")
 	KeysRead              = define(8017, "keys read", slog.LevelInfo, "All keys of a prefix were read; changes are watched from this revision on.")
+	WatchCut              = define(8018, "watch cut", slog.LevelInfo, "A waiting watch ended without an answer, while the store answers other calls; the changes since then are requested at once. This is no outage.")
 	UnitTaken             = define(8020, "unit taken", slog.LevelInfo, "This node owns the unit from now on; the epoch fences its writes.")
 	UnitLost              = define(8021, "unit lost", slog.LevelWarn, "Another node owns the unit; this one stopped its work on it.")
 	UnitNotAcquired       = define(8022, "unit not acquired", slog.LevelWarn, "The store did not confirm the ownership; the acquisition is retried.")
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -27,6 +27,11 @@
 	// followBackoffInitial bounds the backoff until the range has been read for the first
 	// time.
 	followBackoffInitial = 150 * time.Millisecond
+	// confirmingWait is how long the watch after a failed one waits: it is to be answered soon.
+	confirmingWait = time.Millisecond
+	// cutsToList is the number of watches cut in a row after which the range is read instead:
+	// only calls that wait are cut.
+	cutsToList = 2
 )
 
 // Follower notifies a consumer of all keys under a prefix and of their changes. Its
@@ -47,7 +52,8 @@
 	// all changes are known. It may be nil.
 	Confirmed func(position int64)
 	// Lost is called when the store becomes unreachable, and Regained when it answers
-	// again. Both may be nil.
+	// again. A watch that was cut while the store answers other calls does not count. Both
+	// may be nil.
 	Lost     func(error)
 	Regained func()
 	// Wait is how long one watch waits for a change; zero means watchWait.
@@ -64,6 +70,8 @@
 	// relist requests that the whole range is read again.
 	relist  bool
 	failing bool
+	// cuts is the number of watches in a row that were cut.
+	cuts    int
 	backoff time.Duration
 }
 
@@ -96,13 +104,30 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !f.failing {
+	switch {
+	case errorx.IsOfType(err, ErrCut):
+		f.cut(ctx, err)
+	case !f.failing:
 		f.failing = true
 		event.StoreLost.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.String("cause", err.Error()))
 		if f.Lost != nil {
 			f.Lost(err)
 		}
 	}
+	f.pause(ctx)
+}
+
+// cut handles a watch that was cut while the store answers other calls.
+func (f *Follower) cut(ctx context.Context, err error) {
+	f.cuts++
+	if f.cuts >= cutsToList {
+		f.relist = true
+	}
+	event.WatchCut.Log(ctx, f.Logger, slog.String("prefix", f.Prefix), slog.Int("in_a_row", f.cuts), slog.String("cause", err.Error()))
+}
+
+// pause waits before the next call after a failed one.
+func (f *Follower) pause(ctx context.Context) {
 	limit := followBackoffMax
 	if f.position == 0 {
 		limit = followBackoffInitial
@@ -112,7 +137,7 @@
 }
 
 func (f *Follower) answered(ctx context.Context) {
-	f.backoff = 0
+	f.backoff, f.cuts = 0, 0
 	if f.Confirmed != nil {
 		f.Confirmed(f.position)
 	}
@@ -187,10 +212,10 @@
 }
 
 // wait returns how long the next watch waits. It is short while the store is failing, so
-// that its recovery is noticed.
+// that its recovery is noticed, and after a cut, so that the changes since then are known.
 func (f *Follower) wait() time.Duration {
-	if f.failing {
-		return time.Millisecond
+	if f.failing || f.cuts > 0 {
+		return confirmingWait
 	}
 	if f.Wait > 0 {
 		return f.Wait
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/metastore/memory"
+	"github.com/comfreyfront/comfreyfront/internal/relay"
 )
 
 // observed records the changes that a follower reported.
@@ -141,3 +142,57 @@
 		})
 	}
 }
+
+// TestCutWatchesAreNoOutage guards against a follower that reports an outage because waiting
+// watches are cut, however often and together with what other changes: the store answers all
+// other calls, so that a removed key is gone at once (review/7).
+func TestCutWatchesAreNoOutage(t *testing.T) {
+	const cuts = 40
+	store := memory.New(nil)
+	source := relay.New(store, func() []metastore.Store { return nil }, nil)
+	s, stop := follow(context.Background(), source, "a/")
+	defer stop()
+	want := map[string]string{}
+	for i := range cuts {
+		require.Eventually(t, func() bool { return store.CutWatches() > 0 }, waitLimit, pollInterval)
+		key := fmt.Sprintf("a/%d", i%5)
+		switch i % 4 {
+		case 0, 1:
+			want[key] = fmt.Sprint(i)
+			store.Write(key, []byte(want[key]))
+		case 2:
+			delete(want, key)
+			store.Remove(key)
+		case 3:
+			store.DropHistory()
+		}
+	}
+	require.Eventually(t, func() bool { return maps.Equal(want, s.copy()) }, waitLimit, pollInterval)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.lost, "outages")
+}
+
+// cutting is a store whose watches are all cut, however short they wait.
+type cutting struct{ *memory.Store }
+
+func (cutting) Watch(context.Context, string, int64, time.Duration) ([]metastore.Event, int64, error) {
+	return nil, 0, metastore.ErrUnknown.New("the watch was cut")
+}
+
+// TestFollowerKnowsChangesThoughEachWatchIsCut guards against a follower that learns nothing
+// while watches are cut faster than the store can answer them.
+func TestFollowerKnowsChangesThoughEachWatchIsCut(t *testing.T) {
+	store := memory.New(nil)
+	store.Write("a/1", []byte("one"))
+	source := relay.New(cutting{store}, func() []metastore.Store { return nil }, nil)
+	s, stop := follow(context.Background(), source, "a/")
+	defer stop()
+	require.Eventually(t, func() bool { return maps.Equal(s.copy(), map[string]string{"a/1": "one"}) }, waitLimit, pollInterval)
+	store.Remove("a/1")
+	store.Write("a/2", []byte("two"))
+	require.Eventually(t, func() bool { return maps.Equal(s.copy(), map[string]string{"a/2": "two"}) }, waitLimit, pollInterval)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.lost, "outages")
+}
--- a/internal/metastore/memory/memory.go
+++ b/internal/metastore/memory/memory.go
@@ -39,6 +39,9 @@
 	// dropped is the newest revision that is no longer in the history.
 	dropped int64
 	wake    chan struct{}
+	// cut ends the watches that are waiting, and waiting counts them.
+	cut     chan struct{}
+	waiting int
 	faults  Faults
 	delayed []metastore.Txn
 	calls   int
@@ -74,7 +77,7 @@
 	if now == nil {
 		now = time.Now
 	}
-	return &Store{historyLimit: DefaultHistory, now: now, revision: firstRevision, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, wake: make(chan struct{})}
+	return &Store{historyLimit: DefaultHistory, now: now, revision: firstRevision, items: map[string]metastore.Item{}, leases: map[int64]*lease{}, wake: make(chan struct{}), cut: make(chan struct{})}
 }
 
 // KeepHistory sets the number of changes kept for watches.
@@ -111,6 +114,15 @@
 	s.wakeWatches()
 }
 
+// CutWatches cuts the watches that are waiting and returns their number. Nothing else fails.
+func (s *Store) CutWatches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+	return s.waiting
+}
+
 // Calls returns the number of calls made so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -220,6 +232,8 @@
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]metastore.Event, int64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	cut, done := s.beginWait()
+	defer done()
 	for first := true; ; first = false {
 		events, revision, wake, expiry, err := s.poll(prefix, after, first)
 		if err != nil || len(events) > 0 {
@@ -230,12 +244,26 @@
 		case <-time.After(expiry):
 		case <-timer.C:
 			return nil, revision, nil
+		case <-cut:
+			return nil, 0, metastore.ErrUnknown.New("the watch was cut")
 		case <-ctx.Done():
 			return nil, 0, metastore.ErrUnknown.Wrap(ctx.Err(), "watch")
 		}
 	}
 }
 
+// beginWait counts a watch until done is called. cut is closed when waiting watches are cut.
+func (s *Store) beginWait() (cut <-chan struct{}, done func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting++
+	return s.cut, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.waiting--
+	}
+}
+
 // poll returns the changes for a watch, the revision to continue from, a channel that is
 // closed at the next change, and the time until the next lease can expire. Only the first
 // poll of a watch fails when the history was dropped; a pending watch is not notified.
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -67,7 +67,8 @@
 	Range(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits until keys with the prefix change after a revision, or until wait has
 	// passed, and returns the changes and the revision to continue from. It returns
-	// ErrCompacted when the history after that revision is no longer available.
+	// ErrCompacted when the history after that revision is no longer available, and may
+	// return ErrCut when it knows that only the watch was cut.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 	// Commit applies a transaction and returns its revision. It returns ErrConflict when
 	// a condition is not met, ErrLeaseEnded when a lease has ended, and ErrUnknown when
@@ -98,6 +99,8 @@
 	// ErrOverRate means that the store refused the call because of its rate limit. It is
 	// a subtype of ErrUnavailable.
 	ErrOverRate = ErrUnavailable.NewSubtype("over_rate")
+	// ErrCut means that a watch ended without an answer while the store answers other calls.
+	ErrCut = Errors.NewType("cut", errorx.Temporary())
 	// ErrUnknown means that the call may have taken effect, or may do so later.
 	ErrUnknown = Errors.NewType("unknown", errorx.Temporary())
 )
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -215,8 +215,22 @@
 		}
 	}()
 	events, revision, err := s.direct.Watch(ctx, prefix, after, wait)
-	if ctx.Err() == nil {
+	switch {
+	case ctx.Err() != nil:
+	case errorx.IsOfType(err, metastore.ErrUnknown) && s.answers(ctx):
+		return nil, 0, metastore.ErrCut.Wrap(err, "the store answers other calls")
+	default:
 		s.recordResult(err)
 	}
 	return events, revision, err
 }
+
+// answers reports whether the store answers a direct call that does not wait. The store may cut
+// a waiting watch at any time, which says nothing about its other calls.
+func (s *Store) answers(ctx context.Context) bool {
+	err := s.callDirect(ctx, 0, func(ctx context.Context, store metastore.Store) error {
+		_, err := store.Get(ctx, probeKey)
+		return err
+	})
+	return !unanswered(err)
+}
