A hub's watch ends when the hub's data is too old

What callers would see: requests at a removed endpoint, or by an old configuration, up to 2.5 s after the change, at nodes that watch a hub which is cut off from the store without a sign; the bounds are 2 s (DRAIN, CONFIG).

Cause: a cache is served for 1.7 s after the store's last confirmation, but a watch that came within that time waited its whole 0.8 s and then returned no changes without an error, although the cache had become too old.

Evidence: TestWatchEndsWhenTheCacheIsTooOld, on a clock of its own, failed before for a cache that isn't confirmed again, and for one whose next confirmation is too old by the end of the watch: no error after 0.8 s.

Why this works: the watch also ends when the cache's age does, which is looked at anew at each confirmation; the reader's own watch of the store follows at once.

Ruled out: a lower age of the cache. A hub's own watch waits 1 s and must not make its data look old in between.

Measured: the tests of watchcache, freshness and node pass.

--- a/internal/watchcache/cache.go
+++ b/internal/watchcache/cache.go
@@ -144,40 +144,43 @@
 }
 
 // Watch waits until keys with the prefix change after a revision, or until wait has
-// passed.
+// passed. It returns ErrUnavailable as soon as the store's last confirmation is too old.
 func (c *Cache) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	changes, wake, err := c.since(prefix, after)
+	expired := time.NewTimer(wait)
+	defer expired.Stop()
+	changes, wake, usable, err := c.since(prefix, after)
+	aged := time.NewTimer(usable)
+	defer aged.Stop()
 	for initial := changes.UpTo; err == nil && len(changes.Events) == 0; {
 		if c.promptly && changes.UpTo > initial {
 			return changes, nil
 		}
 		select {
 		case <-wake:
-			changes, wake, err = c.since(prefix, after)
-		case <-timer.C:
-			if latest, _, err := c.since(prefix, after); err == nil {
-				return latest, nil
-			}
-			return changes, nil
+		case <-aged.C:
+		case <-expired.C:
+			changes, _, _, err = c.since(prefix, after)
+			return changes, err
 		case <-ctx.Done():
 			return Changes{}, metastore.ErrUnavailable.Wrap(ctx.Err(), "watch")
 		}
+		changes, wake, usable, err = c.since(prefix, after)
+		aged.Reset(usable)
 	}
 	return changes, err
 }
 
-// since returns the changes of keys with a prefix after a revision and a channel that is
-// closed when the position or, with Promptly, the confirmed instant advances.
-func (c *Cache) since(prefix string, after int64) (Changes, <-chan struct{}, error) {
+// since returns the changes of keys with a prefix after a revision, a channel that is
+// closed when the position or, with Promptly, the confirmed instant advances, and the time
+// until the cache is too old unless it is confirmed again.
+func (c *Cache) since(prefix string, after int64) (Changes, <-chan struct{}, time.Duration, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := c.check(); err != nil {
-		return Changes{}, nil, err
+		return Changes{}, nil, 0, err
 	}
 	if after < c.oldest {
-		return Changes{}, nil, metastore.ErrCompacted.New("revision %d", after)
+		return Changes{}, nil, 0, metastore.ErrCompacted.New("revision %d", after)
 	}
 	changes := Changes{Position: max(c.position, after), UpTo: c.upTo}
 	for _, e := range c.history {
@@ -186,5 +189,6 @@
 		}
 	}
 	slices.SortStableFunc(changes.Events, func(a, b metastore.Event) int { return cmp.Compare(a.Revision, b.Revision) })
-	return changes, c.wake, nil
+	usable := c.confirmedAt.Add(c.maxAge).Sub(c.now()) + time.Nanosecond // maxAge itself is not too old
+	return changes, c.wake, usable, nil
 }
--- a/internal/watchcache/cache_test.go
+++ b/internal/watchcache/cache_test.go
@@ -177,3 +177,33 @@
 		}
 	})
 }
+
+// TestWatchEndsWhenTheCacheIsTooOld guards against a hub that keeps its readers waiting on data
+// that the store no longer confirms, beyond the time within which they must know of a removal.
+func TestWatchEndsWhenTheCacheIsTooOld(t *testing.T) {
+	const maxAge = time.Second
+	for name, row := range map[string]struct {
+		confirmedAgain, ends time.Duration // after the first confirmation
+		err                  bool
+	}{
+		"not confirmed again": {ends: maxAge, err: true},
+		"confirmed again":     {confirmedAgain: 950 * time.Millisecond, ends: 1700 * time.Millisecond},
+		"confirmed once more": {confirmedAgain: 100 * time.Millisecond, ends: 1100 * time.Millisecond, err: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := New(maxAge)
+				c.Confirmed(5, true, 1)
+				began := time.Now()
+				if row.confirmedAgain > 0 {
+					time.AfterFunc(row.confirmedAgain, func() { c.Confirmed(5, true, 2) })
+				}
+				<-time.After(900 * time.Millisecond)
+				changes, err := c.Watch(context.Background(), "a/", 5, 800*time.Millisecond)
+				require.Equal(t, row.err, err != nil)
+				require.Empty(t, changes.Events)
+				require.InDelta(t, row.ends, time.Since(began), float64(time.Microsecond))
+			})
+		})
+	}
+}
