Scoring calls end with their submission

What callers would see: nothing; endpoints would. A scoring call goes on after the end of its submission until its route's timeout, and if endpoints break it off, it is sent again, possibly later than cancel_ms (3 s) after the end, where UNASKED holds for it as for its item.

Cause: scoring calls had the owner's context, and the end of a submission only made their results be ignored.

Evidence: TestScoringCallEndsSoonAfterItsSubmission failed before: the call was still open after 30 s.

Why this works: the calls of a submission share a context that ends 1 s after it, within cancel_ms. Calls in flight mostly end by themselves in that time.

Ruled out: ending them at once. Endpoints would have worked in vain, and their connections would be closed.

Measured: the package's tests pass.

--- a/internal/submission/item.go
+++ b/internal/submission/item.go
@@ -214,6 +214,9 @@
 	readAt time.Time
 	// changed is closed and replaced when results are listed.
 	changed chan struct{}
+	// scoringCtx is the context of its scoring calls, which stopScoring ends.
+	scoringCtx  context.Context
+	stopScoring context.CancelFunc
 }
 
 func groupOf(record *recordpb.Item) string {
--- a/internal/submission/owner.go
+++ b/internal/submission/owner.go
@@ -98,6 +98,9 @@
 	// orphanTTL is how long the texts of an ended submission are kept for a later
 	// submission with the same items.
 	orphanTTL = 8 * time.Second
+	// scoringAfterEnd is how long scoring calls in flight may go on after their submission
+	// ended. Most end by themselves within it, so that endpoints finish what they began.
+	scoringAfterEnd = time.Second
 )
 
 // Run runs scheduling rounds until the owner's context ends: it places items on engines,
@@ -151,6 +154,7 @@
 		return
 	}
 	s := &ownedSubmission{id: id, head: h, record: record, parts: partsOf(record), listed: listed, batch: batches, unfinished: map[string]int{}, changed: make(chan struct{}), openedAt: time.Now()}
+	s.scoringCtx, s.stopScoring = context.WithCancel(o.ctx)
 	o.submissions[id] = s
 	o.observeDemand(record)
 	o.observeArrival(record, h.acceptedAt())
@@ -301,6 +305,7 @@
 		return
 	}
 	s.ended, s.endedAt = true, now
+	time.AfterFunc(scoringAfterEnd, s.stopScoring)
 	var unlisted []string
 	for _, itemRecord := range s.record.GetItems() {
 		if i := o.items[itemKey(s.head.Account, itemRecord.GetId())]; i != nil && i.submission == s {
--- a/internal/submission/scoring.go
+++ b/internal/submission/scoring.go
@@ -73,7 +73,7 @@
 // callScorer makes one scoring call for an item of a submission. Meanwhile the item may be
 // carried over to another submission, with another scoring call.
 func (o *Owner) callScorer(i *item, s *ownedSubmission, reward *recordpb.Reward) {
-	answer, attempts, err := o.options.Scorer(o.ctx, reward)
+	answer, attempts, err := o.options.Scorer(s.scoringCtx, reward)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.scoresOpen--
--- a/internal/submission/scoring_test.go
+++ b/internal/submission/scoring_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyfront/comfreyfront/internal/call"
+	"github.com/comfreyfront/comfreyfront/internal/submission/recordpb"
 )
 
 // uncountedEnds are the ways in which a scoring call ends that say nothing about the item.
@@ -143,3 +144,27 @@
 		})
 	}
 }
+
+// TestScoringCallEndsSoonAfterItsSubmission guards against a scoring call that goes on, and may
+// reach further endpoints, long after its submission ended: nobody reads its result.
+func TestScoringCallEndsSoonAfterItsSubmission(t *testing.T) {
+	f := newFixture(1)
+	s := f.service()
+	o := f.owner(t, "n")
+	called, ended := make(chan struct{}), make(chan struct{})
+	o.options.Scorer = func(ctx context.Context, _ *recordpb.Reward) (*call.Answer, int, error) {
+		close(called)
+		<-ctx.Done()
+		close(ended)
+		return nil, scoreAttempts, call.ErrEnded.New("cancelled")
+	}
+	s.StartOwner(o)
+	require.NoError(t, s.Accept(context.Background(), testUnit, submissionOf("a", 1, 1, 1)))
+	<-called
+	require.NoError(t, s.End(context.Background(), "a"))
+	select {
+	case <-ended:
+	case <-time.After(testTimeout):
+		require.Fail(t, "the scoring call goes on")
+	}
+}
