Soak: cuts of waiting watches, and endpoints that leave without saying so

The soak now cuts waiting watches every 20 ms to 1.3 s, as planned work that excuses no lost request, and lets endpoints leave without a word while watches are cut: in calm, no request may reach them later than 2 s after their record was removed.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -19,6 +19,9 @@
 	configurePause = 700 * time.Millisecond
 	// settleTime is how long after a fault requests may still be affected by it.
 	settleTime = 2 * time.Second
+	// stableTime is how long the store and a node must have been undisturbed before a node must
+	// know of a removed endpoint within its bound.
+	stableTime = 3 * time.Second
 )
 
 // updateRoute is a non-idempotent route: each of its requests may run at most once. versionRoute is
@@ -97,7 +100,7 @@
 	}
 	began := time.Now()
 	status, body := env.sendBy(client, env.randomNode(random), http.MethodPost, "/"+kind+"/x", id, []byte("body"))
-	if status == 0 && env.calmBefore(began) && env.runs(id) > 0 {
+	if status == 0 && env.calmFor(settleTime, began) && env.runs(id) > 0 {
 		env.report.recordViolation("%s ran and got no response, with no fault but planned work", id)
 	}
 	env.report.count(kind + "s " + outcome(status))
@@ -121,11 +124,12 @@
 	env.calmSince = time.Now()
 }
 
-// calmBefore reports whether all faults that are not planned work ended well before a time.
-func (env *environment) calmBefore(t time.Time) bool {
+// calmFor reports whether no fault that is not planned work is in progress, and all of them had
+// ended more than the given duration before a time.
+func (env *environment) calmFor(duration time.Duration, t time.Time) bool {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	return env.disturbances == 0 && t.Sub(env.calmSince) > settleTime
+	return env.disturbances == 0 && t.Sub(env.calmSince) > duration
 }
 
 // sendUpdates sends requests that may run at most once and stores their statuses, until ctx is
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -27,6 +28,9 @@
 	// brokenStreams is the number of streams that the chosen endpoint breaks in one fault. A plain
 	// service has no streams, so the fault has no effect on it.
 	brokenStreams = 6
+	// minCutInterval and maxCutInterval bound the time between two cuts of the waiting watches.
+	minCutInterval = 20 * time.Millisecond
+	maxCutInterval = 1300 * time.Millisecond
 )
 
 // fault is a kind of fault. inject starts it and returns a function that undoes it.
@@ -100,6 +104,9 @@
 		return env.setStoreFaults(memory.Faults{OverRate: true})
 	}, false},
 	{"store drops its history", func(env *environment, _ *rand.Rand) func() error { env.store.DropHistory(); return noop }, false},
+	{"waiting watches cut again and again", func(env *environment, random *rand.Rand) func() error {
+		return env.cutWatches(randomDuration(random, minCutInterval, maxCutInterval))
+	}, true},
 	{"engine breaks streams", func(env *environment, random *rand.Rand) func() error {
 		env.mu.Lock()
 		defer env.mu.Unlock()
@@ -115,6 +122,9 @@
 	{"endpoint says in its answers that it leaves and is replaced", func(env *environment, random *rand.Rand) func() error {
 		return env.replaceEndpoint(random, (*environment).leaveEndpoint)
 	}, false},
+	{"endpoint leaves without saying so while watches are cut, and is replaced", func(env *environment, random *rand.Rand) func() error {
+		return env.leaveUnsaid(random)
+	}, true},
 	{"crowd of clients outside the limits", func(env *environment, random *rand.Rand) func() error {
 		return env.gatherCrowd(env.randomNode(random))
 	}, false},
@@ -221,6 +231,23 @@
 	}
 }
 
+// cutWatches cuts the watches that wait at the store at each interval, and returns a function that
+// ends this.
+func (env *environment) cutWatches(interval time.Duration) func() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var cuts sync.WaitGroup
+	cuts.Go(func() {
+		for wait.For(ctx, interval) {
+			env.store.CutWatches()
+		}
+	})
+	return func() error {
+		cancel()
+		cuts.Wait()
+		return nil
+	}
+}
+
 // drainTime is how long an endpoint keeps serving after the store lists it as draining, or
 // after its answers began to say that it leaves.
 const drainTime = 2 * time.Second
@@ -237,6 +264,38 @@
 	return func() error { env.addEndpoint(id, e.Service); return nil }
 }
 
+// serveAfterDrain is how long an endpoint that leaves without saying so serves after drainTime.
+const serveAfterDrain = 500 * time.Millisecond
+
+// leaveUnsaid lets a random endpoint leave without saying so while waiting watches are cut, and
+// returns a function that waits for its exit and replaces it.
+func (env *environment) leaveUnsaid(random *rand.Rand) func() error {
+	endCuts := env.cutWatches(randomDuration(random, minCutInterval, maxCutInterval))
+	time.Sleep(stableTime)
+	var exit sync.WaitGroup
+	replace := env.replaceEndpoint(random, func(env *environment, e *platformtest.Endpoint) {
+		exit.Go(func() { env.removeRecord(e) })
+	})
+	return func() error {
+		exit.Wait()
+		return errors.Join(endCuts(), replace())
+	}
+}
+
+// removeRecord removes the record of an endpoint, which serves on for a while and then exits. It
+// records a violation if requests reach the endpoint later than drainTime after that in calm.
+func (env *environment) removeRecord(e *platformtest.Endpoint) {
+	env.store.Remove(e.Key())
+	removed := time.Now()
+	time.Sleep(drainTime)
+	runs := e.AllRuns()
+	time.Sleep(serveAfterDrain)
+	if late := e.AllRuns() - runs; late > 0 && env.calmFor(stableTime, removed) {
+		env.report.recordViolation("%d requests reached %s later than %s after its record was removed", late, e.ID, drainTime)
+	}
+	e.Close()
+}
+
 // crashEndpoint stops an endpoint at once.
 func (env *environment) crashEndpoint(e *platformtest.Endpoint) {
 	e.Close()
