--- a/review/cases3/platform/main.go
+++ b/review/cases3/platform/main.go
@@ -18,9 +18,9 @@
 )
 
 func main() {
-	cases := map[string]func(*world) error{"refusal": playRefusal, "silence": playSilence, "ended": playEnded, "stamp": playStamp}
+	cases := map[string]func(*world) error{"refusal": playRefusal, "memory": playMemory, "stamp": playStamp, "silence": playSilence, "ended": playEnded}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases3 refusal|silence|ended|stamp RECORD")
+		fmt.Fprintln(os.Stderr, "usage: cases3 refusal|memory|stamp|silence|ended RECORD")
 		os.Exit(exitFailed)
 	}
 	w, err := newWorld(os.Args[2])
