A reset that only a write is told of is no end of an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer; so it did with 500 and 503, the latter although the request may have run. Scoring calls, the store client's commits and calls between instances took such parts for whole answers too.

Cause: the kernel keeps the error of a connection for a single system call. While the upload fills the sockets, the waiting write is often told of the reset first. The read that follows finds no error and returns the end of the data, which net/http takes for the end of a body without a length.

Fix: package strict, through which all answers are read, asks for the state of the TCP connection when a read finds its end. Only a connection that the remote side closed and has not reset ended in order; anything else fails the body. That is the proof which the read alone cannot give, since the state stays whoever is told of the error. A process that is killed between two reads of an upload closes in order too, and its reset comes with the next data: an answer that ends before its request was written or acknowledged is held for that, 300 ms at most. Sound answers without a length are passed on as before.

--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -23,12 +24,15 @@
 }
 
 // readers returns all calls of this package, by name.
-func readers() map[string]reader {
+func readers() map[string]reader { return readersOf("") }
+
+// readersOf returns all calls of this package, by name. Those that carry a body carry the given one.
+func readersOf(body string) map[string]reader {
 	stream := event(testRequestID, "a", "stop") + "data: [DONE]\n\n"
 	service := func(repeatable bool) reader {
 		return reader{stricttest.Answer("ok"), func(ctx context.Context, address string) error {
 			client := NewServiceClient(NewTransport(), NewSingleUseTransport())
-			_, err := client.Do(ctx, ServiceCall{Address: address, Method: http.MethodPost, Path: "/x", Header: http.Header{}}, repeatable)
+			_, err := client.Do(ctx, ServiceCall{Address: address, Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: []byte(body)}, repeatable)
 			return err
 		}, ErrBroken, false}
 	}
@@ -41,7 +45,7 @@
 	return map[string]reader{
 		"completion": {stricttest.Answer(stream, HeaderRequestID+": "+testRequestID), func(ctx context.Context, address string) error {
 			return NewClient(NewTransport()).Complete(ctx, Call{
-				Address: address, RequestID: testRequestID, OnPiece: func(CompletionChoice) error { return nil },
+				Address: address, RequestID: testRequestID, Request: CompletionRequest{Prompt: body}, OnPiece: func(CompletionChoice) error { return nil },
 			})
 		}, ErrBroken, true},
 		"repeatable call": service(true),
@@ -88,3 +92,35 @@
 func TestMalformedFramingsAreNoAnswers(t *testing.T) { requireMalformed(t, stricttest.Framings) }
 
 func TestHeadsThatAreCutAreNoAnswers(t *testing.T) { requireMalformed(t, stricttest.Cuts) }
+
+// largeBody is more than what the sockets of a connection hold, so that it is still being written
+// when an early answer arrives.
+var largeBody = strings.Repeat("b", 24<<20)
+
+// TestEarlyAnswerThatIsResetIsNotWhole checks that a body without a length is not whole if its
+// connection is reset while the call is still being written: it stays open whether the call ran.
+func TestEarlyAnswerThatIsResetIsNotWhole(t *testing.T) {
+	for name, r := range readersOf(largeBody) {
+		if r.ended {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			for form, early := range stricttest.Resets(r.answer) {
+				err := stricttest.CallEarly(early, func(address string) error { return r.do(t.Context(), address) })
+				assert.Error(t, err, form)
+				assert.False(t, errorx.IsOfType(err, ErrNotRun) || errorx.IsOfType(err, ErrNotSent), "%s: %v", form, err)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswerThatEndsInOrderIsWhole checks that a body without a length is whole if its
+// connection ends in order, also before the call has been read.
+func TestEarlyAnswerThatEndsInOrderIsWhole(t *testing.T) {
+	for name, r := range readersOf(largeBody) {
+		t.Run(name, func(t *testing.T) {
+			early := stricttest.Early{Parts: []string{stricttest.Endless(r.answer)}, Ending: stricttest.Finish}
+			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return r.do(t.Context(), address) }))
+		})
+	}
+}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -19,22 +19,22 @@
 	"github.com/comfreyfront/comfreyfront/internal/strict/stricttest"
 )
 
-// controlCalls are the calls with which an entry learns of others, by name, each with a
-// well-formed answer.
-func controlCalls(t *testing.T) map[string]struct {
+// controlCall is a call with which an entry learns of others, with a well-formed answer.
+type controlCall struct {
 	answer string
 	do     func(ctx context.Context, address string) error
-} {
+}
+
+// controlCalls returns the calls with which an entry learns of others, by name. Those that carry a
+// body carry the given configuration.
+func controlCalls(t *testing.T, config []byte) map[string]controlCall {
 	t.Helper()
 	news, err := proto.Marshal(&peerpb.News{From: "e2"})
 	require.NoError(t, err)
 	peerClient := newBuilder(settings.Default(), slog.New(slog.DiscardHandler)).peerClient
-	return map[string]struct {
-		answer string
-		do     func(ctx context.Context, address string) error
-	}{
+	return map[string]controlCall{
 		"peer": {stricttest.Answer(string(news), "Content-Type: application/protobuf"), func(ctx context.Context, address string) error {
-			_, err := exchange.NewHTTPCaller(peerClient).Exchange(ctx, address, &peerpb.News{})
+			_, err := exchange.NewHTTPCaller(peerClient).Exchange(ctx, address, &peerpb.News{Config: config})
 			return err
 		}},
 		"load report": {stricttest.Answer("{}"), func(ctx context.Context, address string) error {
@@ -51,7 +51,7 @@
 // requireMalformed checks that the answer to each call is taken in its well-formed form only.
 func requireMalformed(t *testing.T, malformations []stricttest.Malformation) {
 	t.Helper()
-	for name, c := range controlCalls(t) {
+	for name, c := range controlCalls(t, nil) {
 		t.Run(name, func(t *testing.T) {
 			callOnce := func(answer string) error {
 				return stricttest.Call(answer, func(address string) error { return c.do(t.Context(), address) })
@@ -70,7 +70,7 @@
 // TestAnswerWithoutEndIsBounded checks how much of an answer without end is read.
 func TestAnswerWithoutEndIsBounded(t *testing.T) {
 	limits := map[string]int64{"peer": 16 << 20, "load report": 1 << 20, "instance list": 64 << 20}
-	for name, c := range controlCalls(t) {
+	for name, c := range controlCalls(t, nil) {
 		t.Run(name, func(t *testing.T) {
 			server := stricttest.NewFloodServer(func(*http.Request) stricttest.Flood {
 				return stricttest.Flood{Beginning: "HTTP/1.1 200 OK\r\n\r\n", Part: stricttest.Repeat("x")}
@@ -89,3 +89,18 @@
 func TestMalformedFramingsAreNoAnswers(t *testing.T) { requireMalformed(t, stricttest.Framings) }
 
 func TestHeadsThatAreCutAreNoAnswers(t *testing.T) { requireMalformed(t, stricttest.Cuts) }
+
+// TestEarlyAnswerThatIsResetIsNotWhole checks that a body without a length is whole only if its
+// connection ends in order, also if the answer arrives while the call is still being written.
+func TestEarlyAnswerThatIsResetIsNotWhole(t *testing.T) {
+	largeBody := make([]byte, 24<<20) // more than what the sockets of a connection hold
+	for name, c := range controlCalls(t, largeBody) {
+		t.Run(name, func(t *testing.T) {
+			for form, early := range stricttest.Resets(c.answer) {
+				assert.Error(t, stricttest.CallEarly(early, func(address string) error { return c.do(t.Context(), address) }), form)
+			}
+			early := stricttest.Early{Parts: []string{stricttest.Endless(c.answer)}, Ending: stricttest.Finish}
+			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return c.do(t.Context(), address) }))
+		})
+	}
+}
--- a/internal/node/malformedpeer_test.go
+++ b/internal/node/malformedpeer_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/comfreyfront/comfreyfront/internal/cluster"
+	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/strict/stricttest"
 )
@@ -17,11 +18,27 @@
 // unknownField is the content of a reply without a field that its receiver knows.
 var unknownField = &nodepb.StoreReply{Detail: "d"}
 
-// peerCalls are calls of other nodes, by name, each with the content of an answer.
-var peerCalls = map[string]struct {
+// peerCall is a call of another node, with the content of an answer.
+type peerCall struct {
 	reply proto.Message
 	do    func(ctx context.Context, p *peers, to cluster.Node) error
-}{
+}
+
+// answer returns a well-formed answer.
+func (c peerCall) answer(t *testing.T) string {
+	t.Helper()
+	content, err := proto.Marshal(c.reply)
+	require.NoError(t, err)
+	return stricttest.Answer(string(content), "Content-Type: application/protobuf")
+}
+
+// to makes the call to the node at an address.
+func (c peerCall) to(ctx context.Context, address string) error {
+	return c.do(ctx, newPeers(newPeerTransport()), cluster.Node{Name: "n2", Address: address})
+}
+
+// peerCalls are calls of other nodes, by name.
+var peerCalls = map[string]peerCall{
 	"ping": {&nodepb.PingReply{Node: "n2", Incarnation: 7}, func(ctx context.Context, p *peers, to cluster.Node) error {
 		_, _, err := p.Ping(ctx, to)
 		return err
@@ -49,13 +66,9 @@
 	t.Helper()
 	for name, c := range peerCalls {
 		t.Run(name, func(t *testing.T) {
-			content, err := proto.Marshal(c.reply)
-			require.NoError(t, err)
-			answer := stricttest.Answer(string(content), "Content-Type: application/protobuf")
+			answer := c.answer(t)
 			callOnce := func(answer string) error {
-				return stricttest.Call(answer, func(address string) error {
-					return c.do(t.Context(), newPeers(newPeerTransport()), cluster.Node{Name: "n2", Address: address})
-				})
+				return stricttest.Call(answer, func(address string) error { return c.to(t.Context(), address) })
 			}
 			require.NoError(t, callOnce(answer))
 			for _, m := range malformations {
@@ -78,7 +91,7 @@
 				return stricttest.Flood{Beginning: "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n", Part: stricttest.Repeat("x")}
 			})
 			defer server.Close()
-			require.Error(t, c.do(t.Context(), newPeers(newPeerTransport()), cluster.Node{Name: "n2", Address: server.Address()}))
+			require.Error(t, c.to(t.Context(), server.Address()))
 			require.Less(t, server.Sent(), limits[name]+floodBuffers)
 		})
 	}
@@ -99,3 +112,31 @@
 func TestHeadsOfPeersThatAreCutAreNoAnswers(t *testing.T) {
 	requireMalformedPeerAnswers(t, stricttest.Cuts)
 }
+
+// largePeerCalls are calls that carry more than what the sockets of a connection hold, so that they
+// are still being written when an early answer arrives.
+var largePeerCalls = map[string]peerCall{
+	"announcement": {unknownField, func(ctx context.Context, p *peers, to cluster.Node) error {
+		return p.Announce(ctx, to, largeBody)
+	}},
+	"commit": {&nodepb.StoreReply{Revision: 2}, func(ctx context.Context, p *peers, to cluster.Node) error {
+		_, err := p.storeThrough(to).Commit(ctx, metastore.Txn{Puts: []metastore.Put{{Key: "k", Value: largeBody}}})
+		return err
+	}},
+}
+
+var largeBody = make([]byte, 24<<20)
+
+// TestEarlyAnswerOfAPeerThatIsResetIsNotWhole checks that a body without a length is not whole if
+// its connection is reset while the call is still being written.
+func TestEarlyAnswerOfAPeerThatIsResetIsNotWhole(t *testing.T) {
+	for name, c := range largePeerCalls {
+		t.Run(name, func(t *testing.T) {
+			for form, early := range stricttest.Resets(c.answer(t)) {
+				assert.Error(t, stricttest.CallEarly(early, func(address string) error { return c.to(t.Context(), address) }), form)
+			}
+			early := stricttest.Early{Parts: []string{stricttest.Endless(c.answer(t))}, Ending: stricttest.Finish}
+			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return c.to(t.Context(), address) }))
+		})
+	}
+}
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -1,14 +1,21 @@
 package strict
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
-// conn checks the heads of the answers that are read from a connection.
+// conn checks the heads of the answers that are read from a connection, and its end.
 type conn struct {
 	net.Conn
 
+	// requestWritten means that the current request was written to its end, but for what net/http
+	// is about to flush.
+	requestWritten atomic.Bool
+
 	mu   sync.Mutex
 	head head
 	err  error // why the current answer is malformed
@@ -16,8 +23,10 @@
 	ended bool
 }
 
-// expectHead makes the bytes that arrive from now on the head of an answer.
+// expectHead makes the bytes that arrive from now on the head of an answer. The request has not
+// been written yet.
 func (c *conn) expectHead() {
+	c.requestWritten.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = head{stage: awaitingStatus}
@@ -47,6 +56,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.headArrived() {
+		err = c.checkEnd()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err == nil {
--- a/internal/strict/stricttest/flood.go
+++ b/internal/strict/stricttest/flood.go
@@ -30,7 +30,7 @@
 // NewFloodServer starts a server that answers each request with an answer without end, until the
 // client closes the connection or floodBytes are sent.
 func NewFloodServer(answer func(*http.Request) Flood) *Server {
-	return newServer(func(w io.Writer, r *http.Request) {
+	return newServer(afterRequest(func(w io.Writer, r *http.Request) error {
 		flood := answer(r)
 		_, err := io.WriteString(w, flood.Beginning)
 		var chunk strings.Builder
@@ -43,5 +43,6 @@
 			_, err = io.WriteString(w, chunk.String())
 			chunk.Reset()
 		}
-	})
+		return err
+	}))
 }
--- a/internal/strict/stricttest/server.go
+++ b/internal/strict/stricttest/server.go
@@ -16,7 +16,7 @@
 // Server is a server on loopback that sends any bytes as answers.
 type Server struct {
 	listener net.Listener
-	answer   func(w io.Writer, r *http.Request)
+	answer   func(conn countingConn, r *http.Request) error
 	conns    sync.WaitGroup
 	sent     atomic.Int64
 }
@@ -24,14 +24,25 @@
 // NewServer starts a server that answers each request with the bytes that answer returns, and then
 // closes the connection.
 func NewServer(answer func(*http.Request) string) *Server {
-	return newServer(func(w io.Writer, r *http.Request) {
-		_, _ = io.WriteString(w, answer(r)) // the client may have closed the connection
-	})
+	return newServer(afterRequest(func(w io.Writer, r *http.Request) error {
+		_, err := io.WriteString(w, answer(r))
+		return err
+	}))
 }
 
-// newServer starts a server that answers each request by a function, and then closes the
-// connection.
-func newServer(answer func(w io.Writer, r *http.Request)) *Server {
+// afterRequest returns a function that reads a request to its end before it is answered.
+func afterRequest(answer func(w io.Writer, r *http.Request) error) func(countingConn, *http.Request) error {
+	return func(conn countingConn, r *http.Request) error {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return err
+		}
+		return answer(conn, r)
+	}
+}
+
+// newServer starts a server that answers each request by a function, which is called when the head
+// has been read, and then closes the connection.
+func newServer(answer func(conn countingConn, r *http.Request) error) *Server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err) // as httptest.NewServer does
@@ -78,25 +89,30 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
-	}
-	s.answer(countingWriter{conn, &s.sent}, request)
+	_ = s.answer(countingConn{conn.(*net.TCPConn), &s.sent}, request) // the client may have closed the connection
 }
 
-// countingWriter counts the bytes that are written.
-type countingWriter struct {
-	io.Writer
+// countingConn is a connection that counts the bytes that are written.
+type countingConn struct {
+	*net.TCPConn
 	count *atomic.Int64
 }
 
-// Write implements io.Writer.
-func (w countingWriter) Write(b []byte) (int, error) {
-	n, err := w.Writer.Write(b)
-	w.count.Add(int64(n))
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	c.count.Add(int64(n))
 	return n, err
 }
 
+// reset closes the connection without an orderly end.
+func (c countingConn) reset() error {
+	if err := c.SetLinger(0); err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Answer returns a well-formed answer with status 200. Each field is one line of the head, without
 // its line end.
 func Answer(body string, fields ...string) string {
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -1,6 +1,7 @@
 // Package strict provides an HTTP transport for intermediaries: it takes bytes for an answer only
-// if their head is well-formed by RFC 9110 and RFC 9112. By itself net/http is lenient towards
-// servers, for instance with status codes and the names of fields.
+// if their head is well-formed by RFC 9110 and RFC 9112, and the end of a connection for the end of
+// an answer only if there is proof that the connection ended in order. By itself net/http is
+// lenient towards servers, for instance with status codes and the names of fields.
 package strict
 
 import (
@@ -8,13 +9,15 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // defaultHeadBytes bounds the head of an answer for transports that set no bound.
 const defaultHeadBytes = 64 << 10
 
-// Transport is an http.Transport that rejects malformed answers with ErrMalformed. Answers over
-// TLS are not checked.
+// Transport is an http.Transport that rejects malformed answers with ErrMalformed. The body of an
+// answer that ends with a connection which broke fails with ErrBroken. Answers over TLS are not
+// checked.
 type Transport struct {
 	*http.Transport
 }
@@ -49,13 +52,23 @@
 
 // Exchange is RoundTrip that also returns the connection on which the answer arrives.
 func (t *Transport) Exchange(request *http.Request) (*http.Response, net.Conn, error) {
-	var used *conn // nil over TLS
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if used, _ = info.Conn.(*conn); used != nil {
-			used.expectHead()
-		}
-	}}
+	var current atomic.Pointer[conn] // nil over TLS
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			got, _ := info.Conn.(*conn)
+			current.Store(got)
+			if got != nil {
+				got.expectHead()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := current.Load(); c != nil && info.Err == nil {
+				c.requestWritten.Store(true)
+			}
+		},
+	}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	used := current.Load()
 	if used == nil {
 		return response, nil, err
 	}
