A stream that breaks off is reset for callers of HTTP/1.0

What callers saw: a stream that broke off and could not be resumed ended for a caller of HTTP/1.0 with an orderly end of the connection, which is how a whole stream ends in that version.

Cause: net/http aborts an answer by closing its connection, and without chunks that is the mark of a whole answer. A server that is closed and a process that ends do the same.

Evidence: TestBrokenStreamLooksBrokenInAnEarlierVersion failed on the code before: the caller read the first event and no error. So did TestAnswerWithoutALengthThatBreaksOffIsReset for an abort and for a server that is closed.

Fix: intake sets the connection of a caller of HTTP/1.0 to be reset when it is closed, until the handler has returned. The kernel then does it whatever closes the connection. Callers of HTTP/1.1 are served as before.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -307,10 +307,19 @@
 	reset(c.Conn)
 }
 
-// reset closes a connection without sending what is left.
-func reset(conn net.Conn) {
+// setResetAtClose makes the kernel reset a connection when it is closed, or end it in order.
+func setResetAtClose(conn net.Conn, resets bool) {
+	seconds := -1 // send what is left in the background
+	if resets {
+		seconds = 0
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // the connection is closed next in any case
+		_ = tcp.SetLinger(seconds) // fails only on a connection that is closed
 	}
+}
+
+// reset closes a connection without sending what is left.
+func reset(conn net.Conn) {
+	setResetAtClose(conn, true)
 	_ = conn.Close()
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -158,10 +158,27 @@
 	})
 }
 
-// Track makes a server report the states of its connections. conn returns the connection of this
-// package that a connection of the server is or wraps, or nil.
+// breaking returns a handler whose answers to callers of HTTP/1.0 end in order only if it returns:
+// in that version an answer may end with its connection. If the handler panics, or the process ends,
+// the connection is reset.
+func breaking(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := connOf(r.Context())
+		if conn == nil || r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		setResetAtClose(conn.Conn, true)
+		next.ServeHTTP(w, r)
+		setResetAtClose(conn.Conn, false)
+	})
+}
+
+// Track makes a server report the states of its connections, and reset those whose callers could not
+// tell otherwise that an answer broke off. conn returns the connection of this package that a
+// connection of the server is or wraps, or nil.
 func Track(server *http.Server, conn func(net.Conn) *Conn) {
-	server.Handler = lingering(server.Handler)
+	server.Handler = lingering(breaking(server.Handler))
 	next := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if tracked := conn(c); tracked != nil {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -253,6 +253,41 @@
 	require.Contains(t, string(answer), "404")
 }
 
+// TestAnswerWithoutALengthThatBreaksOffIsReset checks that a caller of HTTP/1.0 can tell a whole
+// answer, which ends with its connection, from one that broke off.
+func TestAnswerWithoutALengthThatBreaksOffIsReset(t *testing.T) {
+	for name, row := range map[string]struct {
+		end    func(server *httptest.Server)
+		broken bool
+	}{
+		"whole":         {func(*httptest.Server) {}, false},
+		"aborted":       {func(*httptest.Server) { panic(http.ErrAbortHandler) }, true},
+		"server closed": {func(server *httptest.Server) { _ = server.Config.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := New(Limits{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+			var server *httptest.Server
+			server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "answer")
+				_ = http.NewResponseController(w).Flush()
+				row.end(server)
+			}))
+			Track(server.Config, ConnOf)
+			server.Listener = in.Listener(server.Listener)
+			server.Start()
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
+			require.NoError(t, err)
+			answer, err := io.ReadAll(conn)
+			require.Equal(t, row.broken, err != nil, "%q", answer)
+			require.Contains(t, string(answer), "answer")
+		})
+	}
+}
+
 func TestDerivedLimits(t *testing.T) {
 	for _, test := range []struct {
 		memoryMB     int64
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -40,3 +43,39 @@
 		})
 	}
 }
+
+// callEarlierVersion sends a request in HTTP/1.0, in which a stream ends with its connection, and
+// returns the body of the answer.
+func callEarlierVersion(t *testing.T, n *testNode, path, id string) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", n.address)
+	require.NoError(t, err)
+	defer conn.Close()
+	head := strings.Replace(platformtest.Head(http.MethodPost, path, id, 1), "HTTP/1.1", "HTTP/1.0", 1)
+	_, err = io.WriteString(conn, head+"b")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Negative(t, response.ContentLength)
+	require.Empty(t, response.TransferEncoding)
+	content, err := io.ReadAll(response.Body)
+	return string(content), err
+}
+
+// TestBrokenStreamLooksBrokenInAnEarlierVersion checks that a caller that speaks HTTP/1.0 can tell a
+// stream that broke off from a whole one.
+func TestBrokenStreamLooksBrokenInAnEarlierVersion(t *testing.T) {
+	s := newSystem(t)
+	s.store.Configure(1, platformtest.StreamRoute)
+	n := s.start("n1")
+	content, err := callEarlierVersion(t, n, "/chat/x", "whole")
+	require.NoError(t, err)
+	require.Equal(t, platformtest.StreamText("whole", 5), content)
+	for _, e := range s.engines {
+		e.BreakStreams(1)
+		e.SetFailResumes(http.StatusConflict)
+	}
+	content, err = callEarlierVersion(t, n, "/chat/x", "broken")
+	require.Error(t, err, "%q looks whole", content)
+}
