The trainers' client and the operators' command check answers too

What callers saw: a trainer that created a large step and got a 409 without a length, followed by a reset while the step was being sent, gave the step up as superseded; so it did after a 409 with a blank in the name of a field. The operators' command reported a change as stored after an answer with such a name, and as not stored after status 000, although the change may have been stored.

Fix: strict.DefaultTransport, which both use, so that each place in the product that reads answers goes through package strict.

--- a/internal/command/class_test.go
+++ b/internal/command/class_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -15,6 +16,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/class"
 	"github.com/comfreyfront/comfreyfront/internal/config"
 	"github.com/comfreyfront/comfreyfront/internal/operator"
+	"github.com/comfreyfront/comfreyfront/internal/strict/stricttest"
 )
 
 const validFile = "classes:\n- name: lookup\n  lateness: 800ms\n  freshness: none\n  completeness: 99%\n"
@@ -28,10 +30,17 @@
 		_ = json.NewEncoder(w).Encode(body)
 	}))
 	defer entry.Close()
+	return applyTo(t, text, entry.URL)
+}
+
+// applyTo runs `class apply` with a file that contains text against the entry at an address. It
+// returns the exit code and the output.
+func applyTo(t *testing.T, text, entry string) (int, string) {
+	t.Helper()
 	file := filepath.Join(t.TempDir(), "classes.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	var printed bytes.Buffer
-	arguments := []string{"class", "apply", "--file", file, "--entry", entry.URL, "--change-id", "change-1"}
+	arguments := []string{"class", "apply", "--file", file, "--entry", entry, "--change-id", "change-1"}
 	code := Run(context.Background(), arguments, &printed, &printed)
 	return code, printed.String()
 }
@@ -63,6 +72,21 @@
 	}
 }
 
+// TestApplyDoesNotTakeMalformedAnswers checks that a change whose answer is malformed is not reported
+// as stored, or as not stored.
+func TestApplyDoesNotTakeMalformedAnswers(t *testing.T) {
+	for _, m := range slices.Concat(stricttest.StatusLines, stricttest.FieldLines) {
+		t.Run(m.Name, func(t *testing.T) {
+			answer := m.Apply(stricttest.Answer(`{"revision":3}`))
+			_ = stricttest.Call(answer, func(address string) error {
+				code, printed := applyTo(t, validFile, address)
+				require.Equal(t, exitUnknown, code, printed)
+				return nil
+			})
+		})
+	}
+}
+
 func TestApplyToUnreachableEntryStoresNothing(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "classes.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(validFile), 0o600))
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -10,6 +10,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/comfreyfront/comfreyfront/internal/operator"
+	"github.com/comfreyfront/comfreyfront/internal/strict"
 )
 
 // environmentEntry is the name of the environment variable with the address of
@@ -37,7 +38,7 @@
 }
 
 func (t *target) client() *operator.Client {
-	return operator.NewClient(t.entry, &http.Client{Timeout: operatorTimeout})
+	return operator.NewClient(t.entry, &http.Client{Transport: strict.DefaultTransport, Timeout: operatorTimeout})
 }
 
 func reportCommand(parser *flaggy.Parser) leaf {
--- a/trainer/client.go
+++ b/trainer/client.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/comfreyfront/comfreyfront/internal/step/wire"
+	"github.com/comfreyfront/comfreyfront/internal/strict"
 	"github.com/comfreyfront/comfreyfront/internal/wait"
 )
 
@@ -17,7 +18,7 @@
 type Options struct {
 	// URL is the base URL of the balancer, such as http://10.0.0.1:8080.
 	URL string
-	// HTTPClient makes the calls; nil selects a client with default settings.
+	// HTTPClient makes the calls; nil selects one that takes only well-formed and complete answers.
 	HTTPClient *http.Client
 	// Version returns the current weight version of the trainer; nil selects the
 	// weight version of the step.
@@ -46,7 +47,7 @@
 // New returns a Client.
 func New(options Options) *Client {
 	if options.HTTPClient == nil {
-		options.HTTPClient = &http.Client{}
+		options.HTTPClient = &http.Client{Transport: strict.DefaultTransport}
 	}
 	if options.Wait == 0 {
 		options.Wait = defaultWait
