A report that is too long is no longer printed in part

What operators saw: comfreyfront report printed the first 4 MB of a longer report and succeeded.

Cause: the operators' client stopped reading at its bound on answers and did not notice that there was more.

Evidence: TestReportBeyondItsBoundIsNotWhole failed on the code before: no error for an answer of one byte more than the bound.

Fix: the bound is an error, as in the other clients, so that the command fails and says so. An answer of exactly the bound is still taken.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -124,9 +124,9 @@
 		return nil, ErrUnreachable.Wrap(err, "the entry did not answer")
 	}
 	defer func() { _ = answer.Body.Close() }()
-	received, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerSize))
+	received, err := io.ReadAll(http.MaxBytesReader(nil, answer.Body, maxAnswerSize))
 	if err != nil {
-		return nil, ErrUnreachable.Wrap(err, "the entry's answer is truncated")
+		return nil, ErrUnreachable.Wrap(err, "the entry's answer is truncated or too long")
 	}
 	if answer.StatusCode != http.StatusOK {
 		return nil, refusedBy(answer.StatusCode, received)
