Tests: the remaining calls between instances read no broken answers

Status 000, names of fields with a blank or a control byte, the other malformations and early answers that are reset are played against each place where answers are read. Calls of nodes for figures, scaling, crash reports and usage, and calls of entries for claims, settlements and steps were missing.

Evidence: no change of the product was needed.

--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -19,24 +19,41 @@
 	"github.com/comfreyfront/comfreyfront/internal/strict/stricttest"
 )
 
-// controlCall is a call with which an entry learns of others, with a well-formed answer.
+// controlCall is a call of an entry for its own sake, with a well-formed answer.
 type controlCall struct {
 	answer string
 	do     func(ctx context.Context, address string) error
 }
 
-// controlCalls returns the calls with which an entry learns of others, by name. Those that carry a
-// body carry the given configuration.
-func controlCalls(t *testing.T, config []byte) map[string]controlCall {
+// controlCalls returns the calls to other entries, and those with which an entry learns of others, by
+// name. Those that carry a body carry the given one.
+func controlCalls(t *testing.T, body []byte) map[string]controlCall {
 	t.Helper()
 	news, err := proto.Marshal(&peerpb.News{From: "e2"})
 	require.NoError(t, err)
 	peerClient := newBuilder(settings.Default(), slog.New(slog.DiscardHandler)).peerClient
+	ofPeer := func(do func(ctx context.Context, peer peerpb.Peer) error) controlCall {
+		return controlCall{stricttest.Answer(string(news), "Content-Type: application/protobuf"), func(ctx context.Context, address string) error {
+			return do(ctx, newDialer(peerClient).dial(address))
+		}}
+	}
 	return map[string]controlCall{
 		"peer": {stricttest.Answer(string(news), "Content-Type: application/protobuf"), func(ctx context.Context, address string) error {
-			_, err := exchange.NewHTTPCaller(peerClient).Exchange(ctx, address, &peerpb.News{Config: config})
+			_, err := exchange.NewHTTPCaller(peerClient).Exchange(ctx, address, &peerpb.News{Config: body})
 			return err
 		}},
+		"claim": ofPeer(func(ctx context.Context, peer peerpb.Peer) error {
+			_, err := peer.Claim(ctx, &peerpb.ClaimRequest{})
+			return err
+		}),
+		"settlement": ofPeer(func(ctx context.Context, peer peerpb.Peer) error {
+			_, err := peer.Settle(ctx, &peerpb.SettleRequest{})
+			return err
+		}),
+		"step": ofPeer(func(ctx context.Context, peer peerpb.Peer) error {
+			_, err := peer.Step(ctx, &peerpb.StepCall{Body: body})
+			return err
+		}),
 		"load report": {stricttest.Answer("{}"), func(ctx context.Context, address string) error {
 			_, err := control.NewHTTPLoads(&http.Client{Transport: engine.NewTransport()}).Load(ctx, address)
 			return err
@@ -69,7 +86,7 @@
 
 // TestAnswerWithoutEndIsBounded checks how much of an answer without end is read.
 func TestAnswerWithoutEndIsBounded(t *testing.T) {
-	limits := map[string]int64{"peer": 16 << 20, "load report": 1 << 20, "instance list": 64 << 20}
+	limits := map[string]int64{"peer": 16 << 20, "claim": 16 << 20, "settlement": 16 << 20, "step": 64 << 20, "load report": 1 << 20, "instance list": 64 << 20}
 	for name, c := range controlCalls(t, nil) {
 		t.Run(name, func(t *testing.T) {
 			server := stricttest.NewFloodServer(func(*http.Request) stricttest.Flood {
--- a/internal/node/malformedpeer_test.go
+++ b/internal/node/malformedpeer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -13,6 +14,7 @@
 	"github.com/comfreyfront/comfreyfront/internal/metastore"
 	"github.com/comfreyfront/comfreyfront/internal/node/nodepb"
 	"github.com/comfreyfront/comfreyfront/internal/strict/stricttest"
+	"github.com/comfreyfront/comfreyfront/internal/usage"
 )
 
 // unknownField is the content of a reply without a field that its receiver knows.
@@ -54,6 +56,21 @@
 		_, err := p.texts(ctx, to, "u")
 		return err
 	}},
+	"figures": {&nodepb.FiguresReply{KeyRefusals: []int64{1}}, func(ctx context.Context, p *peers, to cluster.Node) error {
+		_, err := p.figures(ctx, to, "a")
+		return err
+	}},
+	"scaling": {&nodepb.FiguresReply{KeyRefusals: []int64{1}}, func(ctx context.Context, p *peers, to cluster.Node) error {
+		_, err := p.scaling(ctx, to)
+		return err
+	}},
+	"crash report": {unknownField, func(ctx context.Context, p *peers, to cluster.Node) error {
+		return p.reportCrash(ctx, to, 1, time.Second)
+	}},
+	"usage": {&nodepb.UsageReply{Unreported: 2}, func(ctx context.Context, p *peers, to cluster.Node) error {
+		_, err := p.passUsage(ctx, to, []usage.Batch{{}})
+		return err
+	}},
 	"store": {&nodepb.StoreReply{Items: []*nodepb.Item{{Key: "k"}}}, func(ctx context.Context, p *peers, to cluster.Node) error {
 		_, err := p.storeThrough(to).Get(ctx, "k")
 		return err
@@ -84,7 +101,10 @@
 // TestAnswerOfAPeerWithoutEndIsBounded checks how much of an answer without end is read: another
 // process may listen at the address of a node that is gone.
 func TestAnswerOfAPeerWithoutEndIsBounded(t *testing.T) {
-	limits := map[string]int64{"ping": 1 << 20, "announcement": 1 << 20, "read": 16 << 20, "store": 16 << 20, "texts": 64 << 20}
+	limits := map[string]int64{
+		"ping": 1 << 20, "announcement": 1 << 20, "figures": 1 << 20, "scaling": 1 << 20, "crash report": 1 << 20, "usage": 1 << 20,
+		"read": 16 << 20, "store": 16 << 20, "texts": 64 << 20,
+	}
 	for name, c := range peerCalls {
 		t.Run(name, func(t *testing.T) {
 			server := stricttest.NewFloodServer(func(*http.Request) stricttest.Flood {
