--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -119,7 +119,7 @@
 func TestEarlyAnswerThatEndsInOrderIsWhole(t *testing.T) {
 	for name, r := range readersOf(largeBody) {
 		t.Run(name, func(t *testing.T) {
-			early := stricttest.Early{Parts: []string{stricttest.Endless(r.answer)}, Ending: stricttest.Finish}
+			early := stricttest.Early{Parts: []string{stricttest.Unsized(r.answer)}, Ending: stricttest.Finish}
 			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return r.do(t.Context(), address) }))
 		})
 	}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -116,7 +116,7 @@
 			for form, early := range stricttest.Resets(c.answer) {
 				assert.Error(t, stricttest.CallEarly(early, func(address string) error { return c.do(t.Context(), address) }), form)
 			}
-			early := stricttest.Early{Parts: []string{stricttest.Endless(c.answer)}, Ending: stricttest.Finish}
+			early := stricttest.Early{Parts: []string{stricttest.Unsized(c.answer)}, Ending: stricttest.Finish}
 			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return c.do(t.Context(), address) }))
 		})
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -171,10 +171,21 @@
 	require.Zero(t, in.Connections())
 }
 
+// start starts a server within an intake.
+func start(t *testing.T, in *Intake, handler http.Handler) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	Track(server.Config, ConnOf)
+	server.Listener = in.Listener(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
 // serve starts a server within an intake that reads bodies and returns their sizes.
 func serve(t *testing.T, in *Intake, limits BodyLimits) *httptest.Server {
 	t.Helper()
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return start(t, in, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := ReadBody(w, r, limits)
 		if err != nil {
 			w.Header().Set("Connection", "close")
@@ -183,11 +194,6 @@
 		}
 		_, _ = w.Write(body)
 	}))
-	Track(server.Config, ConnOf)
-	server.Listener = in.Listener(server.Listener)
-	server.Start()
-	t.Cleanup(server.Close)
-	return server
 }
 
 func TestBodiesOfAllSizesArriveAndGiveTheirMemoryBack(t *testing.T) {
@@ -238,11 +244,7 @@
 
 func TestRestOfAnUnreadBodyIsNotAwaited(t *testing.T) {
 	in := New(Limits{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
-	server := httptest.NewUnstartedServer(http.NotFoundHandler())
-	Track(server.Config, ConnOf)
-	server.Listener = in.Listener(server.Listener)
-	server.Start()
-	defer server.Close()
+	server := start(t, in, http.NotFoundHandler())
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
@@ -267,15 +269,11 @@
 		t.Run(name, func(t *testing.T) {
 			in := New(Limits{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 			var server *httptest.Server
-			server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server = start(t, in, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = io.WriteString(w, "answer")
 				_ = http.NewResponseController(w).Flush()
 				row.end(server)
 			}))
-			Track(server.Config, ConnOf)
-			server.Listener = in.Listener(server.Listener)
-			server.Start()
-			defer server.Close()
 			conn, err := net.Dial("tcp", server.Listener.Addr().String())
 			require.NoError(t, err)
 			defer conn.Close()
--- a/internal/node/malformedpeer_test.go
+++ b/internal/node/malformedpeer_test.go
@@ -155,7 +155,7 @@
 			for form, early := range stricttest.Resets(c.answer(t)) {
 				assert.Error(t, stricttest.CallEarly(early, func(address string) error { return c.to(t.Context(), address) }), form)
 			}
-			early := stricttest.Early{Parts: []string{stricttest.Endless(c.answer(t))}, Ending: stricttest.Finish}
+			early := stricttest.Early{Parts: []string{stricttest.Unsized(c.answer(t))}, Ending: stricttest.Finish}
 			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return c.to(t.Context(), address) }))
 		})
 	}
--- a/internal/strict/default.go
+++ b/internal/strict/default.go
@@ -15,6 +15,7 @@
 // DefaultTransport is the transport of programs that call the service, with usual settings.
 var DefaultTransport = NewTransport(&http.Transport{
 	Proxy:               http.ProxyFromEnvironment,
+	ForceAttemptHTTP2:   true, // over TLS
 	MaxIdleConns:        defaultIdleConns,
 	IdleConnTimeout:     defaultIdleTimeout,
 	TLSHandshakeTimeout: defaultHandshakeTimeout,
--- a/internal/strict/end_test.go
+++ b/internal/strict/end_test.go
@@ -125,7 +125,7 @@
 	server, err := listener.Accept()
 	require.NoError(t, err)
 	c.expectHead()
-	_, err = io.WriteString(server, stricttest.Endless(stricttest.Answer("part")))
+	_, err = io.WriteString(server, stricttest.Unsized(stricttest.Answer("part")))
 	require.NoError(t, err)
 	require.NoError(t, server.(*net.TCPConn).SetLinger(0))
 	require.NoError(t, server.Close())
--- a/internal/strict/stricttest/early.go
+++ b/internal/strict/stricttest/early.go
@@ -72,9 +72,9 @@
 	return conn.Close()
 }
 
-// Endless returns an answer in a form that does not say where its body ends, so that it ends with
+// Unsized returns an answer in a form that does not say where its body ends, so that it ends with
 // its connection.
-func Endless(answer string) string {
+func Unsized(answer string) string {
 	head, body, _ := strings.Cut(answer, "\r\n\r\n")
 	var lines []string
 	for line := range strings.SplitSeq(head, "\r\n") {
@@ -87,18 +87,18 @@
 
 // WithoutLength are the forms of an answer that does not say where its body ends.
 var WithoutLength = []Malformation{
-	{Name: "no length", Apply: Endless},
+	{Name: "no length", Apply: Unsized},
 	{Name: "earlier version", Apply: func(answer string) string {
-		return strings.Replace(Endless(answer), "HTTP/1.1", "HTTP/1.0", 1)
+		return strings.Replace(Unsized(answer), "HTTP/1.1", "HTTP/1.0", 1)
 	}},
 	{Name: "announced close", Apply: func(answer string) string {
-		return strings.Replace(Endless(answer), "\r\n", "\r\nConnection: close\r\n", 1)
+		return strings.Replace(Unsized(answer), "\r\n", "\r\nConnection: close\r\n", 1)
 	}},
 	{Name: "failure", Apply: func(answer string) string {
-		return strings.Replace(Endless(answer), "200 OK", "500 Failed", 1)
+		return strings.Replace(Unsized(answer), "200 OK", "500 Failed", 1)
 	}},
 	{Name: "refusal", Apply: func(answer string) string {
-		return strings.Replace(Endless(answer), "200 OK", "503 Busy", 1)
+		return strings.Replace(Unsized(answer), "200 OK", "503 Busy", 1)
 	}},
 }
 
--- a/trainer/reset_test.go
+++ b/trainer/reset_test.go
@@ -39,7 +39,7 @@
 func TestRefusalThatIsResetEndsNoStep(t *testing.T) {
 	for _, pause := range stricttest.ResetPauses {
 		t.Run(pause.String(), func(t *testing.T) {
-			answer := stricttest.Early{Parts: []string{stricttest.Endless(refused)}, Pause: pause, Ending: stricttest.Reset}
+			answer := stricttest.Early{Parts: []string{stricttest.Unsized(refused)}, Pause: pause, Ending: stricttest.Reset}
 			require.ErrorIs(t, create(t, answer, retryTime), context.DeadlineExceeded)
 		})
 	}
@@ -61,6 +61,6 @@
 
 // TestRefusalThatEndsInOrderEndsAStep checks that a refusal without a length is taken.
 func TestRefusalThatEndsInOrderEndsAStep(t *testing.T) {
-	answer := stricttest.Early{Parts: []string{stricttest.Endless(refused)}, Ending: stricttest.Finish}
+	answer := stricttest.Early{Parts: []string{stricttest.Unsized(refused)}, Ending: stricttest.Finish}
 	require.ErrorContains(t, create(t, answer, time.Minute), "superseded")
 }
