Sound answers without a body are no longer refused

Cause: net/http gives a connection back as soon as it has read an answer without a body, and returns the answer later. internal/strict asked only then whether the head had arrived, by the state of the connection, which could be that of the next request already.

Why this works: requests are numbered on their connection, and each asks for the head of its own answer. The two tests of the connection's state now name the request they ask about; the first also asks for the earlier one.

--- a/internal/node/reset_test.go
+++ b/internal/node/reset_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -89,6 +90,36 @@
 	}
 }
 
+// TestCallersGetAnswersWithoutABody checks that answers without a body are passed on while other
+// requests wait for the connections on which they arrive.
+func TestCallersGetAnswersWithoutABody(t *testing.T) {
+	t.Parallel()
+	const callers, requests = 32, 200
+	s := newSystem(t)
+	e := platformtest.NewEndpoint(&platformtest.Endpoint{ID: "held-0", Service: "held", Zone: "z", NoBody: true})
+	t.Cleanup(e.Close)
+	s.store.Write(e.Key(), e.Record("ready"))
+	s.store.ConfigureForLargeBodies()
+	n := s.start("n1")
+	require.Eventually(t, func() bool { _, known := n.node.directory.Find(e.ID); return known }, waitLimit, pollInterval)
+	statuses := make([]map[int]int, callers)
+	var finished sync.WaitGroup
+	for i := range statuses {
+		statuses[i] = map[int]int{}
+		finished.Go(func() {
+			for j := range requests {
+				status, _ := s.call(n, http.MethodPost, "/held/x", fmt.Sprintf("r-%d-%d", i, j), []byte("b"))
+				statuses[i][status]++
+			}
+		})
+	}
+	finished.Wait()
+	for _, counts := range statuses {
+		require.Equal(t, map[int]int{http.StatusOK: requests}, counts)
+	}
+	require.Equal(t, callers*requests, e.AllRuns())
+}
+
 // noLength is the first form of an answer without a length.
 var noLength = stricttest.WithoutLength[0]
 
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -19,21 +19,35 @@
 	mu   sync.Mutex
 	head head
 	err  error // why the current answer is malformed
+	// requests is the number of requests so far, and headOf the number of the last one whose answer
+	// has a complete head.
+	requests, headOf int
 	// ended means that nothing more can be read.
 	ended bool
 }
 
-// expectHead makes the bytes that arrive from now on the head of an answer. The request has not
-// been written yet.
-func (c *conn) expectHead() {
+// expectHead makes the bytes that arrive from now on the head of an answer, and returns the number
+// of its request on this connection. The request has not been written yet.
+func (c *conn) expectHead() int {
 	c.requestWritten.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = head{stage: awaitingStatus}
+	c.requests++
+	return c.requests
 }
 
-// headArrived reports whether the head was complete and well-formed.
-func (c *conn) headArrived() bool {
+// headArrived reports whether the head of the answer to a request was complete and well-formed. The
+// connection may have the next request already: net/http passes it on before it returns an answer
+// without a body.
+func (c *conn) headArrived(request int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headOf >= request
+}
+
+// answering reports whether the head of the current answer has arrived.
+func (c *conn) answering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.stage == complete
@@ -56,7 +70,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, io.EOF) && c.headArrived() {
+	if errors.Is(err, io.EOF) && c.answering() {
 		err = c.checkEnd()
 	}
 	c.mu.Lock()
@@ -67,6 +81,9 @@
 	if c.err != nil {
 		return 0, c.err
 	}
+	if c.head.stage == complete {
+		c.headOf = c.requests
+	}
 	c.ended = err != nil
 	return n, err
 }
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -50,20 +50,28 @@
 	return response, err
 }
 
+// sent is a request that was given a connection.
+type sent struct {
+	*conn
+	// number is the number of the request on the connection.
+	number int
+}
+
 // Exchange is RoundTrip that also returns the connection on which the answer arrives.
 func (t *Transport) Exchange(request *http.Request) (*http.Response, net.Conn, error) {
-	var current atomic.Pointer[conn] // nil over TLS
+	var current atomic.Pointer[sent] // nil over TLS
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			got, _ := info.Conn.(*conn)
-			current.Store(got)
-			if got != nil {
-				got.expectHead()
+			got, ok := info.Conn.(*conn)
+			if !ok {
+				current.Store(nil)
+				return
 			}
+			current.Store(&sent{got, got.expectHead()})
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if c := current.Load(); c != nil && info.Err == nil {
-				c.requestWritten.Store(true)
+			if used := current.Load(); used != nil && info.Err == nil {
+				used.requestWritten.Store(true)
 			}
 		},
 	}
@@ -75,10 +83,10 @@
 	if err != nil {
 		return nil, nil, used.cause(err)
 	}
-	if !used.headArrived() {
+	if !used.headArrived(used.number) {
 		_ = used.Close() // the connection is discarded
 		_ = response.Body.Close()
 		return nil, nil, ErrMalformed.New("the answer began before its request was sent")
 	}
-	return response, used, nil
+	return response, used.conn, nil
 }
--- a/internal/strict/transport_test.go
+++ b/internal/strict/transport_test.go
@@ -4,7 +4,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -116,12 +119,13 @@
 		_, err := c.Read(buffer)
 		return err
 	}
-	c.expectHead()
+	first := c.expectHead()
 	require.NoError(t, read(stricttest.Answer("HTTP/1.1 000 is a body")))
-	require.True(t, c.headArrived())
+	require.True(t, c.headArrived(first))
 	require.NoError(t, read("\x00 bytes beyond the answer"))
-	c.expectHead()
-	require.False(t, c.headArrived())
+	second := c.expectHead()
+	require.True(t, c.headArrived(first))
+	require.False(t, c.headArrived(second))
 	require.Error(t, read("HTTP/1.1 000 OK\r\n\r\n"))
 	require.True(t, errorx.IsOfType(c.cause(io.EOF), ErrMalformed))
 }
@@ -131,8 +135,39 @@
 func TestAnswerBeforeItsRequestIsNone(t *testing.T) {
 	c := &conn{}
 	require.NoError(t, c.head.add([]byte(stricttest.Answer("early"))))
-	c.expectHead()
-	require.False(t, c.headArrived())
+	require.False(t, c.headArrived(c.expectHead()))
+}
+
+// TestAnswerWhoseConnectionIsReusedIsTaken sends a request on the connection of a previous one as
+// soon as net/http allows it: an answer without a body gives its connection back before the answer
+// itself is returned.
+func TestAnswerWhoseConnectionIsReusedIsTaken(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusNotFound} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+			defer server.Close()
+			transport := NewTransport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			send := func(trace *httptrace.ClientTrace) error {
+				ctx := httptrace.WithClientTrace(t.Context(), trace)
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("b"))
+				require.NoError(t, err)
+				response, err := transport.RoundTrip(request)
+				if err != nil {
+					return err
+				}
+				return response.Body.Close()
+			}
+			next, reused := make(chan error, 1), make(chan bool, 1)
+			require.NoError(t, send(&httptrace.ClientTrace{PutIdleConn: func(error) {
+				go func() {
+					next <- send(&httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { reused <- got.Reused }})
+				}()
+				require.True(t, <-reused)
+			}}))
+			require.NoError(t, <-next)
+		})
+	}
 }
 
 // TestHeadWithoutEndIsBounded checks that a transport without a bound of its own has one.
