strict: the default transport takes over net/http's settings

What callers see: a dial that gets no answer ends after 30 s again. So it did in the trainers' client and the operators' command before they got a transport of their own, which wrote net/http's default settings down once more and left this one out.

Now strict.DefaultTransport is a clone of http.DefaultTransport with the check on top.

Measured: the tests of trainer, internal/command and internal/strict pass; the time of a dial without an answer was not tried.

--- a/internal/strict/default.go
+++ b/internal/strict/default.go
@@ -1,22 +1,7 @@
 package strict
 
-import (
-	"net/http"
-	"time"
-)
+import "net/http"
 
-// Limits of DefaultTransport.
-const (
-	defaultIdleConns        = 100
-	defaultIdleTimeout      = 90 * time.Second
-	defaultHandshakeTimeout = 10 * time.Second
-)
-
-// DefaultTransport is the transport of programs that call the service, with usual settings.
-var DefaultTransport = NewTransport(&http.Transport{
-	Proxy:               http.ProxyFromEnvironment,
-	ForceAttemptHTTP2:   true, // over TLS
-	MaxIdleConns:        defaultIdleConns,
-	IdleConnTimeout:     defaultIdleTimeout,
-	TLSHandshakeTimeout: defaultHandshakeTimeout,
-})
+// DefaultTransport is the transport of programs that call the service, with the settings of
+// http.DefaultTransport.
+var DefaultTransport = NewTransport(http.DefaultTransport.(*http.Transport).Clone())
