Tests: one piece for what the reset tests wrote several times

Nothing changes in the product; no assertion, bound or pattern of a test changes.

What stood several times and now once: the size of a request that fills the sockets (seven places; stricttest.LargeBytes), a sound early answer without a length (five; stricttest.Finished), the forms without a length (four alike), the record and key of endpoints that send any bytes (three types; platformtest.RawEndpoint, keyOf), the wait until a node knows an endpoint (four; awaitEndpoint) and a raw request to a server within an intake (two; talk). The third raw request there stays as it is: it writes in the background, since its server may answer before it has read all.

--- a/e2e/crowd/flood_test.go
+++ b/e2e/crowd/flood_test.go
@@ -44,7 +44,9 @@
 // service. The crowd has had its effect when the given number of these answers have begun.
 func startFlooded(t *testing.T, number int, service string, flood stricttest.Flood, answers int) subject {
 	t.Helper()
-	flooding := platformtest.NewFloodingEndpoint(&platformtest.FloodingEndpoint{ID: "flood", Service: service, Zone: "z0", Slots: floodedCalls, Flood: flood})
+	flooding := platformtest.NewFloodingEndpoint(&platformtest.FloodingEndpoint{
+		RawEndpoint: platformtest.RawEndpoint{ID: "flood", Service: service, Zone: "z0", Slots: floodedCalls}, Flood: flood,
+	})
 	t.Cleanup(flooding.Close)
 	engine := platformtest.NewEndpoint(&platformtest.Endpoint{ID: "lm-0", Service: "lm", Zone: "z0", Model: "m", Events: 3})
 	t.Cleanup(engine.Close)
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -93,9 +93,8 @@
 
 func TestHeadsThatAreCutAreNoAnswers(t *testing.T) { requireMalformed(t, stricttest.Cuts) }
 
-// largeBody is more than what the sockets of a connection hold, so that it is still being written
-// when an early answer arrives.
-var largeBody = strings.Repeat("b", 24<<20)
+// largeBody is the body of a request that is still being written when an early answer arrives.
+var largeBody = strings.Repeat("b", stricttest.LargeBytes)
 
 // TestEarlyAnswerThatIsResetIsNotWhole checks that a body without a length is not whole if its
 // connection is reset while the call is still being written: it stays open whether the call ran.
@@ -119,8 +118,7 @@
 func TestEarlyAnswerThatEndsInOrderIsWhole(t *testing.T) {
 	for name, r := range readersOf(largeBody) {
 		t.Run(name, func(t *testing.T) {
-			early := stricttest.Early{Parts: []string{stricttest.Unsized(r.answer)}, Ending: stricttest.Finish}
-			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return r.do(t.Context(), address) }))
+			require.NoError(t, stricttest.CallEarly(stricttest.Finished(r.answer), func(address string) error { return r.do(t.Context(), address) }))
 		})
 	}
 }
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -110,14 +110,12 @@
 // TestEarlyAnswerThatIsResetIsNotWhole checks that a body without a length is whole only if its
 // connection ends in order, also if the answer arrives while the call is still being written.
 func TestEarlyAnswerThatIsResetIsNotWhole(t *testing.T) {
-	largeBody := make([]byte, 24<<20) // more than what the sockets of a connection hold
-	for name, c := range controlCalls(t, largeBody) {
+	for name, c := range controlCalls(t, make([]byte, stricttest.LargeBytes)) {
 		t.Run(name, func(t *testing.T) {
 			for form, early := range stricttest.Resets(c.answer) {
 				assert.Error(t, stricttest.CallEarly(early, func(address string) error { return c.do(t.Context(), address) }), form)
 			}
-			early := stricttest.Early{Parts: []string{stricttest.Unsized(c.answer)}, Ending: stricttest.Finish}
-			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return c.do(t.Context(), address) }))
+			require.NoError(t, stricttest.CallEarly(stricttest.Finished(c.answer), func(address string) error { return c.do(t.Context(), address) }))
 		})
 	}
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -182,6 +182,18 @@
 	return server
 }
 
+// talk sends bytes to a server on a connection of their own, and returns what comes back until its end.
+func talk(t *testing.T, server *httptest.Server, sent string) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, sent)
+	require.NoError(t, err)
+	answer, err := io.ReadAll(conn)
+	return string(answer), err
+}
+
 // serve starts a server within an intake that reads bodies and returns their sizes.
 func serve(t *testing.T, in *Intake, limits BodyLimits) *httptest.Server {
 	t.Helper()
@@ -245,14 +257,9 @@
 func TestRestOfAnUnreadBodyIsNotAwaited(t *testing.T) {
 	in := New(Limits{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 	server := start(t, in, http.NotFoundHandler())
-	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	answer, err := talk(t, server, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
 	require.NoError(t, err)
-	defer conn.Close()
-	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
-	require.NoError(t, err)
-	answer, err := io.ReadAll(conn)
-	require.NoError(t, err)
-	require.Contains(t, string(answer), "404")
+	require.Contains(t, answer, "404")
 }
 
 // TestAnswerWithoutALengthThatBreaksOffIsReset checks that a caller of HTTP/1.0 can tell a whole
@@ -274,14 +281,9 @@
 				_ = http.NewResponseController(w).Flush()
 				row.end(server)
 			}))
-			conn, err := net.Dial("tcp", server.Listener.Addr().String())
-			require.NoError(t, err)
-			defer conn.Close()
-			_, err = io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n")
-			require.NoError(t, err)
-			answer, err := io.ReadAll(conn)
+			answer, err := talk(t, server, "GET / HTTP/1.0\r\n\r\n")
 			require.Equal(t, row.broken, err != nil, "%q", answer)
-			require.Contains(t, string(answer), "answer")
+			require.Contains(t, answer, "answer")
 		})
 	}
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -20,7 +20,7 @@
 	t.Cleanup(second.Close)
 	s.store.Write(second.Key(), second.Record("ready"))
 	n := s.start("n1")
-	require.Eventually(t, func() bool { _, found := n.node.directory.Find("app-1"); return found }, waitLimit, pollInterval)
+	n.awaitEndpoint(t, "app-1")
 	s.owner()
 	s.submit(n, "before", 24)
 	s.requireComplete(s.results(n, "before", 24), "before", 24)
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -18,13 +18,13 @@
 	t.Helper()
 	s := newSystem(t)
 	e := platformtest.NewMalformedEndpoint(&platformtest.MalformedEndpoint{
-		ID: "malformed-0", Service: service, Zone: "z", Slots: 8, Malformations: malformations,
+		RawEndpoint: platformtest.RawEndpoint{ID: "malformed-0", Service: service, Zone: "z", Slots: 8}, Malformations: malformations,
 	})
 	t.Cleanup(e.Close)
 	s.store.Write(e.Key(), e.Record())
 	s.store.Configure(1, routes)
 	n := s.start("n1")
-	require.Eventually(t, func() bool { _, known := n.node.directory.Find("malformed-0"); return known }, waitLimit, pollInterval)
+	n.awaitEndpoint(t, e.ID)
 	return s, n, e
 }
 
--- a/internal/node/malformedpeer_test.go
+++ b/internal/node/malformedpeer_test.go
@@ -133,8 +133,7 @@
 	requireMalformedPeerAnswers(t, stricttest.Cuts)
 }
 
-// largePeerCalls are calls that carry more than what the sockets of a connection hold, so that they
-// are still being written when an early answer arrives.
+// largePeerCalls are calls that are still being written when an early answer arrives.
 var largePeerCalls = map[string]peerCall{
 	"announcement": {unknownField, func(ctx context.Context, p *peers, to cluster.Node) error {
 		return p.Announce(ctx, to, largeBody)
@@ -145,7 +144,7 @@
 	}},
 }
 
-var largeBody = make([]byte, 24<<20)
+var largeBody = make([]byte, stricttest.LargeBytes)
 
 // TestEarlyAnswerOfAPeerThatIsResetIsNotWhole checks that a body without a length is not whole if
 // its connection is reset while the call is still being written.
@@ -155,8 +154,7 @@
 			for form, early := range stricttest.Resets(c.answer(t)) {
 				assert.Error(t, stricttest.CallEarly(early, func(address string) error { return c.to(t.Context(), address) }), form)
 			}
-			early := stricttest.Early{Parts: []string{stricttest.Unsized(c.answer(t))}, Ending: stricttest.Finish}
-			require.NoError(t, stricttest.CallEarly(early, func(address string) error { return c.to(t.Context(), address) }))
+			require.NoError(t, stricttest.CallEarly(stricttest.Finished(c.answer(t)), func(address string) error { return c.to(t.Context(), address) }))
 		})
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -120,6 +120,12 @@
 	return n
 }
 
+// awaitEndpoint waits until the node knows an endpoint.
+func (n *testNode) awaitEndpoint(t *testing.T, id string) {
+	t.Helper()
+	require.Eventually(t, func() bool { _, known := n.node.directory.Find(id); return known }, waitLimit, pollInterval)
+}
+
 func (s *system) call(n *testNode, method, path, id string, body []byte) (int, []byte) {
 	s.t.Helper()
 	return s.callAs(n, "", method, path, id, body)
--- a/internal/node/reset_test.go
+++ b/internal/node/reset_test.go
@@ -14,14 +14,10 @@
 	"github.com/comfreyfront/comfreyfront/platform/platformtest"
 )
 
-// largeRequestBytes is more than what the sockets of a connection hold, and within the limit on
-// bodies.
-const largeRequestBytes = 24 << 20
-
-// largeRequest returns the body of a large request. Equal requests whose answers break are taken for
-// ones that crash endpoints.
+// largeRequest returns the body of a request that is still being written when an early answer
+// arrives. Equal requests whose answers break are taken for ones that crash endpoints.
 func largeRequest(i int) []byte {
-	return append(bytes.Repeat([]byte("b"), largeRequestBytes), fmt.Sprint(i)...)
+	return append(bytes.Repeat([]byte("b"), stricttest.LargeBytes), fmt.Sprint(i)...)
 }
 
 // startWithEarly starts a node with endpoints that answer early, beside the usual ones.
@@ -36,7 +32,7 @@
 	s.store.ConfigureForLargeBodies()
 	n := s.start("n1")
 	for _, e := range endpoints {
-		require.Eventually(t, func() bool { _, known := n.node.directory.Find(e.ID); return known }, waitLimit, pollInterval)
+		n.awaitEndpoint(t, e.ID)
 	}
 	return s, n
 }
@@ -45,8 +41,8 @@
 // event, after one pause after the other.
 func resetting(service string, pauses ...time.Duration) *platformtest.EarlyEndpoint {
 	return &platformtest.EarlyEndpoint{
-		ID: "resetting-0", Service: service, Zone: "z", Slots: 8,
-		Ending: stricttest.Reset, Forms: stricttest.WithoutLength, Pauses: pauses,
+		RawEndpoint: platformtest.RawEndpoint{ID: "resetting-0", Service: service, Zone: "z", Slots: 8},
+		Ending:      stricttest.Reset, Forms: stricttest.WithoutLength, Pauses: pauses,
 		Body: func(id string) string {
 			return platformtest.StreamText(id, 1) + "id: 2\ndata: " + platformtest.MalformedText + "\n"
 		},
@@ -56,8 +52,8 @@
 // finishing returns an endpoint of a service whose connections end in order.
 func finishing(service string, forms ...stricttest.Malformation) *platformtest.EarlyEndpoint {
 	return &platformtest.EarlyEndpoint{
-		ID: "finishing-0", Service: service, Zone: "z", Slots: 8,
-		Ending: stricttest.Finish, Forms: forms, Pauses: []time.Duration{0}, Body: platformtest.Answer,
+		RawEndpoint: platformtest.RawEndpoint{ID: "finishing-0", Service: service, Zone: "z", Slots: 8},
+		Ending:      stricttest.Finish, Forms: forms, Pauses: []time.Duration{0}, Body: platformtest.Answer,
 	}
 }
 
@@ -101,7 +97,7 @@
 	s.store.Write(e.Key(), e.Record("ready"))
 	s.store.ConfigureForLargeBodies()
 	n := s.start("n1")
-	require.Eventually(t, func() bool { _, known := n.node.directory.Find(e.ID); return known }, waitLimit, pollInterval)
+	n.awaitEndpoint(t, e.ID)
 	statuses := make([]map[int]int, callers)
 	var finished sync.WaitGroup
 	for i := range statuses {
--- a/internal/strict/end_test.go
+++ b/internal/strict/end_test.go
@@ -15,9 +15,8 @@
 	"github.com/comfreyfront/comfreyfront/internal/strict/stricttest"
 )
 
-// largeBody is more than what the sockets of a connection hold, so that it is still being written
-// when an early answer arrives.
-var largeBody = make([]byte, 24<<20)
+// largeBody is the body of a request that is still being written when an early answer arrives.
+var largeBody = make([]byte, stricttest.LargeBytes)
 
 // send sends a request to a server with an early answer and returns the body of the answer.
 func send(t *testing.T, answer stricttest.Early, request io.Reader) (string, error) {
--- a/internal/strict/stricttest/early.go
+++ b/internal/strict/stricttest/early.go
@@ -25,6 +25,10 @@
 	FinishUnread
 )
 
+// LargeBytes is the size of a request that is more than what the sockets of a connection hold, so that
+// it is still being written when an early answer arrives.
+const LargeBytes = 24 << 20
+
 // finishedPause is how long a connection with the ending FinishUnread stays open.
 const finishedPause = time.Second
 
@@ -88,18 +92,17 @@
 // WithoutLength are the forms of an answer that does not say where its body ends.
 var WithoutLength = []Malformation{
 	{Name: "no length", Apply: Unsized},
-	{Name: "earlier version", Apply: func(answer string) string {
-		return strings.Replace(Unsized(answer), "HTTP/1.1", "HTTP/1.0", 1)
-	}},
-	{Name: "announced close", Apply: func(answer string) string {
-		return strings.Replace(Unsized(answer), "\r\n", "\r\nConnection: close\r\n", 1)
-	}},
-	{Name: "failure", Apply: func(answer string) string {
-		return strings.Replace(Unsized(answer), "200 OK", "500 Failed", 1)
-	}},
-	{Name: "refusal", Apply: func(answer string) string {
-		return strings.Replace(Unsized(answer), "200 OK", "503 Busy", 1)
-	}},
+	unsizedWith("earlier version", "HTTP/1.1", "HTTP/1.0"),
+	unsizedWith("announced close", "\r\n", "\r\nConnection: close\r\n"),
+	unsizedWith("failure", "200 OK", "500 Failed"),
+	unsizedWith("refusal", "200 OK", "503 Busy"),
+}
+
+// unsizedWith returns a form without a length in which the first old text of the head is replaced.
+func unsizedWith(name, old, replacement string) Malformation {
+	return Malformation{Name: name, Apply: func(answer string) string {
+		return strings.Replace(Unsized(answer), old, replacement, 1)
+	}}
 }
 
 // ResetPauses are the times between the parts of an early answer. How soon a reset follows decides
@@ -121,6 +124,11 @@
 	}
 }
 
+// Finished returns the given answer, without a length and early, on a connection that ends in order.
+func Finished(answer string) Early {
+	return Early{Parts: []string{Unsized(answer)}, Ending: Finish}
+}
+
 // CallEarly makes a call to a server with an early answer.
 func CallEarly(answer Early, do func(address string) error) error {
 	server := NewEarlyServer(func(*http.Request) Early { return answer })
--- a/trainer/reset_test.go
+++ b/trainer/reset_test.go
@@ -20,12 +20,11 @@
 // retryTime is how long a client tries whose calls fail.
 const retryTime = 200 * time.Millisecond
 
-// create creates a step of about 24 MB, more than what the sockets of a connection hold, with a
-// service that answers early, and returns the error. It tries for the given time at most.
+// create creates a large step with a service that answers early, and returns the error. It tries for the given time at most.
 func create(t *testing.T, answer stricttest.Early, limit time.Duration) error {
 	t.Helper()
 	large := spec
-	large.Groups = []trainer.Group{{Prompt: strings.Repeat("p", 24<<20), Size: 1, MaxTokens: 1}}
+	large.Groups = []trainer.Group{{Prompt: strings.Repeat("p", stricttest.LargeBytes), Size: 1, MaxTokens: 1}}
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	return stricttest.CallEarly(answer, func(address string) error {
@@ -61,6 +60,5 @@
 
 // TestRefusalThatEndsInOrderEndsAStep checks that a refusal without a length is taken.
 func TestRefusalThatEndsInOrderEndsAStep(t *testing.T) {
-	answer := stricttest.Early{Parts: []string{stricttest.Unsized(refused)}, Ending: stricttest.Finish}
-	require.ErrorContains(t, create(t, answer, time.Minute), "superseded")
+	require.ErrorContains(t, create(t, stricttest.Finished(refused), time.Minute), "superseded")
 }
